--- /dev/null
+++ b/packages/base/include/gypsumtrack/base/names.h
@@ -0,0 +1,69 @@
+#ifndef GYPSUMTRACK_BASE_NAMES_H_
+#define GYPSUMTRACK_BASE_NAMES_H_
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <utility>
+
+/// Typed names, so that an organisation can't be passed where a VM is meant.
+namespace gypsumtrack::base {
+
+template <typename Tag>
+struct Name {
+  std::string text;
+
+  Name() = default;
+  explicit Name(std::string value) : text(std::move(value)) {}
+
+  bool empty() const { return this->text.empty(); }  // NOLINT
+  auto operator<=>(const Name&) const = default;
+};
+
+using Organisation = Name<struct OrganisationTag>;
+using Service = Name<struct ServiceTag>;
+using Model = Name<struct ModelTag>;
+using FailureDomain = Name<struct FailureDomainTag>;
+using Region = Name<struct RegionTag>;
+using EndpointId = Name<struct EndpointTag>;
+using JobId = Name<struct JobTag>;
+
+/// A VM of the system. The incarnation differs for each process started, so
+/// that a replacement at the same address is another VM.
+struct VmId {
+  std::string name;
+  std::uint64_t incarnation = 0;
+
+  auto operator<=>(const VmId&) const = default;
+};
+
+/// Where a VM or an endpoint stands.
+struct Place {
+  FailureDomain domain;
+  Region region;
+
+  auto operator<=>(const Place&) const = default;
+};
+
+/// Position in the log of configuration changes; 0 is the empty log.
+using Revision = std::uint64_t;
+
+}  // namespace gypsumtrack::base
+
+template <typename Tag>
+struct std::hash<gypsumtrack::base::Name<Tag>> {
+  std::size_t operator()(const gypsumtrack::base::Name<Tag>& name) const {
+    return std::hash<std::string>()(name.text);
+  }
+};
+
+template <>
+struct std::hash<gypsumtrack::base::VmId> {
+  std::size_t operator()(const gypsumtrack::base::VmId& vm) const {
+    return std::hash<std::string>()(vm.name) ^
+           (vm.incarnation * 0x9E3779B97F4A7C15ULL);
+  }
+};
+
+#endif  // GYPSUMTRACK_BASE_NAMES_H_
--- /dev/null
+++ b/packages/gypsumtrackd/src/main.cc
@@ -0,0 +1,1 @@
+int main() { return 0; }
--- /dev/null
+++ b/packages/peer/src/package.cc
@@ -0,0 +1,1 @@
+// The package's first source file comes with its first part.
--- /dev/null
+++ b/packages/policy/src/rule.cc
@@ -0,0 +1,205 @@
+#include "gypsumtrack/policy/rule.h"
+
+#include <fmt/format.h>
+
+#include <charconv>
+#include <optional>
+#include <set>
+#include <string_view>
+
+namespace gypsumtrack::policy {
+namespace {
+
+struct Token {
+  std::string_view text;
+  std::size_t column = 0;
+};
+
+std::vector<Token> SplitWords(std::string_view line) {
+  std::vector<Token> words;
+  std::size_t at = 0;
+  while (at < line.size()) {
+    const auto start = line.find_first_not_of(" \t", at);
+    if (start == std::string_view::npos) break;
+    auto stop = line.find_first_of(" \t", start);
+    if (stop == std::string_view::npos) stop = line.size();
+    words.push_back({line.substr(start, stop - start), start + 1});
+    at = stop;
+  }
+  return words;
+}
+
+std::string_view Trim(std::string_view text) {
+  const auto start = text.find_first_not_of(" \t\r");
+  if (start == std::string_view::npos) return {};
+  return text.substr(start, text.find_last_not_of(" \t\r") - start + 1);
+}
+
+template <typename Number>
+std::optional<Number> ParseNumber(std::string_view text) {
+  Number number{};
+  const auto end = text.data() + text.size();
+  const auto [stop, failure] = std::from_chars(text.data(), end, number);
+  if (failure != std::errc() || stop != end) return std::nullopt;
+  return number;
+}
+
+std::optional<bool> ParseYesNo(std::string_view text) {
+  if (text == "yes") return true;
+  if (text == "no") return false;
+  return std::nullopt;
+}
+
+/// Sets one field; returns what was expected if the value doesn't fit.
+std::string SetField(Rule& rule, std::string_view name,
+                     std::string_view value) {
+  if (value.empty()) return fmt::format("a value after {}=", name);
+  if (name == "org") {
+    rule.id.organisation = base::Organisation(std::string(value));
+  } else if (name == "service") {
+    rule.id.service = base::Service(std::string(value));
+  } else if (name == "model") {
+    rule.id.model = base::Model(std::string(value));
+  } else if (name == "rate") {
+    constexpr std::string_view kUnit = "/s";
+    if (value.size() <= kUnit.size() ||
+        value.substr(value.size() - kUnit.size()) != kUnit) {
+      return "a rate with its unit, such as 40/s";
+    }
+    const auto rate =
+        ParseNumber<double>(value.substr(0, value.size() - kUnit.size()));
+    if (!rate || !(*rate > 0)) return "a rate above zero, such as 40/s";
+    rule.rate_per_second = *rate;
+  } else if (name == "burst") {
+    const auto burst = ParseNumber<std::uint32_t>(value);
+    if (!burst || *burst < 1) return "a burst of one or more";
+    rule.burst = *burst;
+  } else if (name == "bulk" || name == "idempotent") {
+    const auto flag = ParseYesNo(value);
+    if (!flag) return "yes or no";
+    (name == "bulk" ? rule.bulk : rule.idempotent) = *flag;
+  } else if (name == "share") {
+    const auto share = ParseNumber<std::uint32_t>(value);
+    if (!share || *share < 1) return "a share of one or more";
+    rule.share = *share;
+  } else if (name == "route") {
+    const auto colon = value.find(':');
+    if (colon == std::string_view::npos || value.substr(colon + 1, 1) != "/") {
+      return "a route such as POST:/confirm";
+    }
+    rule.id.route = {std::string(value.substr(0, colon)),
+                     std::string(value.substr(colon + 1))};
+  } else if (name == "isolated") {
+    const auto mode = kIsolatedModeNames.Parse(value);
+    if (!mode) return "serve or refuse";
+    rule.isolated = *mode;
+  } else {
+    return "one of org, service, model, rate, burst, bulk, share, route, "
+           "idempotent, isolated";
+  }
+  return {};
+}
+
+std::string FindMissing(const Rule& rule) {
+  if (rule.id.service.empty()) return "service=NAME";
+  if (rule.id.kind == RuleKind::kOpen) {
+    return rule.id.route.path_prefix.empty() ? "route=METHOD:/PATH" : "";
+  }
+  if (rule.id.organisation.empty()) return "org=NAME";
+  if (rule.rate_per_second <= 0) return "rate=N/s";
+  if (rule.burst == 0) return "burst=N";
+  return {};
+}
+
+base::Error ErrorAt(std::size_t line, std::size_t column,
+                    std::string_view expected) {
+  return {base::Errc::kInvalid,
+          fmt::format("{}:{}: expected {}", line, column, expected)};
+}
+
+base::Outcome<Rule> ParseLine(std::string_view line, std::size_t number) {
+  const auto hash = line.find('#');
+  const auto comment =
+      hash == std::string_view::npos ? "" : Trim(line.substr(hash + 1));
+  if (comment.empty()) {
+    return ErrorAt(number, line.size() + 1, "a # comment naming who asked");
+  }
+  const auto words = SplitWords(line.substr(0, hash));
+  Rule rule;
+  rule.comment = std::string(comment);
+  const auto kind = kRuleKindNames.Parse(words.front().text);
+  if (!kind) return ErrorAt(number, words.front().column, "allow or open");
+  rule.id.kind = *kind;
+  std::set<std::string_view> seen;
+  for (std::size_t i = 1; i < words.size(); ++i) {
+    const auto& word = words[i];
+    const auto equals = word.text.find('=');
+    if (equals == std::string_view::npos) {
+      return ErrorAt(number, word.column, "name=value");
+    }
+    const auto name = word.text.substr(0, equals);
+    if (!seen.insert(name).second) {
+      return ErrorAt(number, word.column, fmt::format("{} only once", name));
+    }
+    const auto expected = SetField(rule, name, word.text.substr(equals + 1));
+    if (!expected.empty()) return ErrorAt(number, word.column, expected);
+  }
+  const auto missing = FindMissing(rule);
+  if (!missing.empty()) return ErrorAt(number, hash + 1, missing);
+  return rule;
+}
+
+}  // namespace
+
+base::Outcome<RuleSet> ParseRules(const std::string& text) {
+  RuleSet rules;
+  std::set<RuleIdentity> seen;
+  std::string_view rest = text;
+  for (std::size_t number = 1; !rest.empty(); ++number) {
+    const auto stop = rest.find('\n');
+    const auto line = rest.substr(0, stop);
+    rest = stop == std::string_view::npos ? "" : rest.substr(stop + 1);
+    const auto trimmed = Trim(line);
+    if (trimmed.empty() || trimmed.front() == '#') continue;
+    auto rule = ParseLine(line, number);
+    if (!rule.ok()) return rule.error();
+    if (!seen.insert(rule->id).second) {
+      return ErrorAt(number, 1, "no second rule for the same caller and route");
+    }
+    rules.push_back(std::move(*rule));
+  }
+  return rules;
+}
+
+std::string FormatRule(const Rule& rule) {
+  const auto& id = rule.id;
+  std::string line(kRuleKindNames.Name(id.kind));
+  const auto add = [&](std::string_view name, const auto& value) {
+    line += fmt::format(" {}={}", name, value);
+  };
+  if (!id.organisation.empty()) add("org", id.organisation.text);
+  add("service", id.service.text);
+  if (!id.model.empty()) add("model", id.model.text);
+  if (id.kind == RuleKind::kAllow) {
+    add("rate", fmt::format("{}/s", rule.rate_per_second));
+    add("burst", rule.burst);
+    if (rule.bulk) add("bulk", "yes");
+    if (rule.share != 1) add("share", rule.share);
+  }
+  if (!id.route.path_prefix.empty()) {
+    add("route", fmt::format("{}:{}", id.route.method, id.route.path_prefix));
+  }
+  if (!rule.idempotent) add("idempotent", "no");
+  if (rule.isolated != IsolatedMode::kServe) {
+    add("isolated", kIsolatedModeNames.Name(rule.isolated));
+  }
+  return fmt::format("{}  # {}", line, rule.comment);
+}
+
+std::string FormatRules(const RuleSet& rules) {
+  std::string text;
+  for (const auto& rule : rules) text += FormatRule(rule) + "\n";
+  return text;
+}
+
+}  // namespace gypsumtrack::policy
