--- /dev/null
+++ b/packages/gateway/include/gypsumtrack/gateway/admission.h
@@ -0,0 +1,42 @@
+#ifndef GYPSUMTRACK_GATEWAY_ADMISSION_H_
+#define GYPSUMTRACK_GATEWAY_ADMISSION_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <functional>
+
+#include "gypsumtrack/base/enum_table.h"
+#include "gypsumtrack/base/time.h"
+#include "gypsumtrack/policy/rule.h"
+
+/// Whether a request is within its organisation's rate and burst.
+namespace gypsumtrack::gateway {
+
+enum class AdmissionVerdict {
+  kAdmitted,
+  kOverRate,  ///< above rate and burst
+  kIsolated,  ///< the domain is cut off and the rule says `isolated=refuse`
+  kNotReady,  ///< this VM holds no share yet
+};
+
+inline constexpr auto kAdmissionVerdictNames =
+    base::MakeEnumTable<AdmissionVerdict>({
+        {AdmissionVerdict::kAdmitted, "admitted"},
+        {AdmissionVerdict::kOverRate, "over_rate"},
+        {AdmissionVerdict::kIsolated, "isolated"},
+        {AdmissionVerdict::kNotReady, "not_ready"},
+    });
+
+struct Admission {
+  AdmissionVerdict verdict = AdmissionVerdict::kAdmitted;
+  /// When a refused caller may come back.
+  base::Instant retry_at{};
+};
+
+/// Takes one request's worth of the rule's rate, waiting for borrowed tokens no
+/// longer than the deadline. Thread-safe.
+using AdmitHook = std::function<boost::asio::awaitable<Admission>(
+    const policy::Rule& rule, base::Instant deadline)>;
+
+}  // namespace gypsumtrack::gateway
+
+#endif  // GYPSUMTRACK_GATEWAY_ADMISSION_H_
--- /dev/null
+++ b/packages/policy/include/gypsumtrack/policy/fleet_view.h
@@ -0,0 +1,65 @@
+#ifndef GYPSUMTRACK_POLICY_FLEET_VIEW_H_
+#define GYPSUMTRACK_POLICY_FLEET_VIEW_H_
+
+#include <string>
+#include <vector>
+
+#include "gypsumtrack/base/enum_table.h"
+#include "gypsumtrack/base/names.h"
+#include "gypsumtrack/base/vm_list.h"
+
+/// The VMs and endpoints as one daemon sees them: an immutable snapshot.
+namespace gypsumtrack::policy {
+
+enum class PeerState {
+  kLive,     ///< heard within the heartbeat deadline
+  kSuspect,  ///< silent past the deadline, or listed and not yet heard
+  kLeaving,  ///< said so itself, or by the platform's list
+  kLost,     ///< silent for long, replaced, or gone from the list
+};
+
+inline constexpr auto kPeerStateNames = base::MakeEnumTable<PeerState>({
+    {PeerState::kLive, "live"},
+    {PeerState::kSuspect, "suspect"},
+    {PeerState::kLeaving, "leaving"},
+    {PeerState::kLost, "lost"},
+});
+
+/// Another daemon.
+struct PeerVm {
+  base::VmId id;
+  std::string address;
+  base::Place place;
+  PeerState state = PeerState::kSuspect;
+
+  bool operator==(const PeerVm&) const = default;
+};
+
+/// An endpoint that may be given work.
+struct Endpoint {
+  base::EndpointId id;
+  std::string address;
+  base::Place place;
+  base::Service service;
+  std::vector<base::Model> models;
+  /// Requests that it runs at once.
+  std::uint32_t slots = 0;
+  bool leaving = false;
+  bool checks_fencing = false;
+
+  bool operator==(const Endpoint&) const = default;
+};
+
+struct FleetView {
+  base::VmId self;
+  base::Place place;
+  /// Without the daemon itself.
+  std::vector<PeerVm> peers;
+  std::vector<Endpoint> endpoints;
+  /// Whether this VM's last call to the platform was answered.
+  bool platform_reachable = false;
+};
+
+}  // namespace gypsumtrack::policy
+
+#endif  // GYPSUMTRACK_POLICY_FLEET_VIEW_H_
