Serve callers over HTTP: front, endpoint client, online service, stand-in

Cause: nothing carried a request from a caller to an endpoint. The front reads and streams with limits and drains without cutting; the client keeps one request on a connection; the service checks the key before each send. Conclusion: the thin path holds; choice of endpoint and retries are simple for now.

--- /dev/null
+++ b/packages/gateway/include/gypsumtrack/gateway/endpoint_client.h
@@ -0,0 +1,142 @@
+#ifndef GYPSUMTRACK_GATEWAY_ENDPOINT_CLIENT_H_
+#define GYPSUMTRACK_GATEWAY_ENDPOINT_CLIENT_H_
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "gypsumtrack/base/enum_table.h"
+#include "gypsumtrack/base/error.h"
+#include "gypsumtrack/base/time.h"
+#include "gypsumtrack/gateway/http_server.h"
+#include "gypsumtrack/policy/run_state.h"
+
+/// Calls to endpoints over pooled HTTP/1.1 connections, one request at a time
+/// on a connection.
+namespace gypsumtrack::gateway {
+
+/// By which an endpoint says that it refused a request before running it.
+inline constexpr const char* kEndpointRunHeader = "X-Run-State";
+/// By which an endpoint says that it is leaving.
+inline constexpr const char* kEndpointLeavingHeader = "X-Leaving";
+
+/// Ends a call early. Used on the call's strand.
+class CallCancel {
+ public:
+  void Cancel();
+  bool cancelled() const { return this->is_cancelled; }  // NOLINT
+  /// Set by the client while a call is in flight.
+  void SetAction(std::function<void()> action);
+
+ private:
+  bool is_cancelled = false;
+  std::function<void()> action;
+};
+
+/// How a call ended.
+enum class CallEnd {
+  kWhole,       ///< a whole answer came
+  kRefused,     ///< the endpoint refused it before running
+  kConnect,     ///< no connection could be made
+  kClosed,      ///< the connection ended before the answer did
+  kStalled,     ///< the answer stood still past the progress deadline
+  kDeadline,    ///< the call's own deadline passed
+  kMismatched,  ///< the answer belongs to another request
+  kCancelled,   ///< cancelled, or a hook gave up
+  kInvalid,     ///< the answer is malformed, unbounded or too large
+};
+
+inline constexpr auto kCallEndNames = base::MakeEnumTable<CallEnd>({
+    {CallEnd::kWhole, "whole"},
+    {CallEnd::kRefused, "refused"},
+    {CallEnd::kConnect, "connect"},
+    {CallEnd::kClosed, "closed"},
+    {CallEnd::kStalled, "stalled"},
+    {CallEnd::kDeadline, "deadline"},
+    {CallEnd::kMismatched, "mismatched"},
+    {CallEnd::kCancelled, "cancelled"},
+    {CallEnd::kInvalid, "invalid"},
+});
+
+struct EndpointCall {
+  /// `ip:port`.
+  std::string address;
+  std::string method;
+  /// Encoded path and query.
+  std::string target;
+  std::vector<Header> headers;
+  std::string body;
+  /// Sent as `X-Request-Id`; an answer that echoes another is dropped.
+  std::string request_id;
+  /// Others go only on a connection proven alive just now, or on a new one.
+  bool idempotent = true;
+  base::Instant deadline = base::kNever;
+  /// Longest time that the answer may stand still.
+  base::Duration progress_timeout = std::chrono::seconds(10);
+  std::shared_ptr<CallCancel> cancel;
+
+  using PartHook = std::function<boost::asio::awaitable<base::Status>(
+      const ResponseHead& head, std::string_view part)>;
+  /// Takes each part of a 2xx body instead of EndpointResult::body. An error
+  /// ends the call as kCancelled.
+  PartHook on_part;
+  /// Whether the parts taken make a whole answer; asked at the body's end.
+  std::function<bool()> is_whole;
+};
+
+struct EndpointResult {
+  CallEnd end = CallEnd::kConnect;
+  policy::RunState run = policy::RunState::kNotRun;
+  /// Whether the endpoint said that it is leaving.
+  bool leaving = false;
+  /// Whether the call went on a pooled connection.
+  bool reused_connection = false;
+  ResponseHead head;
+  std::string body;
+};
+
+struct EndpointClientOptions {
+  base::Duration connect_timeout = std::chrono::seconds(1);
+  /// An idle connection older than this is closed.
+  base::Duration max_idle = std::chrono::seconds(15);
+  /// For how long an answer proves that its connection is alive.
+  base::Duration proven_alive = std::chrono::milliseconds(500);
+  /// The kernel gives up a connection whose bytes stay unacknowledged.
+  base::Duration unacknowledged_timeout = std::chrono::milliseconds(1500);
+  std::uint32_t max_idle_per_endpoint = 64;
+  std::uint32_t max_calls_per_connection = 1000;
+  std::uint64_t max_body_bytes = 64ULL * 1024 * 1024;
+};
+
+/// Connections to all endpoints.
+class EndpointClient {
+ public:
+  EndpointClient(boost::asio::any_io_executor executor, base::Clock clock,
+                 EndpointClientOptions options);
+  ~EndpointClient();
+
+  /// Runs on the awaiting coroutine's executor, which must be a strand.
+  /// Precondition: the client outlives the call. Thread-safe.
+  boost::asio::awaitable<EndpointResult> Call(EndpointCall call);
+  /// Closes the endpoint's idle connections. Thread-safe.
+  void DropIdle(const std::string& address);
+  /// Closes all idle connections. Thread-safe.
+  void CloseIdle();
+
+  /// Idle connections to the endpoint. Thread-safe.
+  std::size_t idle_count(const std::string& address) const;  // NOLINT
+
+ private:
+  class Pool;
+  std::unique_ptr<Pool> pool;
+};
+
+}  // namespace gypsumtrack::gateway
+
+#endif  // GYPSUMTRACK_GATEWAY_ENDPOINT_CLIENT_H_
--- a/packages/gateway/include/gypsumtrack/gateway/http_server.h
+++ b/packages/gateway/include/gypsumtrack/gateway/http_server.h
@@ -39,7 +39,7 @@
 
 namespace detail {
 class Connection;
-}
+}  // namespace detail
 
 /// One request and its response. Used by one coroutine at a time.
 class Exchange {
@@ -75,6 +75,10 @@
   boost::asio::awaitable<base::Status> WritePart(std::string bytes);
   /// Ends the stream, so that the caller knows the response is whole.
   boost::asio::awaitable<base::Status> EndStream();
+  /// Calls `handler` at most once, on the exchange's strand, when the caller is
+  /// seen to have gone before the response ended; null stops watching.
+  /// Precondition: the whole body was read.
+  void OnCallerGone(std::function<void()> handler);
   /// Closes the connection without an end mark: the response is broken.
   void Abort();
 
@@ -108,6 +112,14 @@
   std::uint32_t max_connections = 4096;
   base::Duration idle_timeout = std::chrono::seconds(60);
   base::Duration request_timeout = std::chrono::seconds(120);
+  /// From a request's first byte to the end of its header.
+  base::Duration header_timeout = std::chrono::seconds(10);
+  /// Slower bodies are dropped once `slow_body_grace` is over.
+  std::uint64_t min_body_bytes_per_second = 512;
+  base::Duration slow_body_grace = std::chrono::seconds(5);
+  /// How long idle connections and the listener stay open once draining, for
+  /// requests that are already on their way.
+  base::Duration drain_grace = std::chrono::seconds(1);
 };
 
 /// Accepts connections and runs their exchanges on `executor`.
--- /dev/null
+++ b/packages/gateway/src/connection_pool.cc
@@ -0,0 +1,84 @@
+#include "connection_pool.h"
+
+#include "gypsumtrack/base/hash.h"
+
+namespace gypsumtrack::gateway {
+namespace {
+
+/// An idle connection has nothing to read: input is an end or a stray answer.
+bool IsQuiet(EndpointConnection& connection) {
+  boost::system::error_code error;
+  connection.socket.non_blocking(true, error);
+  char byte = 0;
+  connection.socket.receive(boost::asio::buffer(&byte, 1),
+                            boost::asio::socket_base::message_peek, error);
+  return error == boost::asio::error::would_block;
+}
+
+}  // namespace
+
+ConnectionPool::ConnectionPool(EndpointClientOptions options)
+    : options(options) {}
+
+EndpointConnectionPtr ConnectionPool::Take(const std::string& address,
+                                           base::Instant proven_since) {
+  Shard& shard = this->ShardOf(address);
+  const std::lock_guard lock(shard.mutex);
+  const auto found = shard.idle.find(address);
+  if (found == shard.idle.end()) return nullptr;
+  auto& idle = found->second;
+  while (!idle.empty() && idle.back()->proven_at >= proven_since) {
+    auto connection = std::move(idle.back());
+    idle.pop_back();
+    if (IsQuiet(*connection)) return connection;
+  }
+  return nullptr;
+}
+
+void ConnectionPool::Put(const std::string& address,
+                         EndpointConnectionPtr connection) {
+  if (connection->calls >= this->options.max_calls_per_connection) return;
+  const auto now = connection->proven_at;
+  Shard& shard = this->ShardOf(address);
+  const std::lock_guard lock(shard.mutex);
+  auto& idle = shard.idle[address];
+  this->DropExpired(idle, now);
+  if (idle.size() >= this->options.max_idle_per_endpoint) return;
+  idle.push_back(std::move(connection));
+}
+
+void ConnectionPool::Drop(const std::string& address) {
+  Shard& shard = this->ShardOf(address);
+  const std::lock_guard lock(shard.mutex);
+  shard.idle.erase(address);
+}
+
+void ConnectionPool::DropAll() {
+  for (auto& shard : this->shards) {
+    const std::lock_guard lock(shard.mutex);
+    shard.idle.clear();
+  }
+}
+
+std::size_t ConnectionPool::idle_count(const std::string& address) const {
+  const Shard& shard = this->ShardOf(address);
+  const std::lock_guard lock(shard.mutex);
+  const auto found = shard.idle.find(address);
+  return found == shard.idle.end() ? 0 : found->second.size();
+}
+
+ConnectionPool::Shard& ConnectionPool::ShardOf(const std::string& address) {
+  return this->shards[base::Hash64(address) % kShards];
+}
+
+const ConnectionPool::Shard& ConnectionPool::ShardOf(
+    const std::string& address) const {
+  return this->shards[base::Hash64(address) % kShards];
+}
+
+void ConnectionPool::DropExpired(Idle& idle, base::Instant now) const {
+  const auto oldest = now - this->options.max_idle;
+  while (!idle.empty() && idle.front()->proven_at < oldest) idle.pop_front();
+}
+
+}  // namespace gypsumtrack::gateway
--- /dev/null
+++ b/packages/gateway/src/error_reply.cc
@@ -0,0 +1,40 @@
+#include "gypsumtrack/gateway/error_reply.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <utility>
+
+namespace gypsumtrack::gateway {
+
+RenderedReply RenderError(const ErrorReply& reply) {
+  RenderedReply out;
+  out.head.status = reply.status;
+  out.head.headers.push_back({"Content-Type", "application/json"});
+  out.head.headers.push_back(
+      {kRunHeader, std::string(policy::kRunStateNames.Name(reply.run))});
+  if (reply.retry_after_seconds > 0) {
+    out.head.headers.push_back(
+        {"Retry-After", std::to_string(reply.retry_after_seconds)});
+  }
+  const boost::json::object error{{"code", reply.code},
+                                  {"message", reply.message}};
+  out.body = boost::json::serialize(boost::json::object{{"error", error}});
+  out.body += '\n';
+  return out;
+}
+
+boost::asio::awaitable<base::Status> SendError(Exchange& exchange,
+                                               ErrorReply reply) {
+  auto rendered = RenderError(reply);
+  co_return co_await exchange.Send(std::move(rendered.head),
+                                   std::move(rendered.body));
+}
+
+std::uint32_t RetryAfterSeconds(base::Instant now, base::Instant at) {
+  if (at <= now) return 1;
+  const auto seconds = std::chrono::ceil<std::chrono::seconds>(at - now);
+  return static_cast<std::uint32_t>(
+      std::clamp<std::int64_t>(seconds.count(), 1, 3600));
+}
+
+}  // namespace gypsumtrack::gateway
--- /dev/null
+++ b/packages/gateway/src/http_connection.cc
@@ -0,0 +1,442 @@
+#include "http_connection.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/url/pct_string_view.hpp>
+#include <exception>
+#include <utility>
+
+#include "gypsumtrack/base/log.h"
+
+namespace gypsumtrack::gateway::detail {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+constexpr base::Logger kLog{"http"};
+constexpr auto kUse = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t kPartBytes = std::size_t{64} * 1024;
+constexpr std::size_t kReadAheadBytes = std::size_t{64} * 1024;
+/// A longer rest of an unread body is not waited for.
+constexpr std::uint64_t kMaxDiscardBytes = 256 * 1024;
+constexpr base::Duration kLingerTimeout = std::chrono::seconds(2);
+constexpr unsigned kHttp11 = 11;
+
+bool HasDotSegment(std::string_view path) {
+  std::size_t begin = 0;
+  while (begin <= path.size()) {
+    const auto end = std::min(path.find('/', begin), path.size());
+    const auto segment = path.substr(begin, end - begin);
+    if (segment == "." || segment == "..") return true;
+    begin = end + 1;
+  }
+  return false;
+}
+
+/// Empty if the target isn't a plain absolute path.
+std::string DecodePath(std::string_view raw) {
+  const auto encoded = boost::urls::make_pct_string_view(raw);
+  if (!encoded || raw.empty() || raw.front() != '/') return {};
+  auto path = encoded->decode();
+  if (path.find('\0') != std::string::npos || HasDotSegment(path)) return {};
+  return path;
+}
+
+ErrorReply HeadError(error_code error, bool expired) {
+  if (expired) return {408, "request_timeout", "The request came too slowly."};
+  if (error == http::error::header_limit ||
+      error == http::error::buffer_overflow) {
+    return {431, "header_too_large", "The request header is too large."};
+  }
+  return {400, "malformed_request", "The request is not valid HTTP/1.1."};
+}
+
+void AddHeaders(const ResponseHead& from, http::fields& to) {
+  for (const auto& header : from.headers) to.insert(header.name, header.value);
+}
+
+}  // namespace
+
+Connection::Connection(asio::ip::tcp::socket accepted,
+                       std::shared_ptr<ServerContext> shared)
+    : socket(std::move(accepted)),
+      context(std::move(shared)),
+      buffer(this->context->options.max_header_bytes + kReadAheadBytes) {
+  this->watchdog = std::make_shared<Watchdog>(this->socket.get_executor(),
+                                              this->context->clock,
+                                              [this] { this->Close(); });
+}
+
+Connection::~Connection() { this->watchdog->Stop(); }
+
+asio::any_io_executor Connection::strand() {
+  return this->socket.get_executor();
+}
+
+void Connection::Close() {
+  error_code ignored;
+  this->socket.close(ignored);
+}
+
+void Connection::CloseIfIdle() {
+  if (this->waiting) this->Close();
+}
+
+asio::awaitable<void> Connection::Run() {
+  error_code ignored;
+  this->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+  bool open = true;
+  while (open) open = co_await this->ServeOne();
+  this->watchdog->Stop();
+  this->Close();
+}
+
+asio::awaitable<void> Connection::Refuse() {
+  this->watchdog->Set(this->context->clock.now() + kLingerTimeout);
+  auto reply = RenderError({503, "too_many_connections",
+                            "This VM has no room for another connection.",
+                            policy::RunState::kNotRun, 1});
+  this->broken = true;
+  co_await this->Send(std::move(reply.head), std::move(reply.body));
+  co_await this->CloseGently();
+}
+
+asio::awaitable<bool> Connection::ServeOne() {
+  bool open = co_await this->WaitForRequest();
+  if (open) open = co_await this->ReadHead();
+  if (!open) co_return false;
+  co_await this->RunHandler();
+  open = co_await this->FinishExchange();
+  co_return open;
+}
+
+asio::awaitable<bool> Connection::WaitForRequest() {
+  if (this->buffer.size() > 0) co_return true;
+  if (this->context->grace_over.load()) co_return false;
+  const auto now = this->context->clock.now();
+  this->watchdog->Set(now + this->context->options.idle_timeout);
+  this->waiting = true;
+  const auto [error] =
+      co_await this->socket.async_wait(asio::socket_base::wait_read, kUse);
+  this->waiting = false;
+  co_return !error;
+}
+
+asio::awaitable<bool> Connection::ReadHead() {
+  const auto now = this->context->clock.now();
+  this->watchdog->Set(now + this->context->options.header_timeout);
+  this->must_end_by = now + this->context->options.request_timeout;
+  this->started = this->streaming = this->ended = false;
+  this->body_bytes = 0;
+  this->exchange_count++;
+  this->head = {};
+  this->id = this->context->id_prefix +
+             std::to_string(this->context->next_id.fetch_add(1));
+  this->parser.emplace();
+  this->parser->header_limit(
+      static_cast<std::uint32_t>(this->context->options.max_header_bytes));
+  this->parser->body_limit(boost::none);
+  const auto [error, size] = co_await http::async_read_header(
+      this->socket, this->buffer, *this->parser, kUse);
+  if (error == http::error::end_of_stream) co_return false;
+  if (error) {
+    co_await this->RefuseHead(error);
+    co_return false;
+  }
+  this->body_began = this->context->clock.now();
+  if (this->TakeHead()) co_return true;
+  co_await this->RefuseHead(http::error::bad_target);
+  co_return false;
+}
+
+bool Connection::TakeHead() {
+  const auto& message = this->parser->get();
+  this->head.method = std::string(message.method_string());
+  const auto target = message.target();
+  const auto mark = std::min(target.find('?'), target.size());
+  this->head.path = DecodePath(target.substr(0, mark));
+  if (mark < target.size()) {
+    this->head.query = std::string(target.substr(mark + 1));
+  }
+  for (const auto& field : message) {
+    this->head.headers.push_back(
+        {std::string(field.name_string()), std::string(field.value())});
+  }
+  const auto* expect = this->head.Find("Expect");
+  this->continue_pending = expect != nullptr &&
+                           boost::beast::iequals(*expect, "100-continue") &&
+                           !this->parser->is_done();
+  return !this->head.path.empty();
+}
+
+asio::awaitable<void> Connection::RefuseHead(error_code error) {
+  const bool expired = this->watchdog->expired();
+  if (expired || !this->socket.is_open()) co_return;
+  const auto now = this->context->clock.now();
+  this->watchdog->Set(now + kLingerTimeout);
+  auto reply = RenderError(HeadError(error, expired));
+  this->broken = true;
+  co_await this->Send(std::move(reply.head), std::move(reply.body));
+  co_await this->CloseGently();
+}
+
+asio::awaitable<void> Connection::RunHandler() {
+  this->watchdog->Set(base::kNever);
+  Exchange exchange(*this);
+  const auto* handler = this->context->router.Find(this->head);
+  if (handler == nullptr) {
+    co_await SendError(exchange, {404, "no_such_route", "No such route."});
+    co_return;
+  }
+  try {
+    co_await (*handler)(exchange);
+  } catch (const std::exception& error) {
+    kLog.Error("Request {} failed: {}.", this->id, error.what());
+  }
+  this->on_gone = nullptr;
+  if (!this->started) {
+    co_await SendError(exchange, {500, "internal", "The request failed.",
+                                  policy::RunState::kUnknown});
+  } else if (this->streaming && !this->ended) {
+    this->Abort();
+  }
+}
+
+asio::awaitable<bool> Connection::FinishExchange() {
+  this->exchange_count++;
+  error_code ignored;
+  this->socket.cancel(ignored);
+  if (this->broken || !this->socket.is_open()) co_return false;
+  std::uint64_t discarded = 0;
+  while (!this->parser->is_done() && !this->continue_pending) {
+    const auto part = co_await this->ReadPart();
+    if (!part.ok() || part->empty()) break;
+    discarded += part->size();
+    if (discarded > kMaxDiscardBytes) break;
+  }
+  if (this->KeepAlive() && this->parser->is_done()) co_return true;
+  co_await this->CloseGently();
+  co_return false;
+}
+
+/// Lets the caller read the response before unread input resets the connection.
+asio::awaitable<void> Connection::CloseGently() {
+  error_code error;
+  this->socket.shutdown(asio::socket_base::shutdown_send, error);
+  this->watchdog->Set(this->context->clock.now() + kLingerTimeout);
+  std::array<char, 4096> rest{};
+  while (!error) {
+    std::size_t size = 0;
+    std::tie(error, size) =
+        co_await this->socket.async_read_some(asio::buffer(rest), kUse);
+  }
+  this->Close();
+}
+
+bool Connection::KeepAlive() const {
+  return this->parser && this->parser->get().keep_alive() && !this->broken &&
+         !this->context->draining.load();
+}
+
+asio::awaitable<error_code> Connection::WriteContinue() {
+  this->continue_pending = false;
+  static constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+  const auto [error, size] =
+      co_await asio::async_write(this->socket, asio::buffer(kContinue), kUse);
+  co_return error;
+}
+
+base::Instant Connection::BodyDeadline() const {
+  const auto& options = this->context->options;
+  const auto idle = this->context->clock.now() + options.idle_timeout;
+  if (options.min_body_bytes_per_second == 0) return idle;
+  const auto earned = std::chrono::seconds(this->body_bytes /
+                                           options.min_body_bytes_per_second);
+  const auto slow = this->body_began + options.slow_body_grace + earned;
+  return std::min(idle, slow);
+}
+
+asio::awaitable<base::Outcome<std::string>> Connection::ReadPart() {
+  if (this->continue_pending) co_await this->WriteContinue();
+  std::string part(kPartBytes, '\0');
+  while (!this->parser->is_done()) {
+    auto& body = this->parser->get().body();
+    body.data = part.data();
+    body.size = part.size();
+    body.more = true;
+    this->watchdog->Set(this->BodyDeadline());
+    auto [error, size] = co_await http::async_read_some(
+        this->socket, this->buffer, *this->parser, kUse);
+    if (error == http::error::need_buffer) error = {};
+    if (error) {
+      this->broken = true;
+      if (this->watchdog->expired()) {
+        co_return base::Error(base::Errc::kTimeout,
+                              "The body came too slowly.");
+      }
+      const bool malformed =
+          error.category() ==
+              http::make_error_code(http::error::bad_chunk).category() &&
+          error != http::error::partial_message;
+      co_return malformed
+          ? base::Error(base::Errc::kInvalid, "The body is malformed.")
+          : base::Error(base::Errc::kCancelled, "The caller is gone.");
+    }
+    const auto got = part.size() - body.size;
+    if (got == 0) continue;
+    this->body_bytes += got;
+    this->watchdog->Set(base::kNever);
+    part.resize(got);
+    co_return part;
+  }
+  this->watchdog->Set(base::kNever);
+  co_return std::string();
+}
+
+base::Status Connection::FromWrite(error_code error) {
+  this->watchdog->Set(base::kNever);
+  if (!error) return base::Done{};
+  this->broken = true;
+  this->CallerGone();
+  return base::Error(base::Errc::kCancelled, "The caller is gone.");
+}
+
+asio::awaitable<base::Status> Connection::Send(ResponseHead out,
+                                               std::string body) {
+  this->started = true;
+  this->ended = true;
+  const unsigned version =
+      this->parser ? this->parser->get().version() : kHttp11;
+  const bool headers_only = this->head.method == "HEAD";
+  http::response<http::string_body> message;
+  message.result(out.status);
+  message.version(version);
+  AddHeaders(out, message);
+  if (!this->id.empty()) message.set("X-Request-Id", this->id);
+  message.content_length(body.size());
+  if (!headers_only) message.body() = std::move(body);
+  const bool unread =
+      this->parser && !this->parser->is_done() && this->continue_pending;
+  message.keep_alive(this->KeepAlive() && !unread);
+  http::response_serializer<http::string_body> serializer(message);
+  this->watchdog->Set(this->context->clock.now() +
+                      this->context->options.idle_timeout);
+  error_code error;
+  std::size_t size = 0;
+  if (headers_only) {
+    std::tie(error, size) =
+        co_await http::async_write_header(this->socket, serializer, kUse);
+  } else {
+    std::tie(error, size) =
+        co_await http::async_write(this->socket, serializer, kUse);
+  }
+  co_return this->FromWrite(error);
+}
+
+asio::awaitable<base::Status> Connection::BeginStream(ResponseHead out) {
+  this->started = true;
+  this->streaming = true;
+  const unsigned version = this->parser->get().version();
+  http::response<http::empty_body> message;
+  message.result(out.status);
+  message.version(version);
+  AddHeaders(out, message);
+  message.set("X-Request-Id", this->id);
+  message.keep_alive(this->KeepAlive() && version >= kHttp11);
+  if (version >= kHttp11) {
+    message.chunked(true);
+  } else {
+    this->broken = true;
+  }
+  http::response_serializer<http::empty_body> serializer(message);
+  this->watchdog->Set(this->context->clock.now() +
+                      this->context->options.idle_timeout);
+  const auto [error, size] =
+      co_await http::async_write_header(this->socket, serializer, kUse);
+  co_return this->FromWrite(error);
+}
+
+asio::awaitable<base::Status> Connection::WritePart(std::string bytes) {
+  if (bytes.empty()) co_return base::Done{};
+  this->watchdog->Set(this->context->clock.now() +
+                      this->context->options.idle_timeout);
+  const auto payload = asio::buffer(std::as_const(bytes));
+  error_code error;
+  std::size_t size = 0;
+  if (this->parser->get().version() >= kHttp11) {
+    std::tie(error, size) = co_await asio::async_write(
+        this->socket, http::make_chunk(payload), kUse);
+  } else {
+    std::tie(error, size) =
+        co_await asio::async_write(this->socket, payload, kUse);
+  }
+  co_return this->FromWrite(error);
+}
+
+asio::awaitable<base::Status> Connection::EndStream() {
+  this->ended = true;
+  if (this->parser->get().version() < kHttp11) co_return base::Done{};
+  this->watchdog->Set(this->context->clock.now() +
+                      this->context->options.idle_timeout);
+  const auto [error, size] =
+      co_await asio::async_write(this->socket, http::make_chunk_last(), kUse);
+  co_return this->FromWrite(error);
+}
+
+void Connection::Abort() {
+  this->broken = true;
+  this->ended = true;
+  if (this->parser && this->parser->get().version() < kHttp11) {
+    // Without chunks only a reset tells the caller that the end is missing.
+    error_code ignored;
+    this->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+  }
+  this->Close();
+}
+
+void Connection::OnCallerGone(std::function<void()> handler) {
+  const bool watched = this->on_gone != nullptr;
+  this->on_gone = std::move(handler);
+  if (this->on_gone == nullptr || watched) return;
+  this->WatchCaller();
+}
+
+void Connection::WatchCaller() {
+  this->socket.async_wait(asio::socket_base::wait_read,
+                          [weak = this->weak_from_this(),
+                           exchange = this->exchange_count](error_code error) {
+                            const auto self = weak.lock();
+                            if (self && !error) self->OnReadable(exchange);
+                          });
+}
+
+void Connection::OnReadable(std::uint64_t exchange) {
+  if (exchange != this->exchange_count || this->on_gone == nullptr) return;
+  // Pipelined requests are kept for later; the end of input means it is gone.
+  if (this->buffer.size() + kPartBytes / 4 > this->buffer.max_size()) return;
+  error_code error;
+  this->socket.non_blocking(true, error);
+  const auto room = this->buffer.prepare(kPartBytes / 4);
+  const auto size = this->socket.read_some(room, error);
+  if (error == asio::error::would_block) error = {};
+  if (error) {
+    this->CallerGone();
+    return;
+  }
+  this->buffer.commit(size);
+  this->WatchCaller();
+}
+
+void Connection::CallerGone() {
+  this->broken = true;
+  const auto handler = std::exchange(this->on_gone, nullptr);
+  if (handler) handler();
+}
+
+}  // namespace gypsumtrack::gateway::detail
