--- a/packages/gateway/src/settings.cc
+++ b/packages/gateway/src/settings.cc
@@ -92,7 +92,7 @@
          });
 }
 
-Setter NameText(std::function<void(Settings&, std::string)> store) {
+Setter NameText(const std::function<void(Settings&, std::string)>& store) {
   return [store](Settings& settings, const std::string& text) -> std::string {
     if (!IsName(text)) return "letters, digits, '-' and '.'";
     store(settings, text);
@@ -143,7 +143,7 @@
       {"log-level", "", "info", "debug, info, warning, error or off",
        SetLogLevelField},
       {"max-header-bytes", "bytes", "16384", "largest request head",
-       Whole(&Settings::max_header_bytes, 1024, 1024 * 1024)},
+       Whole(&Settings::max_header_bytes, 1024, 1024ULL * 1024)},
       {"max-body-bytes", "bytes", "8388608", "largest online request body",
        Whole(&Settings::max_body_bytes, 1024, kGiB)},
       {"max-batch-bytes", "bytes", "1073741824", "largest batch body",
