--- a/packages/gateway/include/gypsumtrack/gateway/http_server.h
+++ b/packages/gateway/include/gypsumtrack/gateway/http_server.h
@@ -104,7 +104,7 @@
 struct HttpServerOptions {
   /// `ip:port`; port 0 takes a free one.
   std::string address;
-  std::uint64_t max_header_bytes = 16 * 1024;
+  std::uint64_t max_header_bytes = 16ULL * 1024;
   std::uint32_t max_connections = 4096;
   base::Duration idle_timeout = std::chrono::seconds(60);
   base::Duration request_timeout = std::chrono::seconds(120);
--- a/packages/gateway/src/report_service.cc
+++ b/packages/gateway/src/report_service.cc
@@ -23,7 +23,8 @@
 template <std::size_t N>
 Json::Value EncodeNumbers(const std::array<std::uint64_t, N>& numbers) {
   Json::Value list(Json::arrayValue);
-  for (const auto number : numbers) list.append(Json::UInt64(number));
+  for (const auto number : numbers)
+    list.append(static_cast<Json::UInt64>(number));
   return list;
 }
 
@@ -201,7 +202,7 @@
 
 boost::asio::awaitable<ServiceCounts> ReportService::OwnCounts() {
   co_return co_await AwaitHandler<ServiceCounts>(
-      [this](std::function<void(ServiceCounts)> done) {
+      [this](const std::function<void(ServiceCounts)>& done) {
         boost::asio::post(this->runtime.control, [this, done] {
           done(this->levels->Counts(this->runtime.clock.wall()));
         });
