--- a/packages/base/include/gypsumtrack/base/hash.h
+++ b/packages/base/include/gypsumtrack/base/hash.h
@@ -19,6 +19,9 @@
 /// SHA-256 in lower-case hex. Thread-safe.
 std::string Sha256Hex(std::string_view bytes);
 
+/// HMAC-SHA-256 as 32 bytes. Thread-safe.
+std::string HmacSha256(std::string_view secret, std::string_view bytes);
+
 /// HMAC-SHA-256 in lower-case hex. Thread-safe.
 std::string HmacSha256Hex(std::string_view secret, std::string_view bytes);
 
--- a/packages/base/src/hash.cc
+++ b/packages/base/src/hash.cc
@@ -42,13 +42,19 @@
   return Hex(digest.data(), size);
 }
 
-std::string HmacSha256Hex(std::string_view secret, std::string_view bytes) {
+std::string HmacSha256(std::string_view secret, std::string_view bytes) {
   std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
   unsigned int size = 0;
   HMAC(EVP_sha256(), secret.data(), static_cast<int>(secret.size()),
        reinterpret_cast<const unsigned char*>(bytes.data()), bytes.size(),
        digest.data(), &size);
-  return Hex(digest.data(), size);
+  return {reinterpret_cast<const char*>(digest.data()), size};
+}
+
+std::string HmacSha256Hex(std::string_view secret, std::string_view bytes) {
+  const auto digest = HmacSha256(secret, bytes);
+  return Hex(reinterpret_cast<const unsigned char*>(digest.data()),
+             digest.size());
 }
 
 bool ConstantTimeEqual(std::string_view a, std::string_view b) {
--- a/packages/platform/include/gypsumtrack/platform/http_platform.h
+++ b/packages/platform/include/gypsumtrack/platform/http_platform.h
@@ -4,6 +4,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <string>
 
+#include "gypsumtrack/base/names.h"
 #include "gypsumtrack/base/time.h"
 #include "gypsumtrack/platform/platform.h"
 
@@ -11,9 +12,11 @@
 namespace gypsumtrack::platform {
 
 /// Hooks that call the platform at `address` (`ip:port`). Thread-safe; handlers
-/// run on `executor`, each exactly once and by its deadline.
+/// run on `executor`, each exactly once and by its deadline. The platform is
+/// told the failure domain of its client, if any, with each call.
 Platform MakeHttpPlatform(boost::asio::any_io_executor executor,
-                          std::string address, base::Clock clock);
+                          std::string address, base::Clock clock,
+                          const base::FailureDomain& domain = {});
 
 }  // namespace gypsumtrack::platform
 
--- /dev/null
+++ b/packages/platform/src/http_pool.h
@@ -0,0 +1,51 @@
+#ifndef GYPSUMTRACK_PLATFORM_SRC_HTTP_POOL_H_
+#define GYPSUMTRACK_PLATFORM_SRC_HTTP_POOL_H_
+
+#include <boost/asio/any_io_executor.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "gypsumtrack/base/outcome.h"
+#include "gypsumtrack/base/time.h"
+
+/// Keep-alive connections to one HTTP server.
+namespace gypsumtrack::platform {
+
+struct HttpCall {
+  std::string method;
+  std::string target;
+  std::string body;
+  std::string client_domain;
+  base::Instant deadline;
+};
+
+struct HttpReply {
+  unsigned status = 0;
+  std::string body;
+};
+
+using HttpReplyHandler = std::function<void(base::Outcome<HttpReply>)>;
+
+class HttpPool : public std::enable_shared_from_this<HttpPool> {
+ public:
+  HttpPool(boost::asio::any_io_executor executor, std::string address,
+           base::Clock clock);
+  ~HttpPool();
+  HttpPool(const HttpPool&) = delete;
+  HttpPool& operator=(const HttpPool&) = delete;
+
+  /// Each call must be safe to repeat: it is sent once more if a kept
+  /// connection turns out dead. Thread-safe. The handler runs on the executor,
+  /// once, by the deadline. Errors: kTimeout and kUnavailable (not sent),
+  /// kUnknown (sent, no answer).
+  void Send(HttpCall call, HttpReplyHandler handler);
+
+ private:
+  struct State;
+  std::shared_ptr<State> state;
+};
+
+}  // namespace gypsumtrack::platform
+
+#endif  // GYPSUMTRACK_PLATFORM_SRC_HTTP_POOL_H_
