Keep rules and keys in the table's log and serve them from a replica

Each daemon runs a ConfigNode: it reads the log, pushes changes down the tree of its failure domain, merges operators' files by rule and spreads withdrawals of keys without the table.

--- /dev/null
+++ b/packages/gateway/src/admin_service.cc
@@ -0,0 +1,120 @@
+#include "gypsumtrack/gateway/admin_service.h"
+
+#include <algorithm>
+#include <boost/url/parse_query.hpp>
+#include <memory>
+#include <utility>
+
+#include "gypsumtrack/base/hash.h"
+#include "gypsumtrack/base/log.h"
+#include "gypsumtrack/peer/config_codec.h"
+
+namespace gypsumtrack::gateway {
+namespace {
+
+constexpr base::Logger kLog{"admin"};
+constexpr std::string_view kScheme = "Bearer ";
+/// A rules file of the largest fleet is a few megabytes.
+constexpr std::uint64_t kBodyLimitBytes = 16ULL * 1024 * 1024;
+
+struct StatusOfCode {
+  base::Errc code;
+  unsigned status;
+};
+
+constexpr StatusOfCode kStatuses[] = {
+    {base::Errc::kInvalid, 400},     {base::Errc::kUnauthorized, 401},
+    {base::Errc::kForbidden, 403},   {base::Errc::kNotFound, 404},
+    {base::Errc::kConflict, 409},    {base::Errc::kOverRate, 429},
+    {base::Errc::kThrottled, 429},   {base::Errc::kOverload, 503},
+    {base::Errc::kUnavailable, 503}, {base::Errc::kCancelled, 503},
+    {base::Errc::kFenced, 503},      {base::Errc::kUnknown, 504},
+    {base::Errc::kTimeout, 504},
+};
+
+bool IsAuthorised(const RequestHead& head, const std::string& token) {
+  // Without a token the operators' API is closed.
+  if (token.empty()) return false;
+  const auto* header = head.Find("Authorization");
+  if (header == nullptr || header->compare(0, kScheme.size(), kScheme) != 0) {
+    return false;
+  }
+  return base::ConstantTimeEqual(
+      std::string_view(*header).substr(kScheme.size()), token);
+}
+
+std::map<std::string, std::string> ParseQuery(const std::string& query) {
+  std::map<std::string, std::string> parameters;
+  const auto parsed = boost::urls::parse_query(query);
+  if (!parsed) return parameters;
+  for (const auto& parameter : *parsed) {
+    const auto decoded = boost::urls::param(parameter);
+    parameters[decoded.key] = decoded.value;
+  }
+  return parameters;
+}
+
+std::string TailOf(const std::string& path, const std::string& prefix) {
+  auto tail = path.substr(std::min(prefix.size(), path.size()));
+  if (!tail.empty() && tail.front() == '/') tail.erase(0, 1);
+  return tail;
+}
+
+base::Outcome<Json::Value> ParseBody(const std::string& text) {
+  if (text.empty()) return Json::Value();
+  return peer::ReadJson(text);
+}
+
+boost::asio::awaitable<base::Status> SendReply(Exchange& exchange,
+                                               const AdminReply& reply) {
+  ResponseHead head;
+  head.status = reply.status;
+  head.headers = {{"Content-Type", "application/json"},
+                  {"Cache-Control", "no-store"}};
+  return exchange.Send(std::move(head), peer::WriteJson(reply.body) + "\n");
+}
+
+boost::asio::awaitable<AdminReply> Reply(Exchange& exchange,
+                                         const std::string& prefix,
+                                         const AdminHandler& handler) {
+  auto text = co_await exchange.ReadBody(kBodyLimitBytes);
+  if (!text.ok()) co_return MakeAdminError(text.error());
+  auto body = ParseBody(*text);
+  if (!body.ok()) co_return MakeAdminError(body.error());
+  const auto& head = exchange.request();
+  AdminRequest request{head.method, head.path, TailOf(head.path, prefix),
+                       ParseQuery(head.query), std::move(*body)};
+  co_return co_await handler(std::move(request));
+}
+
+}  // namespace
+
+AdminReply MakeAdminError(const base::Error& error) {
+  AdminReply reply;
+  reply.status = 500;
+  for (const auto& entry : kStatuses) {
+    if (error.Is(entry.code)) reply.status = entry.status;
+  }
+  reply.body["error"]["code"] = error.code.message();
+  reply.body["error"]["message"] = error.message;
+  return reply;
+}
+
+void AddAdminRoute(Router& router, const Runtime& runtime, std::string method,
+                   std::string path_prefix, AdminHandler handler) {
+  auto run = [&runtime, path_prefix, handler = std::move(handler)](
+                 Exchange& exchange) -> boost::asio::awaitable<void> {
+    AdminReply reply;
+    if (IsAuthorised(exchange.request(), runtime.settings.admin_token)) {
+      reply = co_await Reply(exchange, path_prefix, handler);
+    } else {
+      reply = MakeAdminError(
+          {base::Errc::kUnauthorized, "the admin token is missing or wrong"});
+    }
+    const auto sent = co_await SendReply(exchange, reply);
+    if (!sent.ok()) kLog.Debug("An operator left before the answer.");
+  };
+  router.Add(std::move(method), std::move(path_prefix), std::move(run));
+}
+
+}  // namespace gypsumtrack::gateway
--- /dev/null
+++ b/packages/peer/src/config_message_codec.cc
@@ -0,0 +1,225 @@
+#include <array>
+#include <utility>
+
+#include "gypsumtrack/peer/config_codec.h"
+
+namespace gypsumtrack::peer {
+namespace {
+
+using policy::ConfigMessage;
+using Decoded = std::optional<ConfigMessage>;
+
+Json::Value Number(std::uint64_t number) {
+  return Json::Value(static_cast<Json::UInt64>(number));
+}
+
+Json::Value Micros(base::Duration duration) {
+  return Json::Value(static_cast<Json::Int64>(duration.count()));
+}
+
+std::uint32_t ToUint32(const Json::Value& value) {
+  return value.isUInt() ? value.asUInt() : 0;
+}
+
+std::optional<base::Duration> ToDuration(const Json::Value& value) {
+  if (!value.isInt64() || value.asInt64() < 0) return std::nullopt;
+  return base::Duration(value.asInt64());
+}
+
+Json::Value EncodeTexts(const std::vector<std::string>& texts) {
+  Json::Value value(Json::arrayValue);
+  for (const auto& text : texts) value.append(text);
+  return value;
+}
+
+std::optional<std::vector<std::string>> DecodeTexts(const Json::Value& value) {
+  if (!value.isArray()) return std::nullopt;
+  std::vector<std::string> texts;
+  for (const auto& item : value) {
+    if (!item.isString()) return std::nullopt;
+    texts.push_back(item.asString());
+  }
+  return texts;
+}
+
+Json::Value EncodeCounts(const policy::RevisionCounts& counts) {
+  Json::Value value(Json::arrayValue);
+  for (const auto& [revision, vms] : counts) {
+    value.append(Number(revision));
+    value.append(vms);
+  }
+  return value;
+}
+
+std::optional<policy::RevisionCounts> DecodeCounts(const Json::Value& value) {
+  if (!value.isArray() || value.size() % 2 != 0) return std::nullopt;
+  policy::RevisionCounts counts;
+  for (Json::ArrayIndex i = 0; i < value.size(); i += 2) {
+    if (!value[i].isUInt64() || !value[i + 1].isUInt()) return std::nullopt;
+    counts[value[i].asUInt64()] = value[i + 1].asUInt();
+  }
+  return counts;
+}
+
+/// Names of the messages on the wire, in the order of ConfigMessage.
+constexpr std::array<const char*, std::variant_size_v<ConfigMessage>> kNames = {
+    "announce", "push",        "fetch", "state",  "report",
+    "withdraw", "withdrawAck", "pend",  "status", "told"};
+
+struct Encoder {
+  Json::Value& value;
+
+  void operator()(const policy::Announce& announce) const {
+    this->value["revision"] = Number(announce.revision);
+    if (announce.age) this->value["age"] = Micros(*announce.age);
+    if (announce.outside) this->value["outside"] = Micros(*announce.outside);
+    if (announce.withdrawals != 0) {
+      this->value["withdrawals"] = Number(announce.withdrawals);
+    }
+  }
+  void operator()(const policy::PushChanges& push) const {
+    this->value["head"] = Number(push.head);
+    auto& changes = this->value["changes"] = Json::Value(Json::arrayValue);
+    for (const auto& change : push.changes) {
+      changes.append(EncodeChange(change));
+    }
+  }
+  void operator()(const policy::FetchChanges& fetch) const {
+    this->value["after"] = Number(fetch.after);
+  }
+  void operator()(const policy::PushState& push) const {
+    this->value["state"] = EncodeConfigState(push.state);
+  }
+  void operator()(const policy::Report& report) const {
+    this->value["revision"] = Number(report.revision);
+    this->value["counts"] = EncodeCounts(report.counts);
+  }
+  void operator()(const policy::Withdraw& message) const {
+    this->value["round"] = message.round;
+    this->value["hashes"] = EncodeTexts(message.hashes);
+    if (message.fan_out) this->value["fanOut"] = true;
+  }
+  void operator()(const policy::WithdrawAck& ack) const {
+    this->value["round"] = ack.round;
+    this->value["inForce"] = ack.in_force;
+    this->value["vms"] = ack.vms;
+  }
+  void operator()(const policy::PendingWithdrawals& pending) const {
+    this->value["hashes"] = EncodeTexts(pending.hashes);
+    if (pending.reply) this->value["reply"] = true;
+  }
+  void operator()(const policy::AskStatus& ask) const {
+    this->value["round"] = ask.round;
+  }
+  void operator()(const policy::TellStatus& told) const {
+    this->value["round"] = told.round;
+    this->value["counts"] = EncodeCounts(told.counts);
+    this->value["vms"] = told.vms;
+  }
+};
+
+Decoded DecodeAnnounce(const Json::Value& value) {
+  if (!value["revision"].isUInt64()) return std::nullopt;
+  policy::Announce announce;
+  announce.revision = value["revision"].asUInt64();
+  announce.age = ToDuration(value["age"]);
+  announce.outside = ToDuration(value["outside"]);
+  if (value["withdrawals"].isUInt64()) {
+    announce.withdrawals = value["withdrawals"].asUInt64();
+  }
+  return announce;
+}
+
+Decoded DecodePush(const Json::Value& value) {
+  if (!value["head"].isUInt64() || !value["changes"].isArray()) {
+    return std::nullopt;
+  }
+  policy::PushChanges push;
+  push.head = value["head"].asUInt64();
+  for (const auto& item : value["changes"]) {
+    auto change = DecodeChange(item);
+    if (!change.ok()) return std::nullopt;
+    push.changes.push_back(std::move(*change));
+  }
+  return push;
+}
+
+Decoded DecodeFetch(const Json::Value& value) {
+  if (!value["after"].isUInt64()) return std::nullopt;
+  return policy::FetchChanges{value["after"].asUInt64()};
+}
+
+Decoded DecodeState(const Json::Value& value) {
+  auto state = DecodeConfigState(value["state"]);
+  if (!state.ok()) return std::nullopt;
+  return policy::PushState{std::move(*state)};
+}
+
+Decoded DecodeReport(const Json::Value& value) {
+  auto counts = DecodeCounts(value["counts"]);
+  if (!counts || !value["revision"].isUInt64()) return std::nullopt;
+  return policy::Report{value["revision"].asUInt64(), std::move(*counts)};
+}
+
+Decoded DecodeWithdraw(const Json::Value& value) {
+  auto hashes = DecodeTexts(value["hashes"]);
+  if (!hashes || !value["round"].isString()) return std::nullopt;
+  return policy::Withdraw{value["round"].asString(), std::move(*hashes),
+                          value["fanOut"].isBool()};
+}
+
+Decoded DecodeAck(const Json::Value& value) {
+  if (!value["round"].isString()) return std::nullopt;
+  return policy::WithdrawAck{value["round"].asString(),
+                             ToUint32(value["inForce"]),
+                             ToUint32(value["vms"])};
+}
+
+Decoded DecodePending(const Json::Value& value) {
+  auto hashes = DecodeTexts(value["hashes"]);
+  if (!hashes) return std::nullopt;
+  return policy::PendingWithdrawals{std::move(*hashes),
+                                    value["reply"].isBool()};
+}
+
+Decoded DecodeAsk(const Json::Value& value) {
+  if (!value["round"].isString()) return std::nullopt;
+  return policy::AskStatus{value["round"].asString()};
+}
+
+Decoded DecodeTold(const Json::Value& value) {
+  auto counts = DecodeCounts(value["counts"]);
+  if (!counts || !value["round"].isString()) return std::nullopt;
+  return policy::TellStatus{value["round"].asString(), std::move(*counts),
+                            ToUint32(value["vms"])};
+}
+
+constexpr std::array<Decoded (*)(const Json::Value&), kNames.size()> kDecoders =
+    {DecodeAnnounce, DecodePush, DecodeFetch,   DecodeState, DecodeReport,
+     DecodeWithdraw, DecodeAck,  DecodePending, DecodeAsk,   DecodeTold};
+
+}  // namespace
+
+Json::Value EncodeConfigMessage(const ConfigMessage& message) {
+  Json::Value value(Json::objectValue);
+  auto& fields = value[kNames[message.index()]];
+  fields = Json::Value(Json::objectValue);
+  std::visit(Encoder{fields}, message);
+  return value;
+}
+
+base::Outcome<ConfigMessage> DecodeConfigMessage(const Json::Value& value) {
+  const base::Error malformed(base::Errc::kInvalid,
+                              "malformed configuration message");
+  if (!value.isObject() || value.size() != 1) return malformed;
+  for (std::size_t i = 0; i < kNames.size(); ++i) {
+    const auto& fields = value[kNames[i]];
+    if (!fields.isObject()) continue;
+    auto message = kDecoders[i](fields);
+    if (!message) return malformed;
+    return std::move(*message);
+  }
+  return malformed;
+}
+
+}  // namespace gypsumtrack::peer
--- /dev/null
+++ b/packages/policy/src/config_node_handler.h
@@ -0,0 +1,37 @@
+#ifndef GYPSUMTRACK_POLICY_SRC_CONFIG_NODE_HANDLER_H_
+#define GYPSUMTRACK_POLICY_SRC_CONFIG_NODE_HANDLER_H_
+
+#include <string>
+
+#include "gypsumtrack/policy/config_node.h"
+
+namespace gypsumtrack::policy {
+
+/// What a node does with each kind of message. Lives for one message.
+struct ConfigNode::Handler {
+  ConfigNode& node;
+  base::Instant now;
+  const std::string& from;
+  ConfigActions& out;
+
+  void operator()(const Announce& announce) const;
+  void operator()(const PushChanges& push) const;
+  void operator()(const FetchChanges& fetch) const;
+  void operator()(const PushState& push) const;
+  void operator()(const Report& report) const;
+  void operator()(const policy::Withdraw& message) const;
+  void operator()(const WithdrawAck& ack) const;
+  void operator()(const PendingWithdrawals& message) const;
+  void operator()(const AskStatus& ask) const;
+  void operator()(const TellStatus& told) const;
+
+ private:
+  void Send(ConfigMessage message) const;
+  void Confirm(const Announce& announce) const;
+  bool IsBehind(const Announce& announce) const;
+  void CatchUp(base::Revision head) const;
+};
+
+}  // namespace gypsumtrack::policy
+
+#endif  // GYPSUMTRACK_POLICY_SRC_CONFIG_NODE_HANDLER_H_
