Add batch: leases, chunk runs, scheduler, slots, service and runner

A thin whole: a job is uploaded as chunk objects, accepted by one commit, leased by chunk under a fenced holder row, run through the RunItem hook, and its results are read back in item order.

--- /dev/null
+++ b/packages/gateway/src/batch_service.cc
@@ -0,0 +1,495 @@
+#include "gypsumtrack/gateway/batch_service.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/url/parse_query.hpp>
+#include <charconv>
+#include <map>
+#include <utility>
+
+#include "batch_reply.h"
+#include "gypsumtrack/base/hash.h"
+#include "gypsumtrack/base/log.h"
+#include "gypsumtrack/gateway/batch_runner.h"
+#include "gypsumtrack/gateway/batch_upload.h"
+#include "gypsumtrack/gateway/http_server.h"
+#include "gypsumtrack/gateway/rfc3339.h"
+#include "gypsumtrack/gateway/store_await.h"
+
+namespace gypsumtrack::gateway {
+namespace {
+
+using boost::asio::awaitable;
+
+constexpr base::Logger kLog{"batch"};
+constexpr std::string_view kBatches = "/v1/batches";
+constexpr std::string_view kBearer = "Bearer ";
+constexpr std::string_view kDefaultPath = "/v1/completions";
+constexpr base::Duration kStoreDeadline = std::chrono::seconds(5);
+/// Kept back of the caller's deadline, to answer in.
+constexpr base::Duration kAnswerReserve = std::chrono::seconds(1);
+constexpr auto kDefaultKeep = std::chrono::hours(24 * 7);
+constexpr auto kLongestKeep = std::chrono::hours(24 * 90);
+constexpr std::uint32_t kPageRows = 500;
+constexpr std::size_t kUidBytes = 12;
+
+using Query = std::map<std::string, std::string>;
+
+Query ParseQuery(const std::string& text) {
+  Query query;
+  const auto parsed = boost::urls::parse_query(text);
+  if (!parsed) return query;
+  for (const auto& param : *parsed) {
+    query[param.key.decode()] = param.value.decode();
+  }
+  return query;
+}
+
+std::string Get(const Query& query, const std::string& name) {
+  const auto found = query.find(name);
+  return found == query.end() ? "" : found->second;
+}
+
+std::uint64_t GetNumber(const Query& query, const std::string& name,
+                        std::uint64_t fallback) {
+  const auto text = Get(query, name);
+  std::uint64_t number = 0;
+  const auto* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, number);
+  if (text.empty() || parsed.ec != std::errc() || parsed.ptr != end) {
+    return fallback;
+  }
+  return number;
+}
+
+base::Error Invalid(std::string text) {
+  return {base::Errc::kInvalid, std::move(text)};
+}
+
+/// `{id}` and what follows it in `/v1/batches/{id}/...`.
+struct JobPath {
+  std::string id;
+  std::string rest;
+};
+
+JobPath SplitPath(std::string_view path) {
+  path.remove_prefix(std::min(path.size(), kBatches.size()));
+  if (!path.empty() && path.front() == '/') path.remove_prefix(1);
+  const auto slash = path.find('/');
+  if (slash == std::string_view::npos) return {std::string(path), ""};
+  return {std::string(path.substr(0, slash)),
+          std::string(path.substr(slash + 1))};
+}
+
+}  // namespace
+
+class BatchService::State {
+ public:
+  State(const Runtime& daemon, BatchHooks daemon_hooks,
+        policy::BatchOptions options)
+      : runtime(&daemon),
+        hooks(daemon_hooks),
+        runner(daemon, std::move(daemon_hooks), options) {}
+
+  awaitable<void> Submit(Exchange& exchange);
+  awaitable<void> Read(Exchange& exchange);
+  awaitable<void> Change(Exchange& exchange);
+
+  const Runtime* runtime;
+  BatchHooks hooks;
+  BatchRunner runner;
+
+ private:
+  base::Outcome<base::Organisation> Authenticate(const RequestHead& head) const;
+  base::Outcome<policy::BatchJob> NewJob(
+      const RequestHead& head, const base::Organisation& organisation) const;
+  awaitable<void> Refuse(Exchange& exchange, const base::Error& error,
+                         policy::RunState run = policy::RunState::kNotRun);
+  awaitable<base::Outcome<policy::BatchJob>> FindJob(
+      const base::Organisation& organisation, const std::string& id,
+      base::Instant deadline);
+  awaitable<base::Outcome<std::string>> Receive(Exchange& exchange,
+                                                BatchUpload* upload);
+  awaitable<void> SubmitNew(Exchange& exchange, policy::BatchJob job);
+  awaitable<void> SubmitAgain(Exchange& exchange, const policy::BatchJob& known,
+                              const policy::BatchJob& asked);
+  awaitable<void> AnswerKnown(Exchange& exchange, const policy::BatchJob& known,
+                              const policy::BatchJob& asked);
+  awaitable<void> List(Exchange& exchange, base::Organisation organisation);
+  awaitable<void> Show(Exchange& exchange, policy::BatchJob job);
+  awaitable<void> Results(Exchange& exchange, policy::BatchJob job);
+  awaitable<base::Status> WriteResults(Exchange& exchange,
+                                       const policy::ResultRow& row,
+                                       std::uint64_t from, std::uint64_t to);
+  awaitable<void> Cancel(Exchange& exchange, policy::BatchJob job);
+  base::Instant StoreDeadline() const {
+    return this->runtime->clock.now() + kStoreDeadline;
+  }
+};
+
+base::Outcome<base::Organisation> BatchService::State::Authenticate(
+    const RequestHead& head) const {
+  const auto* header = head.Find("Authorization");
+  const auto snapshot = this->hooks.access();
+  if (header != nullptr && header->starts_with(kBearer) && snapshot) {
+    const auto hash =
+        base::HmacSha256Hex(this->runtime->settings.fleet_secret,
+                            std::string_view(*header).substr(kBearer.size()));
+    if (auto found = snapshot->FindOrganisation(hash)) return *found;
+  }
+  return base::Error(base::Errc::kUnauthorized, "no valid key");
+}
+
+base::Outcome<policy::BatchJob> BatchService::State::NewJob(
+    const RequestHead& head, const base::Organisation& organisation) const {
+  const auto query = ParseQuery(head.query);
+  policy::BatchJob job;
+  job.organisation = organisation;
+  const auto* key = head.Find("Idempotency-Key");
+  job.id.text = key != nullptr ? *key : Get(query, "id");
+  if (!policy::IsJobId(job.id.text)) {
+    return Invalid("id or Idempotency-Key: expected 1 to 128 of A-Za-z0-9._-");
+  }
+  job.service.text = Get(query, "service");
+  job.model.text = Get(query, "model");
+  if (job.service.empty() && job.model.empty()) {
+    return Invalid("service or model: expected one of them");
+  }
+  job.path = Get(query, "path");
+  if (job.path.empty()) job.path = kDefaultPath;
+  const auto due = ParseRfc3339(Get(query, "due"));
+  if (!due) return Invalid("due: expected a time such as 2026-12-01T08:00:00Z");
+  job.due_at = *due;
+  job.accepted_at = this->runtime->clock.wall();
+  job.keep_until = std::max(job.due_at, job.accepted_at) + kDefaultKeep;
+  if (const auto text = Get(query, "keep_until"); !text.empty()) {
+    const auto keep = ParseRfc3339(text);
+    if (!keep || *keep <= job.due_at ||
+        *keep > job.accepted_at + kLongestKeep) {
+      return Invalid("keep_until: expected a time after due, within 90 days");
+    }
+    job.keep_until = *keep;
+  }
+  policy::AccessRequest request;
+  request.service = job.service;
+  request.model = job.model;
+  request.method = "POST";
+  request.path = job.path;
+  const auto snapshot = this->hooks.access();
+  const auto* rule = snapshot->FindRule(organisation, request);
+  if (rule == nullptr || !rule->bulk) {
+    return base::Error(base::Errc::kForbidden,
+                       "no rule allows this work in bulk");
+  }
+  if (job.service.empty()) job.service = rule->id.service;
+  job.idempotent = rule->idempotent;
+  job.share = rule->share;
+  return job;
+}
+
+awaitable<void> BatchService::State::Refuse(Exchange& exchange,
+                                            const base::Error& error,
+                                            policy::RunState run) {
+  co_await exchange.Send(RefusalHead(StatusOf(error), run), RefusalBody(error));
+}
+
+awaitable<base::Outcome<policy::BatchJob>> BatchService::State::FindJob(
+    const base::Organisation& organisation, const std::string& id,
+    base::Instant deadline) {
+  const auto key = policy::JobRowKey(organisation, base::JobId(id));
+  base::TableScan scan;
+  scan.prefix = key;
+  scan.limit = 1;
+  const auto page =
+      co_await ScanTable(this->runtime->platform, std::move(scan), deadline);
+  if (!page.ok()) co_return page.error();
+  if (page->rows.empty() || page->rows.front().key != key) {
+    co_return base::Error(base::Errc::kNotFound, "no such job");
+  }
+  co_return policy::DecodeJob(page->rows.front().value);
+}
+
+/// Reads the body and returns its digest; chunks go to `upload` if there is
+/// one.
+awaitable<base::Outcome<std::string>> BatchService::State::Receive(
+    Exchange& exchange, BatchUpload* upload) {
+  ChunkCutter cutter;
+  std::uint64_t bytes = 0;
+  bool more = true;
+  while (more) {
+    const auto part = co_await exchange.ReadPart();
+    if (!part.ok()) co_return part.error();
+    more = !part->empty();
+    bytes += part->size();
+    if (bytes > this->runtime->settings.max_batch_bytes) {
+      co_return Invalid("the body is too large");
+    }
+    auto chunks = more ? cutter.Add(*part) : cutter.End();
+    if (!chunks.ok()) co_return chunks.error();
+    if (upload == nullptr) continue;
+    for (auto& chunk : *chunks) {
+      const auto added = co_await upload->Add(std::move(chunk));
+      if (!added.ok()) {
+        co_return base::Error(base::Errc::kUnavailable, added.error().message);
+      }
+    }
+  }
+  if (cutter.digest().empty()) co_return Invalid("the body has no items");
+  co_return cutter.digest();
+}
+
+awaitable<void> BatchService::State::Submit(Exchange& exchange) {
+  const auto organisation = this->Authenticate(exchange.request());
+  if (!organisation.ok()) {
+    co_return co_await this->Refuse(exchange, organisation.error());
+  }
+  auto job = this->NewJob(exchange.request(), *organisation);
+  if (!job.ok()) co_return co_await this->Refuse(exchange, job.error());
+  const auto known = co_await this->FindJob(*organisation, job->id.text,
+                                            this->StoreDeadline());
+  if (known.ok()) {
+    co_return co_await this->SubmitAgain(exchange, *known, *job);
+  }
+  if (!known.error().Is(base::Errc::kNotFound)) {
+    co_return co_await this->Refuse(exchange, known.error());
+  }
+  co_await this->SubmitNew(exchange, std::move(*job));
+}
+
+awaitable<void> BatchService::State::SubmitAgain(
+    Exchange& exchange, const policy::BatchJob& known,
+    const policy::BatchJob& asked) {
+  const auto digest = co_await this->Receive(exchange, nullptr);
+  if (!digest.ok()) co_return co_await this->Refuse(exchange, digest.error());
+  auto resent = asked;
+  resent.digest = *digest;
+  co_await this->AnswerKnown(exchange, known, resent);
+}
+
+awaitable<void> BatchService::State::AnswerKnown(
+    Exchange& exchange, const policy::BatchJob& known,
+    const policy::BatchJob& asked) {
+  const bool same = known.digest == asked.digest &&
+                    known.service == asked.service &&
+                    known.model == asked.model && known.path == asked.path;
+  if (!same) {
+    co_return co_await this->Refuse(
+        exchange, base::Error(base::Errc::kConflict,
+                              "another job was accepted under this id"));
+  }
+  co_await exchange.Send(JsonHead(200),
+                         boost::json::serialize(JobSummary(known)) + "\n");
+}
+
+awaitable<void> BatchService::State::SubmitNew(Exchange& exchange,
+                                               policy::BatchJob job) {
+  const auto deadline = exchange.deadline() - kAnswerReserve;
+  BatchUpload upload(*this->runtime, base::RandomHex(kUidBytes), deadline);
+  const auto digest = co_await this->Receive(exchange, &upload);
+  if (!digest.ok()) {
+    co_await upload.Abandon();
+    co_return co_await this->Refuse(exchange, digest.error());
+  }
+  job.digest = *digest;
+  const auto accepted = co_await upload.Accept(job);
+  if (accepted.ok()) {
+    kLog.Info("Accepted job {} of {}: {} items in {} chunks.", job.id.text,
+              job.organisation.text, job.items, job.chunks);
+    this->runner.OnAccepted(job);
+    co_await exchange.Send(JsonHead(201),
+                           boost::json::serialize(JobSummary(job)) + "\n");
+    co_return;
+  }
+  if (accepted.error().Is(base::Errc::kUnknown)) {
+    co_return co_await this->Refuse(exchange, accepted.error(),
+                                    policy::RunState::kUnknown);
+  }
+  co_await upload.Abandon();
+  if (!accepted.error().Is(base::Errc::kConflict)) {
+    co_return co_await this->Refuse(exchange, accepted.error());
+  }
+  // The same id was accepted meanwhile, perhaps on another VM.
+  const auto known = co_await this->FindJob(job.organisation, job.id.text,
+                                            this->StoreDeadline());
+  if (known.ok()) co_return co_await this->AnswerKnown(exchange, *known, job);
+  co_await this->Refuse(
+      exchange, base::Error(base::Errc::kUnavailable, "not accepted in time"));
+}
+
+awaitable<void> BatchService::State::Read(Exchange& exchange) {
+  const auto organisation = this->Authenticate(exchange.request());
+  if (!organisation.ok()) {
+    co_return co_await this->Refuse(exchange, organisation.error());
+  }
+  const auto path = SplitPath(exchange.request().path);
+  if (path.id.empty()) co_return co_await this->List(exchange, *organisation);
+  auto job =
+      co_await this->FindJob(*organisation, path.id, this->StoreDeadline());
+  if (!job.ok()) co_return co_await this->Refuse(exchange, job.error());
+  if (path.rest.empty()) {
+    co_await this->Show(exchange, std::move(*job));
+  } else if (path.rest == "results") {
+    co_await this->Results(exchange, std::move(*job));
+  } else {
+    co_await this->Refuse(
+        exchange, base::Error(base::Errc::kNotFound, "no such resource"));
+  }
+}
+
+awaitable<void> BatchService::State::List(Exchange& exchange,
+                                          base::Organisation organisation) {
+  boost::json::array jobs;
+  base::TableScan scan;
+  scan.prefix = policy::JobPrefix(organisation);
+  scan.limit = kPageRows;
+  scan.after = Get(ParseQuery(exchange.request().query), "after");
+  if (!scan.after.empty()) scan.after = scan.prefix + scan.after;
+  const auto page =
+      co_await ScanTable(this->runtime->platform, scan, this->StoreDeadline());
+  if (!page.ok()) co_return co_await this->Refuse(exchange, page.error());
+  for (const auto& row : page->rows) {
+    const auto job = policy::DecodeJob(row.value);
+    if (job.ok()) jobs.push_back(JobSummary(*job));
+  }
+  boost::json::object out;
+  out["jobs"] = std::move(jobs);
+  out["more"] = page->more;
+  co_await exchange.Send(JsonHead(200), boost::json::serialize(out) + "\n");
+}
+
+awaitable<void> BatchService::State::Show(Exchange& exchange,
+                                          policy::BatchJob job) {
+  JobProgress progress;
+  progress.job = std::move(job);
+  base::TableScan scan;
+  scan.prefix = policy::ResultPrefix(progress.job.uid);
+  scan.limit = kPageRows;
+  for (bool more = true; more;) {
+    const auto page = co_await ScanTable(this->runtime->platform, scan,
+                                         this->StoreDeadline());
+    if (!page.ok()) co_return co_await this->Refuse(exchange, page.error());
+    for (const auto& row : page->rows) {
+      const auto result = policy::DecodeResult(row.value);
+      if (!result.ok()) continue;
+      progress.completed += result->completed;
+      progress.failed += result->failed;
+      progress.unknown += result->unknown;
+    }
+    more = page->more;
+    if (more) scan.after = page->rows.back().key;
+  }
+  const auto details = JobDetails(progress, this->runtime->clock.wall());
+  co_await exchange.Send(JsonHead(200), boost::json::serialize(details) + "\n");
+}
+
+awaitable<base::Status> BatchService::State::WriteResults(
+    Exchange& exchange, const policy::ResultRow& row, std::uint64_t from,
+    std::uint64_t to) {
+  const auto bytes = co_await GetObject(this->runtime->platform, row.object,
+                                        this->StoreDeadline());
+  if (!bytes.ok()) co_return bytes.error();
+  const auto results = policy::DecodeResults(*bytes);
+  if (!results.ok()) co_return results.error();
+  std::string lines;
+  for (const auto& [index, result] : *results) {
+    const auto item = row.first_item + index;
+    if (item >= from && item < to) lines += ResultLine(item, result);
+  }
+  if (lines.empty()) co_return base::Done{};
+  co_return co_await exchange.WritePart(std::move(lines));
+}
+
+/// Items `from` up to `to`, in order; those without a result yet are left out.
+awaitable<void> BatchService::State::Results(Exchange& exchange,
+                                             policy::BatchJob job) {
+  const auto query = ParseQuery(exchange.request().query);
+  const auto from = GetNumber(query, "from", 0);
+  const auto to = std::min(GetNumber(query, "to", job.items), job.items);
+  base::TableScan scan;
+  scan.prefix = policy::ResultPrefix(job.uid);
+  scan.limit = kPageRows;
+  auto page =
+      co_await ScanTable(this->runtime->platform, scan, this->StoreDeadline());
+  if (!page.ok()) co_return co_await this->Refuse(exchange, page.error());
+  ResponseHead head{200, {{"Content-Type", "application/jsonl"}}};
+  const auto begun = co_await exchange.BeginStream(std::move(head));
+  if (!begun.ok()) co_return;
+  while (true) {
+    for (const auto& row : page->rows) {
+      const auto result = policy::DecodeResult(row.value);
+      if (!result.ok()) co_return exchange.Abort();
+      const auto count = result->completed + result->failed + result->unknown;
+      if (result->first_item + count <= from) continue;
+      if (result->first_item >= to) break;
+      const auto written =
+          co_await this->WriteResults(exchange, *result, from, to);
+      if (!written.ok()) co_return exchange.Abort();
+    }
+    if (!page->more) break;
+    scan.after = page->rows.back().key;
+    page = co_await ScanTable(this->runtime->platform, scan,
+                              this->StoreDeadline());
+    if (!page.ok()) co_return exchange.Abort();
+  }
+  co_await exchange.EndStream();
+}
+
+awaitable<void> BatchService::State::Change(Exchange& exchange) {
+  const auto path = SplitPath(exchange.request().path);
+  if (path.id.empty()) co_return co_await this->Submit(exchange);
+  const auto organisation = this->Authenticate(exchange.request());
+  if (!organisation.ok()) {
+    co_return co_await this->Refuse(exchange, organisation.error());
+  }
+  auto job =
+      co_await this->FindJob(*organisation, path.id, this->StoreDeadline());
+  if (!job.ok()) co_return co_await this->Refuse(exchange, job.error());
+  if (path.rest != "cancel") {
+    co_return co_await this->Refuse(
+        exchange, base::Error(base::Errc::kNotFound, "no such resource"));
+  }
+  co_await this->Cancel(exchange, std::move(*job));
+}
+
+awaitable<void> BatchService::State::Cancel(Exchange& exchange,
+                                            policy::BatchJob job) {
+  if (job.state == policy::JobState::kOpen) {
+    const auto status = co_await AwaitHandler<base::Status>(
+        [this, job](auto handler) { this->runner.Cancel(job, handler); });
+    if (!status.ok() && !status.error().Is(base::Errc::kConflict)) {
+      co_return co_await this->Refuse(exchange, status.error(),
+                                      policy::RunState::kUnknown);
+    }
+    auto now = co_await this->FindJob(job.organisation, job.id.text,
+                                      this->StoreDeadline());
+    if (now.ok()) job = std::move(*now);
+  }
+  co_await exchange.Send(JsonHead(200),
+                         boost::json::serialize(JobSummary(job)) + "\n");
+}
+
+BatchService::BatchService(const Runtime& runtime, BatchHooks hooks,
+                           policy::BatchOptions options)
+    : state(std::make_shared<State>(runtime, std::move(hooks), options)) {}
+
+BatchService::~BatchService() = default;
+
+void BatchService::Register(Router& router) {
+  const std::string prefix(kBatches);
+  router.Add("GET", prefix, [state = this->state](Exchange& exchange) {
+    return state->Read(exchange);
+  });
+  router.Add("POST", prefix, [state = this->state](Exchange& exchange) {
+    return state->Change(exchange);
+  });
+}
+
+void BatchService::Start() { this->state->runner.Start(); }
+
+void BatchService::Stop(std::function<void()> done) {
+  this->state->runner.Stop(std::move(done));
+}
+
+}  // namespace gypsumtrack::gateway
