Put the daemon together: one request and one job go the whole way

Cause: the parts stood apart. A closure that owned its captures was written inside a co_await expression; g++ 12 copies such a closure byte by byte, and the daemon died of a double free on the first applied change (valgrind).

--- a/packages/gateway/include/gypsumtrack/gateway/await.h
+++ b/packages/gateway/include/gypsumtrack/gateway/await.h
@@ -19,22 +19,25 @@
 ///     auto reply = co_await AwaitHandler<base::Status>([&](auto handler) {
 ///       table.commit(commit, deadline, std::move(handler));
 ///     });
-template <typename Value>
-boost::asio::awaitable<Value> AwaitHandler(
-    std::function<void(std::function<void(Value)>)> start) {
+///
+/// g++ 12 copies a closure byte by byte when it is written inside a co_await
+/// expression: one that owns what it captures must be a named variable, or be
+/// passed by a function that isn't a coroutine.
+template <typename Value, typename Start>
+boost::asio::awaitable<Value> AwaitHandler(Start start) {
   namespace asio = boost::asio;
-  auto initiate = [](auto completion, auto begin) {
+  auto initiate = [start = std::move(start)](auto completion) mutable {
     auto shared = std::make_shared<decltype(completion)>(std::move(completion));
-    begin([shared](Value value) {
+    std::function<void(Value)> handler = [shared](Value value) {
       const auto executor = asio::get_associated_executor(*shared);
       asio::post(executor, [shared, value = std::move(value)]() mutable {
         std::move (*shared)(std::move(value));
       });
-    });
+    };
+    start(std::move(handler));
   };
-  co_return co_await asio::async_initiate<const asio::use_awaitable_t<>&,
-                                          void(Value)>(
-      initiate, asio::use_awaitable, std::move(start));
+  return asio::async_initiate<const asio::use_awaitable_t<>&, void(Value)>(
+      std::move(initiate), asio::use_awaitable);
 }
 
 }  // namespace gypsumtrack::gateway
--- a/packages/gateway/include/gypsumtrack/gateway/report_service.h
+++ b/packages/gateway/include/gypsumtrack/gateway/report_service.h
@@ -6,15 +6,15 @@
 #include <functional>
 #include <memory>
 
-#include "gypsumtrack/gateway/http_server.h"
+#include "gypsumtrack/gateway/admin_service.h"
 #include "gypsumtrack/gateway/runtime.h"
 #include "gypsumtrack/policy/fleet_view.h"
 #include "gypsumtrack/telemetry/service_level.h"
 
-/// Service levels of this daemon, and the report over all of them.
+/// Service levels of this daemon, and the counts of all of them together.
 namespace gypsumtrack::gateway {
 
-/// As in a peer's answer: per series and window, the non-zero counts.
+/// As in a peer's answer: per series and window, the counts.
 Json::Value EncodeCounts(const telemetry::ServiceCounts& counts);
 
 /// Errors: kInvalid. Thread-safe.
@@ -26,20 +26,21 @@
 
   /// Precondition: `runtime` outlives the service, and the peer transport has
   /// not started.
-  ReportService(Runtime& runtime, ViewHook view);
+  ReportService(const Runtime& runtime, ViewHook view);
 
   /// Thread-safe; counted soon after on the control strand.
   void Record(telemetry::SeriesId series, telemetry::ServiceEvent event,
               base::Duration latency);
 
-  /// GET /admin/report/burn: query `format=json|text|html` and objectives
-  /// `availability`, `latency`, `latency_ms`, `batch_due`.
-  boost::asio::awaitable<void> ServeBurn(Exchange& exchange);
+  /// Adds GET /admin/report/counts: the fleet's counts, and the VMs that gave
+  /// no answer. Precondition: the service outlives the server.
+  void Register(Router& router);
 
  private:
   boost::asio::awaitable<telemetry::ServiceCounts> OwnCounts();
+  boost::asio::awaitable<AdminReply> FleetCounts();
 
-  Runtime& runtime;
+  const Runtime& runtime;
   ViewHook view;
   /// Touched on the control strand only.
   std::shared_ptr<telemetry::ServiceLevels> levels;
--- a/packages/gateway/src/config_routes.cc
+++ b/packages/gateway/src/config_routes.cc
@@ -7,9 +7,9 @@
 #include <optional>
 #include <utility>
 
-#include "await_callback.h"
 #include "gypsumtrack/base/hash.h"
 #include "gypsumtrack/gateway/admin_service.h"
+#include "gypsumtrack/gateway/await.h"
 #include "gypsumtrack/policy/rule_merge.h"
 
 namespace gypsumtrack::gateway {
@@ -93,7 +93,7 @@
 boost::asio::awaitable<Json::Value> QueryLog(
     ConfigService& config,
     std::function<Json::Value(const policy::ConfigLog&)> query) {
-  co_return co_await AwaitCallback<Json::Value>(
+  return AwaitHandler<Json::Value>(
       [&config, query = std::move(query)](auto done) {
         config.ReadLog(
             [query, done](const policy::ConfigLog& log) { done(query(log)); });
@@ -101,7 +101,7 @@
 }
 
 boost::asio::awaitable<policy::StatusAnswer> AskFleet(ConfigService& config) {
-  co_return co_await AwaitCallback<policy::StatusAnswer>(
+  return AwaitHandler<policy::StatusAnswer>(
       [&config](auto done) { config.AskFleet(done); });
 }
 
@@ -109,15 +109,18 @@
 
 boost::asio::awaitable<AppendOutcome> Submit(ConfigService& config,
                                              policy::Proposal proposal) {
-  // A holder, as an Outcome has no default value.
-  using Holder = std::shared_ptr<AppendOutcome>;
-  auto result = co_await AwaitCallback<Holder>(
+  return AwaitHandler<AppendOutcome>(
       [&config, proposal = std::move(proposal)](auto done) mutable {
-        config.Submit(std::move(proposal), [done](AppendOutcome outcome) {
-          done(std::make_shared<AppendOutcome>(std::move(outcome)));
-        });
+        config.Submit(std::move(proposal), std::move(done));
+      });
+}
+
+boost::asio::awaitable<policy::WithdrawAnswer> Withdraw(
+    ConfigService& config, policy::Proposal proposal) {
+  return AwaitHandler<policy::WithdrawAnswer>(
+      [&config, proposal = std::move(proposal)](auto done) mutable {
+        config.Withdraw(std::move(proposal), std::move(done));
       });
-  co_return std::move(*result);
 }
 
 policy::Proposal MakeProposal(const Runtime& runtime, const Json::Value& body) {
@@ -322,10 +325,7 @@
   // The table may be away for long: the withdrawal waits for it.
   proposal.deadline = base::kNever;
   proposal.body = policy::KeyWithdrawal{{hash}};
-  const auto answer = co_await AwaitCallback<policy::WithdrawAnswer>(
-      [&config, proposal = std::move(proposal)](auto done) mutable {
-        config.Withdraw(std::move(proposal), done);
-      });
+  const auto answer = co_await Withdraw(config, std::move(proposal));
   co_return ShowWithdrawal(answer);
 }
 
--- /dev/null
+++ b/packages/gateway/src/daemon.cc
@@ -0,0 +1,272 @@
+#include "gypsumtrack/gateway/daemon.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <atomic>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "gypsumtrack/base/hash.h"
+#include "gypsumtrack/base/log.h"
+#include "gypsumtrack/gateway/admin_service.h"
+#include "gypsumtrack/gateway/batch_service.h"
+#include "gypsumtrack/gateway/config_service.h"
+#include "gypsumtrack/gateway/http_server.h"
+#include "gypsumtrack/gateway/item_sender.h"
+#include "gypsumtrack/gateway/online_service.h"
+#include "gypsumtrack/gateway/rcu_cell.h"
+#include "gypsumtrack/gateway/report_service.h"
+#include "gypsumtrack/platform/http_platform.h"
+#include "gypsumtrack/telemetry/metrics.h"
+#include "listed_fleet.h"
+
+namespace gypsumtrack::gateway {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr base::Logger kLog{"daemon"};
+
+std::uint64_t NewIncarnation() { return base::Hash64(base::RandomHex(8)) | 1U; }
+
+constexpr unsigned kOk = 200;
+constexpr unsigned kUnavailable = 503;
+
+asio::awaitable<void> SendText(Exchange& exchange, unsigned status,
+                               std::string text) {
+  ResponseHead head;
+  head.status = status;
+  head.headers.push_back({"Content-Type", "text/plain; charset=utf-8"});
+  (void)co_await exchange.Send(std::move(head), std::move(text));
+}
+
+/// A link to nobody, until the peer transport is wired in.
+peer::PeerLink DisconnectedLink() {
+  peer::PeerLink link;
+  link.call = [](const std::string&, const std::string&, const Json::Value&,
+                 base::Instant, const peer::ReplyHandler& reply) {
+    reply(base::Error(base::Errc::kUnavailable, "no peer transport"));
+  };
+  link.notify = [](const std::string&, const std::string&, const Json::Value&) {
+  };
+  link.on_call = [](const std::string&, const peer::CallHandler&) {};
+  link.on_notice = [](const std::string&, const peer::NoticeHandler&) {};
+  return link;
+}
+
+/// Lets all requests through until the fleet's limits are wired in.
+asio::awaitable<Admission> AdmitAll(const policy::Rule&, base::Instant) {
+  co_return Admission{};
+}
+
+}  // namespace
+
+class Daemon::State {
+ public:
+  explicit State(Settings settings);
+  ~State();
+
+  base::Status Start();
+  void Run();
+  void Shutdown();
+  bool Ready() const;
+  std::string CallerAddress() const { return this->callers->address(); }
+  std::string AdminAddress() const { return this->operators->address(); }
+
+ private:
+  void MakeServices();
+  void MakeServers();
+  void AddHealthRoutes(Router& router);
+  void DrainServers();
+  void StopServices();
+  void Finish();
+
+  /// Parts that post to the context are destroyed before it.
+  asio::io_context context;
+  asio::executor_work_guard<asio::io_context::executor_type> work;
+  asio::steady_timer drain_timer;
+  Runtime runtime;
+  telemetry::Registry metrics;
+  std::unique_ptr<ListedFleet> fleet;
+  std::unique_ptr<ConfigService> config;
+  std::unique_ptr<OnlineService> online;
+  std::unique_ptr<ItemSender> items;
+  std::unique_ptr<BatchService> batch;
+  std::unique_ptr<ReportService> report;
+  std::unique_ptr<HttpServer> callers;
+  std::unique_ptr<HttpServer> operators;
+  std::vector<std::thread> threads;
+  std::atomic<bool> leaving = false;
+  std::atomic<int> draining = 0;
+};
+
+Daemon::State::State(Settings settings)
+    : context(static_cast<int>(settings.threads)),
+      work(asio::make_work_guard(this->context)),
+      drain_timer(this->context) {
+  this->runtime.self = {settings.vm_name, NewIncarnation()};
+  this->runtime.clock = base::SystemClock();
+  this->runtime.control = asio::make_strand(this->context);
+  this->runtime.pool = this->context.get_executor();
+  this->runtime.platform =
+      platform::MakeHttpPlatform(this->runtime.pool, settings.platform_address,
+                                 this->runtime.clock, settings.place.domain);
+  this->runtime.peers = DisconnectedLink();
+  this->runtime.settings = std::move(settings);
+  this->MakeServices();
+  this->MakeServers();
+}
+
+Daemon::State::~State() {
+  this->work.reset();
+  this->context.stop();
+  for (auto& thread : this->threads) {
+    if (thread.joinable()) thread.join();
+  }
+}
+
+void Daemon::State::MakeServices() {
+  this->fleet = std::make_unique<ListedFleet>(this->runtime);
+  const auto view = [this] { return this->fleet->View(); };
+  this->config = std::make_unique<ConfigService>(this->runtime, view);
+  const auto access = [this] { return this->config->Access(); };
+  this->online = std::make_unique<OnlineService>(
+      this->runtime, OnlineHooks{access, view, AdmitAll});
+  this->items = std::make_unique<ItemSender>(this->runtime, view);
+  BatchHooks batch_hooks;
+  batch_hooks.run_item = [this](ItemCall call) {
+    return this->items->Send(std::move(call));
+  };
+  batch_hooks.access = access;
+  batch_hooks.fleet = view;
+  this->batch =
+      std::make_unique<BatchService>(this->runtime, std::move(batch_hooks));
+  this->report = std::make_unique<ReportService>(this->runtime, view);
+}
+
+void Daemon::State::MakeServers() {
+  const auto& settings = this->runtime.settings;
+  Router caller_routes;
+  this->online->Register(caller_routes);
+  this->batch->Register(caller_routes);
+  this->AddHealthRoutes(caller_routes);
+  HttpServerOptions options;
+  options.address = settings.listen;
+  options.max_header_bytes = settings.max_header_bytes;
+  options.max_connections = settings.max_connections;
+  options.idle_timeout = settings.idle_timeout;
+  options.request_timeout = settings.request_timeout;
+  this->callers =
+      std::make_unique<HttpServer>(this->runtime.pool, this->runtime.clock,
+                                   options, std::move(caller_routes));
+  Router operator_routes;
+  AddConfigRoutes(operator_routes, this->runtime, *this->config);
+  this->report->Register(operator_routes);
+  this->AddHealthRoutes(operator_routes);
+  options.address = settings.admin_listen;
+  this->operators =
+      std::make_unique<HttpServer>(this->runtime.pool, this->runtime.clock,
+                                   options, std::move(operator_routes));
+}
+
+void Daemon::State::AddHealthRoutes(Router& router) {
+  router.Add("GET", "/healthz", [](Exchange& exchange) {
+    return SendText(exchange, kOk, "alive\n");
+  });
+  router.Add("GET", "/readyz", [this](Exchange& exchange) {
+    const bool ready = this->Ready();
+    return SendText(exchange, ready ? kOk : kUnavailable,
+                    ready ? "ready\n" : "not ready\n");
+  });
+  router.Add("GET", "/metrics", [this](Exchange& exchange) {
+    return SendText(exchange, kOk, this->metrics.FormatPrometheus());
+  });
+}
+
+base::Status Daemon::State::Start() {
+  for (auto* server : {this->callers.get(), this->operators.get()}) {
+    auto started = server->Start();
+    if (!started.ok()) return started;
+  }
+  for (std::uint32_t i = 0; i < this->runtime.settings.threads; ++i) {
+    this->threads.emplace_back([this] { this->context.run(); });
+  }
+  this->fleet->Start();
+  this->config->Start();
+  this->batch->Start();
+  kLog.Info("Serving callers on {} and operators on {}.", this->CallerAddress(),
+            this->AdminAddress());
+  return base::Done{};
+}
+
+void Daemon::State::Run() {
+  for (auto& thread : this->threads) thread.join();
+}
+
+bool Daemon::State::Ready() const {
+  return !this->leaving && this->config->ready();
+}
+
+void Daemon::State::Shutdown() {
+  if (this->leaving.exchange(true)) return;
+  kLog.Info("Leaving.");
+  asio::post(this->context, [this] { this->DrainServers(); });
+}
+
+void Daemon::State::DrainServers() {
+  this->draining = 2;
+  const auto drained = [this] {
+    if (--this->draining == 0) this->StopServices();
+  };
+  this->callers->Drain(drained);
+  this->operators->Drain(drained);
+  this->drain_timer.expires_after(this->runtime.settings.drain_timeout);
+  this->drain_timer.async_wait(
+      [this](const boost::system::error_code& failure) {
+        if (failure) return;
+        kLog.Warning("The drain timeout passed: open requests are cut.");
+        this->callers->Stop();
+        this->operators->Stop();
+      });
+}
+
+void Daemon::State::StopServices() {
+  this->drain_timer.cancel();
+  this->batch->Stop([this] { this->Finish(); });
+}
+
+void Daemon::State::Finish() {
+  this->config->Stop();
+  this->fleet->Stop();
+  kLog.Info("Left.");
+  this->work.reset();
+  this->context.stop();
+}
+
+Daemon::Daemon(Settings settings)
+    : state(std::make_unique<State>(std::move(settings))) {}
+
+Daemon::~Daemon() = default;
+
+base::Status Daemon::Start() { return this->state->Start(); }
+
+void Daemon::Run() { this->state->Run(); }
+
+void Daemon::Shutdown() { this->state->Shutdown(); }
+
+std::string Daemon::CallerAddress() const {
+  return this->state->CallerAddress();
+}
+
+std::string Daemon::AdminAddress() const { return this->state->AdminAddress(); }
+
+bool Daemon::Ready() const { return this->state->Ready(); }
+
+}  // namespace gypsumtrack::gateway
--- a/packages/gateway/src/generation.cc
+++ b/packages/gateway/src/generation.cc
@@ -1,6 +1,9 @@
 #include "generation.h"
 
+#include <fmt/format.h>
+
 #include <boost/json.hpp>
+#include <charconv>
 #include <utility>
 
 namespace gypsumtrack::gateway {
@@ -78,6 +81,22 @@
   this->end_marked = false;
 }
 
+std::string Generation::Checkpoint() const {
+  return fmt::format("{}\n{}", this->tokens, this->text);
+}
+
+base::Status Generation::Resume(std::string_view checkpoint) {
+  const auto end = checkpoint.data() + checkpoint.size();
+  const auto [stop, failure] =
+      std::from_chars(checkpoint.data(), end, this->tokens);
+  if (failure != std::errc() || stop == end || *stop != '\n') {
+    this->tokens = 0;
+    return Invalid("A checkpoint is malformed.");
+  }
+  this->text = std::string(stop + 1, end);
+  return base::Done{};
+}
+
 base::Outcome<std::vector<std::string>> Generation::Feed(
     std::string_view bytes) {
   std::vector<std::string> events;
--- a/packages/gateway/src/generation.h
+++ b/packages/gateway/src/generation.h
@@ -39,6 +39,9 @@
 
   /// Forgets a half-read event: a new attempt begins.
   void BeginAttempt();
+  /// Goes on from what another Generation of the same request had received.
+  /// Precondition: nothing was fed. Errors: kInvalid.
+  base::Status Resume(std::string_view checkpoint);
   /// Takes bytes of the engine's event stream; returns the whole events in it,
   /// without the end mark. Errors: kInvalid (malformed, or another's answer).
   base::Outcome<std::vector<std::string>> Feed(std::string_view bytes);
@@ -47,6 +50,8 @@
 
   /// The body for the next attempt: it goes on from what has arrived.
   std::string AttemptBody() const;
+  /// What has arrived, for Resume.
+  std::string Checkpoint() const;
   /// Whether the answer's end and the stream's end mark have arrived.
   bool whole() const;  // NOLINT
   /// The answer as one JSON text. Precondition: whole().
--- a/packages/gateway/src/report_service.cc
+++ b/packages/gateway/src/report_service.cc
@@ -1,16 +1,10 @@
 #include "gypsumtrack/gateway/report_service.h"
 
-#include <fmt/format.h>
-
 #include <boost/asio/post.hpp>
-#include <boost/json.hpp>
-#include <boost/url/parse_query.hpp>
-#include <charconv>
 #include <utility>
 
 #include "gypsumtrack/gateway/await.h"
 #include "gypsumtrack/gateway/peer_gather.h"
-#include "gypsumtrack/telemetry/burn_report.h"
 
 namespace gypsumtrack::gateway {
 namespace {
@@ -49,98 +43,6 @@
   return true;
 }
 
-/// Reads an objective from the query; keeps the default if it isn't a number
-/// in (0, limit).
-void ReadNumber(const boost::urls::params_encoded_view& query,
-                std::string_view name, double limit, double& value) {
-  const auto found = query.find(name);
-  if (found == query.end()) return;
-  const std::string text((*found).value);
-  double number = 0;
-  const auto end = text.data() + text.size();
-  const auto [stop, failure] = std::from_chars(text.data(), end, number);
-  if (failure != std::errc() || stop != end) return;
-  if (number > 0 && number < limit) value = number;
-}
-
-boost::json::value BurnJson(const telemetry::BurnReport& report) {
-  boost::json::array rows;
-  for (const auto& row : report.rows) {
-    boost::json::object burn;
-    for (const auto& [window, name] : telemetry::kWindowNames.entries) {
-      const auto& rate = row.burn[static_cast<std::size_t>(window)];
-      burn[name] = rate ? boost::json::value(*rate) : boost::json::value();
-    }
-    rows.push_back(
-        {{"organisation", row.series.organisation.text},
-         {"service", row.series.service.text},
-         {"objective", telemetry::kObjectiveKindNames.Name(row.kind)},
-         {"burn", burn},
-         {"budget_left", row.budget_left},
-         {"alarm", telemetry::kAlarmNames.Name(row.alarm)}});
-  }
-  return {{"rows", rows},
-          {"refused_over_rate", report.refused_over_rate},
-          {"refused_within_rate", report.refused_within_rate},
-          {"silent_vms", boost::json::value_from(report.silent_vms)}};
-}
-
-enum class ReportFormat { kJson, kText, kHtml };
-
-constexpr auto kReportFormatNames = base::MakeEnumTable<ReportFormat>({
-    {ReportFormat::kJson, "json"},
-    {ReportFormat::kText, "text"},
-    {ReportFormat::kHtml, "html"},
-});
-
-struct ReportQuery {
-  telemetry::Objectives objectives;
-  ReportFormat format = ReportFormat::kJson;
-};
-
-ReportQuery ParseReportQuery(const std::string& text) {
-  ReportQuery request;
-  const auto query = boost::urls::parse_query(text);
-  if (!query.has_value()) return request;
-  auto& objectives = request.objectives;
-  ReadNumber(*query, "availability", 1, objectives.availability);
-  ReadNumber(*query, "latency", 1, objectives.latency);
-  ReadNumber(*query, "latency_ms", 1e6, objectives.latency_threshold_ms);
-  ReadNumber(*query, "batch_due", 1, objectives.batch_due);
-  const auto found = (*query).find("format");
-  if (found != (*query).end()) {
-    request.format = kReportFormatNames.Parse(std::string((*found).value))
-                         .value_or(ReportFormat::kJson);
-  }
-  return request;
-}
-
-struct Rendered {
-  ResponseHead head;
-  std::string body;
-};
-
-Rendered RenderReport(const telemetry::BurnReport& report,
-                      ReportFormat format) {
-  const auto with_type = [](std::string type, std::string body) {
-    ResponseHead head;
-    head.headers.push_back({"Content-Type", std::move(type)});
-    return Rendered{std::move(head), std::move(body)};
-  };
-  switch (format) {
-    case ReportFormat::kHtml:
-      return with_type("text/html; charset=utf-8",
-                       telemetry::FormatBurnHtml(report));
-    case ReportFormat::kText:
-      return with_type("text/plain; charset=utf-8",
-                       telemetry::FormatBurnText(report));
-    case ReportFormat::kJson:
-      break;
-  }
-  return with_type("application/json",
-                   boost::json::serialize(BurnJson(report)));
-}
-
 }  // namespace
 
 Json::Value EncodeCounts(const ServiceCounts& counts) {
@@ -177,7 +79,7 @@
   return counts;
 }
 
-ReportService::ReportService(Runtime& shared, ViewHook fleet)
+ReportService::ReportService(const Runtime& shared, ViewHook fleet)
     : runtime(shared),
       view(std::move(fleet)),
       levels(std::make_shared<telemetry::ServiceLevels>()) {
@@ -209,30 +111,32 @@
       });
 }
 
-boost::asio::awaitable<void> ReportService::ServeBurn(Exchange& exchange) {
+boost::asio::awaitable<AdminReply> ReportService::FleetCounts() {
   auto counts = co_await this->OwnCounts();
   const auto fleet = this->view();
   const auto answers =
       co_await GatherPeers(this->runtime, *fleet, kCountsMethod, Json::Value(),
                            this->runtime.clock.now() + kGatherWait);
-  std::vector<std::string> silent;
+  Json::Value silent(Json::arrayValue);
   for (const auto& answer : answers) {
-    if (!answer.reply.ok()) {
-      silent.push_back(answer.peer.id.name);
-      continue;
-    }
-    const auto decoded = DecodeCounts(*answer.reply);
-    if (decoded.ok()) {
-      telemetry::MergeCounts(counts, *decoded);
+    const auto theirs =
+        answer.reply.ok() ? DecodeCounts(*answer.reply)
+                          : base::Outcome<ServiceCounts>(answer.reply.error());
+    if (theirs.ok()) {
+      telemetry::MergeCounts(counts, *theirs);
     } else {
-      silent.push_back(answer.peer.id.name);
+      silent.append(answer.peer.id.name);
     }
   }
-  const auto query = ParseReportQuery(exchange.request().query);
-  const auto report =
-      telemetry::MakeBurnReport(counts, query.objectives, std::move(silent));
-  auto [head, body] = RenderReport(report, query.format);
-  (void)co_await exchange.Send(std::move(head), std::move(body));
+  AdminReply reply;
+  reply.body["counts"] = EncodeCounts(counts);
+  reply.body["silent_vms"] = silent;
+  co_return reply;
+}
+
+void ReportService::Register(Router& router) {
+  AddAdminRoute(router, this->runtime, "GET", "/admin/report/counts",
+                [this](AdminRequest) { return this->FleetCounts(); });
 }
 
 }  // namespace gypsumtrack::gateway
