--- a/packages/gateway/src/batch_service.cc
+++ b/packages/gateway/src/batch_service.cc
@@ -134,9 +134,8 @@
   const auto* header = head.Find("Authorization");
   const auto snapshot = this->hooks.access();
   if (header != nullptr && header->starts_with(kBearer) && snapshot) {
-    const auto hash =
-        base::HmacSha256Hex(this->runtime->settings.fleet_secret,
-                            std::string_view(*header).substr(kBearer.size()));
+    const auto hash = base::HmacSha256Hex(this->runtime->settings.fleet_secret,
+                                          header->substr(kBearer.size()));
     if (auto found = snapshot->FindOrganisation(hash)) return *found;
   }
   return base::Error(base::Errc::kUnauthorized, "no valid key");
@@ -192,7 +191,8 @@
 awaitable<void> BatchService::State::Refuse(Exchange& exchange,
                                             const base::Error& error,
                                             policy::RunState run) {
-  co_await exchange.Send(RefusalHead(StatusOf(error), run), RefusalBody(error));
+  (void)co_await exchange.Send(RefusalHead(StatusOf(error), run),
+                               RefusalBody(error));
 }
 
 awaitable<base::Outcome<policy::BatchJob>> BatchService::State::FindJob(
@@ -279,8 +279,8 @@
         exchange, base::Error(base::Errc::kConflict,
                               "another job was accepted under this id"));
   }
-  co_await exchange.Send(JsonHead(200),
-                         boost::json::serialize(JobSummary(known)) + "\n");
+  (void)co_await exchange.Send(
+      JsonHead(200), boost::json::serialize(JobSummary(known)) + "\n");
 }
 
 awaitable<void> BatchService::State::SubmitNew(Exchange& exchange,
@@ -298,8 +298,8 @@
     kLog.Info("Accepted job {} of {}: {} items in {} chunks.", job.id.text,
               job.organisation.text, job.items, job.chunks);
     this->runner.OnAccepted(job);
-    co_await exchange.Send(JsonHead(201),
-                           boost::json::serialize(JobSummary(job)) + "\n");
+    (void)co_await exchange.Send(
+        JsonHead(201), boost::json::serialize(JobSummary(job)) + "\n");
     co_return;
   }
   if (accepted.error().Is(base::Errc::kUnknown)) {
@@ -356,7 +356,8 @@
   boost::json::object out;
   out["jobs"] = std::move(jobs);
   out["more"] = page->more;
-  co_await exchange.Send(JsonHead(200), boost::json::serialize(out) + "\n");
+  (void)co_await exchange.Send(JsonHead(200),
+                               boost::json::serialize(out) + "\n");
 }
 
 awaitable<void> BatchService::State::Show(Exchange& exchange,
@@ -381,7 +382,8 @@
     if (more) scan.after = page->rows.back().key;
   }
   const auto details = JobDetails(progress, this->runtime->clock.wall());
-  co_await exchange.Send(JsonHead(200), boost::json::serialize(details) + "\n");
+  (void)co_await exchange.Send(JsonHead(200),
+                               boost::json::serialize(details) + "\n");
 }
 
 awaitable<base::Status> BatchService::State::WriteResults(
@@ -433,7 +435,7 @@
                               this->StoreDeadline());
     if (!page.ok()) co_return exchange.Abort();
   }
-  co_await exchange.EndStream();
+  (void)co_await exchange.EndStream();
 }
 
 awaitable<void> BatchService::State::Change(Exchange& exchange) {
@@ -466,8 +468,8 @@
                                       this->StoreDeadline());
     if (now.ok()) job = std::move(*now);
   }
-  co_await exchange.Send(JsonHead(200),
-                         boost::json::serialize(JobSummary(job)) + "\n");
+  (void)co_await exchange.Send(JsonHead(200),
+                               boost::json::serialize(JobSummary(job)) + "\n");
 }
 
 BatchService::BatchService(const Runtime& runtime, BatchHooks hooks,
--- a/packages/gateway/src/batch_upload.cc
+++ b/packages/gateway/src/batch_upload.cc
@@ -58,7 +58,8 @@
   std::size_t start = 0;
   for (auto end = this->rest.find('\n'); end != std::string::npos;
        end = this->rest.find('\n', start)) {
-    const auto line = std::string_view(this->rest).substr(start, end - start);
+    const std::string_view all = this->rest;
+    const auto line = all.substr(start, end - start);
     const auto added = this->AddLine(line, whole);
     if (!added.ok()) return added.error();
     start = end + 1;
@@ -164,7 +165,7 @@
 
 boost::asio::awaitable<void> BatchUpload::Abandon() {
   if (this->staging_version == 0) co_return;
-  co_await this->Stage(this->staged, true);
+  (void)co_await this->Stage(this->staged, true);
 }
 
 }  // namespace gypsumtrack::gateway
--- a/packages/gateway/src/rfc3339.cc
+++ b/packages/gateway/src/rfc3339.cc
@@ -87,9 +87,9 @@
   const std::chrono::year_month_day date(year, month, day);
   if (!scan.good || !scan.rest.empty() || !date.ok()) return std::nullopt;
   if (hour > 23 || minute > 59 || second > 60) return std::nullopt;
-  return std::chrono::sys_days(date) + std::chrono::hours(hour) +
-         std::chrono::minutes(minute) + std::chrono::seconds(second) +
-         fraction - offset;
+  const std::chrono::sys_days start = date;
+  return start + std::chrono::hours(hour) + std::chrono::minutes(minute) +
+         std::chrono::seconds(second) + fraction - offset;
 }
 
 std::string FormatRfc3339(base::WallTime time) {
--- a/packages/policy/include/gypsumtrack/policy/batch_chunk.h
+++ b/packages/policy/include/gypsumtrack/policy/batch_chunk.h
@@ -70,7 +70,7 @@
   /// Items below `sent` in run order without a result in `known` are unknown:
   /// they may have run under an earlier holder.
   ChunkRun(std::vector<std::string> lines, bool idempotent,
-           PoisonOptions options, std::uint32_t sent, ItemResults known);
+           PoisonOptions options, std::uint32_t sent, const ItemResults& known);
 
   // Queries.
 
--- a/packages/policy/include/gypsumtrack/policy/batch_janitor.h
+++ b/packages/policy/include/gypsumtrack/policy/batch_janitor.h
@@ -52,6 +52,7 @@
     std::uint64_t version = 0;
     base::Instant since{};
   };
+  using ChunkList = std::shared_ptr<std::vector<StoredChunk>>;
   using Sightings = std::map<std::string, Sighting>;
 
   /// Whether the row has stood at this version for `lapse`, while the table
@@ -60,13 +61,13 @@
                   base::Duration lapse) const;
   void WatchHolders(base::Instant now, bool wrapped);
   void Recover(base::Instant now, const base::Row& row);
-  void ReadChunks(base::Instant now, std::shared_ptr<StoredHolder> holder,
-                  std::size_t next,
-                  std::shared_ptr<std::vector<StoredChunk>> found);
+  void ReadChunks(base::Instant now,
+                  const std::shared_ptr<StoredHolder>& holder, std::size_t next,
+                  const ChunkList& found);
   void Sweep(base::Instant now);
   void Claim(base::Instant now, const base::Row& row);
   void RemoveChunkRows(base::Instant now, const std::string& uid,
-                       CancelReply done);
+                       const CancelReply& done);
   void RemoveInputs(base::Instant now, const std::string& uid,
                     std::uint32_t next, std::uint32_t end);
   void Expire(base::Instant now);
--- a/packages/policy/include/gypsumtrack/policy/batch_node.h
+++ b/packages/policy/include/gypsumtrack/policy/batch_node.h
@@ -197,7 +197,7 @@
   void Load(base::Instant now, const std::string& key);
   bool Holds(const std::string& key, std::uint64_t token);
   void OnLoaded(base::Instant now, const std::string& key,
-                const std::string& input, ItemResults known);
+                const std::string& input, const ItemResults& known);
   void WriteIntent(base::Instant now, HeldChunk& chunk);
   void CommitChunk(base::Instant now, HeldChunk& chunk);
   void HandBack(base::Instant now, HeldChunk& chunk);
--- a/packages/policy/src/batch_chunk.cc
+++ b/packages/policy/src/batch_chunk.cc
@@ -39,7 +39,8 @@
   std::vector<std::uint32_t> order(lines.size());
   std::iota(order.begin(), order.end(), 0U);
   const auto prefix = [&lines](std::uint32_t item) {
-    return std::string_view(lines[item]).substr(0, kPrefixBytes);
+    const std::string_view line = lines[item];
+    return line.substr(0, kPrefixBytes);
   };
   std::stable_sort(order.begin(), order.end(),
                    [&prefix](std::uint32_t a, std::uint32_t b) {
@@ -91,14 +92,14 @@
 
 ChunkRun::ChunkRun(std::vector<std::string> item_lines, bool may_repeat,
                    PoisonOptions poison, std::uint32_t sent_before,
-                   ItemResults known)
+                   const ItemResults& known)
     : lines(std::move(item_lines)),
       idempotent(may_repeat),
       options(poison),
       order(RunOrder(this->lines)),
       items(this->lines.size()) {
-  for (auto& [item, result] : known) {
-    if (item < this->items.size()) this->Record(item, std::move(result));
+  for (const auto& [item, result] : known) {
+    if (item < this->items.size()) this->Record(item, result);
   }
   const auto count = static_cast<std::uint32_t>(this->items.size());
   this->allowed = this->idempotent ? count : std::min(sent_before, count);
--- a/packages/policy/src/batch_janitor.cc
+++ b/packages/policy/src/batch_janitor.cc
@@ -12,8 +12,6 @@
 constexpr int kMaxMissedLooks = 3;
 /// Rows in one clearing commit.
 constexpr std::uint32_t kRowsPerCommit = 100;
-/// Parts that a lost holder may have left under one token.
-constexpr std::uint32_t kMaxParts = 16;
 
 std::string RowKeyOf(const BatchJob& job) {
   return JobRowKey(job.organisation, job.id);
@@ -101,9 +99,8 @@
 }
 
 void BatchJanitor::ReadChunks(base::Instant now,
-                              std::shared_ptr<StoredHolder> holder,
-                              std::size_t next,
-                              std::shared_ptr<std::vector<StoredChunk>> found) {
+                              const std::shared_ptr<StoredHolder>& holder,
+                              std::size_t next, const ChunkList& found) {
   if (next == holder->row.chunk_keys.size()) {
     auto commit =
         RecoverHolder(this->calls->NextOperationId(), *holder, *found);
@@ -146,7 +143,7 @@
 /// Removes free chunks at once and held ones when their holder lets go or is
 /// fenced.
 void BatchJanitor::RemoveChunkRows(base::Instant now, const std::string& uid,
-                                   CancelReply done) {
+                                   const CancelReply& done) {
   base::TableScan scan;
   scan.prefix = ChunkPrefix(uid);
   scan.limit = kRowsPerCommit;
--- a/packages/policy/src/batch_node.cc
+++ b/packages/policy/src/batch_node.cc
@@ -162,11 +162,7 @@
 
 void BatchNode::Cancel(base::Instant now, const BatchJob& job,
                        CancelReply done) {
-  const auto reply = [this, uid = job.uid, done = std::move(done)](
-                         base::Instant at, const base::Status& status) {
-    done(at, status);
-  };
-  this->janitor.Cancel(now, job, reply,
+  this->janitor.Cancel(now, job, std::move(done),
                        [this, uid = job.uid](base::Instant at) {
                          this->actions.emplace_back(TellPeers{uid});
                          this->OnCancelled(at, uid);
--- a/packages/policy/src/batch_node_lease.cc
+++ b/packages/policy/src/batch_node_lease.cc
@@ -337,7 +337,7 @@
               if (!known.ok()) return this->Lose(then, key);
               auto results = DecodeResults(*known);
               if (!results.ok()) return this->Lose(then, key);
-              this->OnLoaded(then, key, input_bytes, std::move(*results));
+              this->OnLoaded(then, key, input_bytes, *results);
             });
       });
 }
@@ -348,11 +348,10 @@
 }
 
 void BatchNode::OnLoaded(base::Instant now, const std::string& key,
-                         const std::string& input, ItemResults known) {
+                         const std::string& input, const ItemResults& known) {
   auto& chunk = this->chunks.at(key);
   chunk.run.emplace(SplitLines(input), chunk.job.idempotent,
-                    this->options.poison, chunk.stored.row.sent,
-                    std::move(known));
+                    this->options.poison, chunk.stored.row.sent, known);
   if (!this->options.mechanisms.intents) chunk.run->AllowMore(UINT32_MAX);
   chunk.phase = Phase::kRunning;
   this->Advance(now, key);
--- a/packages/testing/src/batch_world.cc
+++ b/packages/testing/src/batch_world.cc
@@ -156,7 +156,7 @@
   this->CallStore(
       vm,
       [this, commit = call.commit] {
-        const auto status = this->memory.Commit(commit);
+        auto status = this->memory.Commit(commit);
         if (status.ok()) this->writes += commit.writes.size();
         return status;
       },
@@ -290,7 +290,8 @@
 void BatchWorld::Do(std::size_t vm, const policy::AskPeers& ask) {
   const auto incarnation = this->machines[vm].incarnation;
   const auto answer = [this, vm, incarnation, id = ask.id](
-                          bool answered, std::vector<std::string> ended) {
+                          bool answered,
+                          const std::vector<std::string>& ended) {
     this->Deliver(vm, incarnation,
                   [this, id, answered, ended](policy::BatchNode& node) {
                     node.OnPeerAnswer(this->time, id, answered, ended);
