--- a/packages/gateway/src/daemon.cc
+++ b/packages/gateway/src/daemon.cc
@@ -18,6 +18,7 @@
 #include "gypsumtrack/gateway/admin_service.h"
 #include "gypsumtrack/gateway/batch_service.h"
 #include "gypsumtrack/gateway/config_service.h"
+#include "gypsumtrack/gateway/fleet_routes.h"
 #include "gypsumtrack/gateway/http_server.h"
 #include "gypsumtrack/gateway/item_sender.h"
 #include "gypsumtrack/gateway/online_service.h"
@@ -169,6 +170,8 @@
   Router operator_routes;
   AddConfigRoutes(operator_routes, this->runtime, *this->config);
   this->report->Register(operator_routes);
+  AddFleetRoutes(operator_routes, this->runtime,
+                 [this] { return this->fleet->View(); });
   this->AddHealthRoutes(operator_routes);
   options.address = settings.admin_listen;
   this->operators =
--- a/packages/gypsumctl/src/command.h
+++ b/packages/gypsumctl/src/command.h
@@ -39,6 +39,7 @@
 std::vector<Command> RulesCommands();
 std::vector<Command> KeysCommands();
 std::vector<Command> FleetCommands();
+std::vector<Command> ReportCommands();
 
 /// Prints a sentence on standard error.
 ExitCode Fail(const std::string& message);
--- a/packages/gypsumctl/src/flags.h
+++ b/packages/gypsumctl/src/flags.h
@@ -25,6 +25,11 @@
   kOrganisation,
   kLabel,
   kKey,
+  kHtml,
+  kAvailability,
+  kLatency,
+  kLatencyMs,
+  kBatchDue,
   kHelp,
   kVersion,
 };
--- a/packages/gypsumctl/src/fleet_commands.cc
+++ b/packages/gypsumctl/src/fleet_commands.cc
@@ -66,8 +66,6 @@
       MakeShow({"batches", "show"}, {"ID"}, "print a batch job",
                "/admin/batches/{}"),
       {{"batches", "cancel"}, {"ID"}, "stop a batch job", {}, CancelBatch},
-      MakeShow({"report", "burn"}, {}, "print the burn of the service levels",
-               "/admin/burn"),
   };
 }
 
--- a/packages/gypsumctl/src/main.cc
+++ b/packages/gypsumctl/src/main.cc
@@ -17,7 +17,8 @@
 
 std::vector<Command> AllCommands() {
   std::vector<Command> commands;
-  for (auto group : {RulesCommands(), KeysCommands(), FleetCommands()}) {
+  for (const auto& group :
+       {RulesCommands(), KeysCommands(), FleetCommands(), ReportCommands()}) {
     commands.insert(commands.end(), group.begin(), group.end());
   }
   return commands;
