--- a/packages/gateway/src/admin_service.cc
+++ b/packages/gateway/src/admin_service.cc
@@ -1,6 +1,7 @@
 #include "gypsumtrack/gateway/admin_service.h"
 
 #include <algorithm>
+#include <boost/url/param.hpp>
 #include <boost/url/parse_query.hpp>
 #include <memory>
 #include <utility>
--- a/packages/gateway/src/config_routes.cc
+++ b/packages/gateway/src/config_routes.cc
@@ -23,7 +23,6 @@
 /// Marks a string as a key, so that scanners find one in the wrong place.
 constexpr std::string_view kKeyPrefix = "gt_";
 constexpr std::size_t kHistoryLimit = 50;
-constexpr std::size_t kHashBytes = 64;
 
 Json::Value Number(std::uint64_t number) {
   return Json::Value(static_cast<Json::UInt64>(number));
--- a/packages/gateway/src/config_service.cc
+++ b/packages/gateway/src/config_service.cc
@@ -182,7 +182,7 @@
       this->state.access.Set(
           std::make_shared<policy::AccessSnapshot>(policy::MakeAccessSnapshot(
               node.log().state(), node.pending().Hashes())));
-      kLog.Info("Revision {} is in force.", node.log().head());
+      kLog.Debug("Revision {} is in force.", node.log().head());
     }
     void operator()(policy::AppendAnswer& answer) const {
       auto waiting = this->state.appends.extract(answer.operation_id);
--- a/packages/gateway/test/config_service_test.cc
+++ b/packages/gateway/test/config_service_test.cc
@@ -80,7 +80,7 @@
     runtime.clock = base::SystemClock();
     runtime.control = boost::asio::make_strand(this->context);
     runtime.pool = this->context.get_executor();
-    runtime.platform.table.commit = [this](base::TableCommit commit,
+    runtime.platform.table.commit = [this](const base::TableCommit& commit,
                                            base::Instant /*deadline*/,
                                            const base::CommitHandler& done) {
       boost::asio::post(this->context, [this, commit, done] {
@@ -88,7 +88,7 @@
                               : this->platform.Commit(commit));
       });
     };
-    runtime.platform.table.scan = [this](base::TableScan scan,
+    runtime.platform.table.scan = [this](const base::TableScan& scan,
                                          base::Instant /*deadline*/,
                                          const base::ScanHandler& done) {
       boost::asio::post(this->context, [this, scan, done] {
--- a/packages/gypsumctl/src/fleet_commands.cc
+++ b/packages/gypsumctl/src/fleet_commands.cc
@@ -27,7 +27,7 @@
 /// Prints what the daemon answers to a GET of `path`; "{}" in it stands for the
 /// argument.
 Command MakeShow(std::vector<std::string> words, Arguments arguments,
-                 const char* help, std::string path) {
+                 const char* help, const std::string& path) {
   const auto run = [path](const Invocation& invocation, const Client& client,
                           const Arguments& given) {
     const auto argument = given.empty() ? "" : Escape(given[0]);
