Compare the admin token without a cast

The gateway's tests don't link until the HTTP server is there, as the report service needs it too; linked with a stub of it, all four pass. The policy, platform, base, telemetry and testing tests pass.

--- a/packages/gateway/src/admin_service.cc
+++ b/packages/gateway/src/admin_service.cc
@@ -40,8 +40,7 @@
   if (header == nullptr || header->compare(0, kScheme.size(), kScheme) != 0) {
     return false;
   }
-  return base::ConstantTimeEqual(
-      std::string_view(*header).substr(kScheme.size()), token);
+  return base::ConstantTimeEqual(header->substr(kScheme.size()), token);
 }
 
 std::map<std::string, std::string> ParseQuery(const std::string& query) {
@@ -49,7 +48,7 @@
   const auto parsed = boost::urls::parse_query(query);
   if (!parsed) return parameters;
   for (const auto& parameter : *parsed) {
-    const auto decoded = boost::urls::param(parameter);
+    const boost::urls::param decoded{parameter};
     parameters[decoded.key] = decoded.value;
   }
   return parameters;
