--- a/packages/platform/src/http_pool.cc
+++ b/packages/platform/src/http_pool.cc
@@ -86,7 +86,7 @@
 }  // namespace
 
 struct HttpPool::State : std::enable_shared_from_this<HttpPool::State> {
-  State(asio::any_io_executor pool_executor, std::string server,
+  State(const asio::any_io_executor& pool_executor, std::string server,
         base::Clock system_clock)
       : executor(asio::make_strand(pool_executor)),
         address(std::move(server)),
--- a/packages/testing/test/platform_server_test.cc
+++ b/packages/testing/test/platform_server_test.cc
@@ -97,7 +97,7 @@
 
 TEST_CASE("objects of several megabytes are stored whole") {
   Bench bench;
-  std::string bytes(5 * 1024 * 1024, '\0');
+  std::string bytes(5UL * 1024 * 1024, '\0');
   for (std::size_t i = 0; i < bytes.size(); ++i) {
     bytes[i] = static_cast<char>(i * 31 % 257);
   }
--- a/packages/testing/tool/platform_standin.cc
+++ b/packages/testing/tool/platform_standin.cc
@@ -27,9 +27,10 @@
 };
 
 Options ParseOptions(int argc, char** argv) {
-  static const option kOptions[] = {{"listen", required_argument, nullptr, 'l'},
-                                    {"vms", required_argument, nullptr, 'v'},
-                                    {nullptr, 0, nullptr, 0}};
+  static constexpr option kOptions[] = {
+      {"listen", required_argument, nullptr, 'l'},
+      {"vms", required_argument, nullptr, 'v'},
+      {nullptr, 0, nullptr, 0}};
   Options options;
   int letter = 0;
   while ((letter = getopt_long(argc, argv, "", kOptions, nullptr)) != -1) {
