--- /dev/null
+++ b/packages/peer/src/callee_connection.h
@@ -0,0 +1,54 @@
+#ifndef GYPSUMTRACK_PEER_SRC_CALLEE_CONNECTION_H_
+#define GYPSUMTRACK_PEER_SRC_CALLEE_CONNECTION_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "frame.h"
+#include "rpc_server.h"
+#include "transport_context.h"
+
+/// The callee's end of a connection that another daemon opened.
+namespace gypsumtrack::peer {
+
+class CalleeConnection : public std::enable_shared_from_this<CalleeConnection> {
+ public:
+  /// Precondition: the socket's executor is a strand.
+  CalleeConnection(std::shared_ptr<TransportContext> context,
+                   boost::asio::ip::tcp::socket accepted);
+
+  /// Serves until the connection ends.
+  boost::asio::awaitable<void> Serve();
+
+  /// Thread-safe.
+  void Close();
+
+ private:
+  boost::asio::awaitable<bool> Handshake();
+  boost::asio::awaitable<std::optional<std::string>> ReadBytes(
+      std::size_t limit);
+  bool HandleFrame(const Frame& frame);
+  void Send(Frame frame);
+  void Pump();
+  void ExpectFrame();
+
+  const std::shared_ptr<TransportContext> context;
+  boost::asio::ip::tcp::socket socket;
+  boost::asio::steady_timer idle_timer;
+  std::optional<FrameCipher> sealer;
+  std::optional<FrameCipher> opener;
+  std::unique_ptr<RpcServer> server;
+  std::deque<std::string> queue;
+  std::size_t queued_bytes = 0;
+  bool writing = false;
+};
+
+}  // namespace gypsumtrack::peer
+
+#endif  // GYPSUMTRACK_PEER_SRC_CALLEE_CONNECTION_H_
--- a/packages/peer/src/package.cc
+++ /dev/null
@@ -1,1 +0,0 @@
-// The package's first source file comes with its first part.
--- a/packages/platform/include/gypsumtrack/platform/http_platform.h
+++ b/packages/platform/include/gypsumtrack/platform/http_platform.h
@@ -14,7 +14,7 @@
 /// Hooks that call the platform at `address` (`ip:port`). Thread-safe; handlers
 /// run on `executor`, each exactly once and by its deadline. The platform is
 /// told the failure domain of its client, if any, with each call.
-Platform MakeHttpPlatform(boost::asio::any_io_executor executor,
+Platform MakeHttpPlatform(const boost::asio::any_io_executor& executor,
                           std::string address, base::Clock clock,
                           const base::FailureDomain& domain = {});
 
--- a/packages/platform/src/http_platform.cc
+++ b/packages/platform/src/http_platform.cc
@@ -127,11 +127,11 @@
 
 }  // namespace
 
-Platform MakeHttpPlatform(boost::asio::any_io_executor executor,
+Platform MakeHttpPlatform(const boost::asio::any_io_executor& executor,
                           std::string address, base::Clock clock,
                           const base::FailureDomain& domain) {
-  const auto pool = std::make_shared<HttpPool>(
-      std::move(executor), std::move(address), std::move(clock));
+  const auto pool = std::make_shared<HttpPool>(executor, std::move(address),
+                                               std::move(clock));
   Platform platform;
   platform.table = MakeTable(pool, domain.text);
   platform.objects = MakeObjects(pool, domain.text);
--- a/packages/platform/src/http_pool.cc
+++ b/packages/platform/src/http_pool.cc
@@ -239,9 +239,9 @@
   }
 };
 
-HttpPool::HttpPool(asio::any_io_executor executor, std::string address,
+HttpPool::HttpPool(const asio::any_io_executor& executor, std::string address,
                    base::Clock clock)
-    : state(std::make_shared<State>(std::move(executor), std::move(address),
+    : state(std::make_shared<State>(executor, std::move(address),
                                     std::move(clock))) {}
 
 HttpPool::~HttpPool() = default;
--- a/packages/platform/src/http_pool.h
+++ b/packages/platform/src/http_pool.h
@@ -29,7 +29,7 @@
 
 class HttpPool : public std::enable_shared_from_this<HttpPool> {
  public:
-  HttpPool(boost::asio::any_io_executor executor, std::string address,
+  HttpPool(const boost::asio::any_io_executor& executor, std::string address,
            base::Clock clock);
   ~HttpPool();
   HttpPool(const HttpPool&) = delete;
