--- a/packages/gateway/src/daemon.cc
+++ b/packages/gateway/src/daemon.cc
@@ -24,6 +24,7 @@
 #include "gypsumtrack/gateway/online_service.h"
 #include "gypsumtrack/gateway/rcu_cell.h"
 #include "gypsumtrack/gateway/report_service.h"
+#include "gypsumtrack/peer/peer_transport.h"
 #include "gypsumtrack/platform/http_platform.h"
 #include "gypsumtrack/telemetry/metrics.h"
 #include "listed_fleet.h"
@@ -48,20 +49,6 @@
   (void)co_await exchange.Send(std::move(head), std::move(text));
 }
 
-/// A link to nobody, until the peer transport is wired in.
-peer::PeerLink DisconnectedLink() {
-  peer::PeerLink link;
-  link.call = [](const std::string&, const std::string&, const Json::Value&,
-                 base::Instant, const peer::ReplyHandler& reply) {
-    reply(base::Error(base::Errc::kUnavailable, "no peer transport"));
-  };
-  link.notify = [](const std::string&, const std::string&, const Json::Value&) {
-  };
-  link.on_call = [](const std::string&, const peer::CallHandler&) {};
-  link.on_notice = [](const std::string&, const peer::NoticeHandler&) {};
-  return link;
-}
-
 /// Lets all requests through until the fleet's limits are wired in.
 asio::awaitable<Admission> AdmitAll(const policy::Rule&, base::Instant) {
   co_return Admission{};
@@ -82,6 +69,7 @@
   std::string AdminAddress() const { return this->operators->address(); }
 
  private:
+  void MakeTransport();
   void MakeServices();
   void MakeServers();
   void AddHealthRoutes(Router& router);
@@ -95,6 +83,7 @@
   asio::steady_timer drain_timer;
   Runtime runtime;
   telemetry::Registry metrics;
+  std::unique_ptr<peer::PeerTransport> transport;
   std::unique_ptr<ListedFleet> fleet;
   std::unique_ptr<ConfigService> config;
   std::unique_ptr<OnlineService> online;
@@ -119,8 +108,8 @@
   this->runtime.platform =
       platform::MakeHttpPlatform(this->runtime.pool, settings.platform_address,
                                  this->runtime.clock, settings.place.domain);
-  this->runtime.peers = DisconnectedLink();
   this->runtime.settings = std::move(settings);
+  this->MakeTransport();
   this->MakeServices();
   this->MakeServers();
 }
@@ -133,6 +122,17 @@
   }
 }
 
+void Daemon::State::MakeTransport() {
+  peer::TransportOptions options;
+  options.self = this->runtime.self;
+  options.listen = this->runtime.settings.peer_listen;
+  options.fleet_secret = this->runtime.settings.fleet_secret;
+  options.clock = this->runtime.clock;
+  options.executor = this->runtime.pool;
+  this->transport = std::make_unique<peer::PeerTransport>(options);
+  this->runtime.peers = this->transport->Link();
+}
+
 void Daemon::State::MakeServices() {
   this->fleet = std::make_unique<ListedFleet>(this->runtime);
   const auto view = [this] { return this->fleet->View(); };
@@ -194,6 +194,8 @@
 }
 
 base::Status Daemon::State::Start() {
+  auto listening = this->transport->Start();
+  if (!listening.ok()) return listening;
   for (auto* server : {this->callers.get(), this->operators.get()}) {
     auto started = server->Start();
     if (!started.ok()) return started;
@@ -248,6 +250,7 @@
 void Daemon::State::Finish() {
   this->config->Stop();
   this->fleet->Stop();
+  this->transport->Stop();
   kLog.Info("Left.");
   this->work.reset();
   this->context.stop();
