Mend lint in the online path

Cause: awaited results dropped without a mark, copies, casts. gateway_tests: 32 assertions pass; clang-tidy clean on these files but for an unused logger, removed here.

--- a/packages/gateway/include/gypsumtrack/gateway/error_reply.h
+++ b/packages/gateway/include/gypsumtrack/gateway/error_reply.h
@@ -34,8 +34,7 @@
 RenderedReply RenderError(const ErrorReply& reply);
 
 /// Precondition: !exchange.response_started().
-boost::asio::awaitable<base::Status> SendError(Exchange& exchange,
-                                               ErrorReply reply);
+boost::asio::awaitable<void> SendError(Exchange& exchange, ErrorReply reply);
 
 /// Whole seconds to wait from `now` until `at`, at least 1. Thread-safe.
 std::uint32_t RetryAfterSeconds(base::Instant now, base::Instant at);
--- a/packages/gateway/include/gypsumtrack/gateway/http_server.h
+++ b/packages/gateway/include/gypsumtrack/gateway/http_server.h
@@ -125,7 +125,7 @@
 /// Accepts connections and runs their exchanges on `executor`.
 class HttpServer {
  public:
-  HttpServer(boost::asio::any_io_executor executor, base::Clock clock,
+  HttpServer(const boost::asio::any_io_executor& executor, base::Clock clock,
              HttpServerOptions options, Router router);
   ~HttpServer();
 
--- a/packages/gateway/src/endpoint_client.cc
+++ b/packages/gateway/src/endpoint_client.cc
@@ -70,7 +70,7 @@
 class CallRun {
  public:
   CallRun(EndpointCall& call, const EndpointClientOptions& options,
-          const base::Clock& clock, asio::any_io_executor strand)
+          const base::Clock& clock, const asio::any_io_executor& strand)
       : call(call), options(options), clock(clock) {
     this->watchdog =
         std::make_shared<Watchdog>(strand, clock, [this] { this->Close(); });
--- a/packages/gateway/src/error_reply.cc
+++ b/packages/gateway/src/error_reply.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/json.hpp>
+#include <tuple>
 #include <utility>
 
 namespace gypsumtrack::gateway {
@@ -23,11 +24,10 @@
   return out;
 }
 
-boost::asio::awaitable<base::Status> SendError(Exchange& exchange,
-                                               ErrorReply reply) {
+boost::asio::awaitable<void> SendError(Exchange& exchange, ErrorReply reply) {
   auto rendered = RenderError(reply);
-  co_return co_await exchange.Send(std::move(rendered.head),
-                                   std::move(rendered.body));
+  std::ignore = co_await exchange.Send(std::move(rendered.head),
+                                       std::move(rendered.body));
 }
 
 std::uint32_t RetryAfterSeconds(base::Instant now, base::Instant at) {
--- a/packages/gateway/src/generation.cc
+++ b/packages/gateway/src/generation.cc
@@ -85,8 +85,8 @@
   std::size_t begin = 0;
   for (auto end = this->pending.find('\n'); end != std::string::npos;
        end = this->pending.find('\n', begin)) {
-    const auto line =
-        std::string_view(this->pending).substr(begin, end - begin);
+    const std::string_view all = this->pending;
+    const auto line = all.substr(begin, end - begin);
     begin = end + 1;
     if (!line.starts_with(kData)) continue;
     auto event = this->TakeEvent(TrimSpace(line.substr(kData.size())));
@@ -137,7 +137,8 @@
   }
   const auto* piece = holder->if_contains(chat ? "content" : "text");
   if (piece != nullptr && piece->is_string() && !piece->as_string().empty()) {
-    this->text += std::string_view(piece->as_string());
+    const auto& added = piece->as_string();
+    this->text.append(added.data(), added.size());
     this->tokens++;
   }
   const auto* reason = choice.if_contains("finish_reason");
--- a/packages/gateway/src/http_connection.cc
+++ b/packages/gateway/src/http_connection.cc
@@ -8,6 +8,7 @@
 #include <boost/beast/http.hpp>
 #include <boost/url/pct_string_view.hpp>
 #include <exception>
+#include <tuple>
 #include <utility>
 
 #include "gypsumtrack/base/log.h"
@@ -24,7 +25,7 @@
 constexpr std::size_t kPartBytes = std::size_t{64} * 1024;
 constexpr std::size_t kReadAheadBytes = std::size_t{64} * 1024;
 /// A longer rest of an unread body is not waited for.
-constexpr std::uint64_t kMaxDiscardBytes = 256 * 1024;
+constexpr std::uint64_t kMaxDiscardBytes = std::uint64_t{256} * 1024;
 constexpr base::Duration kLingerTimeout = std::chrono::seconds(2);
 constexpr unsigned kHttp11 = 11;
 
@@ -103,7 +104,8 @@
                             "This VM has no room for another connection.",
                             policy::RunState::kNotRun, 1});
   this->broken = true;
-  co_await this->Send(std::move(reply.head), std::move(reply.body));
+  std::ignore =
+      co_await this->Send(std::move(reply.head), std::move(reply.body));
   co_await this->CloseGently();
 }
 
@@ -182,7 +184,8 @@
   this->watchdog->Set(now + kLingerTimeout);
   auto reply = RenderError(HeadError(error, expired));
   this->broken = true;
-  co_await this->Send(std::move(reply.head), std::move(reply.body));
+  std::ignore =
+      co_await this->Send(std::move(reply.head), std::move(reply.body));
   co_await this->CloseGently();
 }
 
--- a/packages/gateway/src/http_server.cc
+++ b/packages/gateway/src/http_server.cc
@@ -261,7 +261,7 @@
   std::string bound;
 };
 
-HttpServer::HttpServer(asio::any_io_executor executor, base::Clock clock,
+HttpServer::HttpServer(const asio::any_io_executor& executor, base::Clock clock,
                        HttpServerOptions options, Router router)
     : state(std::make_shared<State>(executor, std::move(clock),
                                     std::move(options), std::move(router))) {}
--- a/packages/gateway/src/online_service.cc
+++ b/packages/gateway/src/online_service.cc
@@ -3,12 +3,12 @@
 #include <boost/json.hpp>
 #include <memory>
 #include <set>
+#include <tuple>
 #include <utility>
 
 #include "caller_headers.h"
 #include "generation.h"
 #include "gypsumtrack/base/hash.h"
-#include "gypsumtrack/base/log.h"
 #include "gypsumtrack/gateway/error_reply.h"
 
 namespace gypsumtrack::gateway {
@@ -17,7 +17,6 @@
 namespace asio = boost::asio;
 namespace json = boost::json;
 
-constexpr base::Logger kLog{"online"};
 constexpr std::string_view kServicePrefix = "/s/";
 /// Prompts that share this many bytes are sent where the prefix is cached.
 constexpr std::size_t kAffinityBytes = 256;
@@ -322,19 +321,19 @@
     } else if (!whole) {
       co_await SendError(exchange, FailureReply(result));
     } else {
-      co_await exchange.Send(AnswerHead("application/json"),
-                             generation.Assemble());
+      std::ignore = co_await exchange.Send(AnswerHead("application/json"),
+                                           generation.Assemble());
     }
     co_return;
   }
   if (whole) {
     const auto marked = co_await exchange.WritePart(EventText("[DONE]"));
-    if (marked.ok()) co_await exchange.EndStream();
+    if (marked.ok()) std::ignore = co_await exchange.EndStream();
     co_return;
   }
   auto reply = RenderError(FailureReply(result)).body;
   reply.pop_back();
-  co_await exchange.WritePart(EventText(reply));
+  std::ignore = co_await exchange.WritePart(EventText(reply));
   exchange.Abort();
 }
 
@@ -344,7 +343,8 @@
   headers.push_back(
       {kRunHeader, std::string(policy::kRunStateNames.Name(result.run))});
   ResponseHead head{result.last.head.status, std::move(headers)};
-  co_await exchange.Send(std::move(head), std::move(result.last.body));
+  std::ignore =
+      co_await exchange.Send(std::move(head), std::move(result.last.body));
 }
 
 asio::awaitable<void> OnlineService::State::CallService(Exchange& exchange) {
@@ -392,8 +392,8 @@
     co_await SendError(exchange, Unauthorized());
     co_return;
   }
-  co_await exchange.Send(AnswerHead("application/json"),
-                         ModelList(*access, *organisation));
+  std::ignore = co_await exchange.Send(AnswerHead("application/json"),
+                                       ModelList(*access, *organisation));
 }
 
 OnlineService::OnlineService(const Runtime& runtime, OnlineHooks hooks)
--- a/packages/gateway/test/online_fixture.h
+++ b/packages/gateway/test/online_fixture.h
@@ -40,7 +40,7 @@
 
 class OnlineFixture {
  public:
-  explicit OnlineFixture(FixtureOptions options = {})
+  explicit OnlineFixture(const FixtureOptions& options = {})
       : pool(4), access(std::make_shared<policy::AccessSnapshot>()) {
     this->runtime.settings.fleet_secret = kSecret;
     this->runtime.settings.progress_timeout = options.progress_timeout;
