Tell live daemons from lost ones by pings that carry news

Each daemon pings one other of its domain a second; suspects, losses, leaving and new VMs ride on pings and answers, two representatives a domain speak across domains, and digests find what was missed. The service publishes the platform's list for now.

--- /dev/null
+++ b/packages/peer/src/membership_codec.cc
@@ -0,0 +1,121 @@
+#include "gypsumtrack/peer/membership_codec.h"
+
+#include <exception>
+#include <utility>
+
+namespace gypsumtrack::peer {
+namespace {
+
+Json::Value Number(std::uint64_t number) {
+  return Json::Value(static_cast<Json::UInt64>(number));
+}
+
+/// An array: name, incarnation, generation, doubt, leaving, address, domain,
+/// region.
+Json::Value ToJson(const policy::MemberUpdate& update) {
+  Json::Value out(Json::arrayValue);
+  out.append(update.id.name);
+  out.append(Number(update.id.incarnation));
+  out.append(update.generation);
+  out.append(static_cast<int>(update.doubt));
+  out.append(update.leaving ? 1 : 0);
+  out.append(update.address);
+  out.append(update.place.domain.text);
+  out.append(update.place.region.text);
+  return out;
+}
+
+policy::MemberUpdate UpdateFromJson(const Json::Value& in) {
+  constexpr Json::ArrayIndex kFields = 8;
+  if (!in.isArray() || in.size() != kFields) {
+    throw Json::LogicError("a member has eight fields");
+  }
+  policy::MemberUpdate update;
+  update.id.name = in[0].asString();
+  update.id.incarnation = in[1].asUInt64();
+  update.generation = in[2].asUInt();
+  const auto doubt = in[3].asUInt();
+  if (doubt > static_cast<unsigned>(policy::Doubt::kLost)) {
+    throw Json::LogicError("no such doubt");
+  }
+  update.doubt = static_cast<policy::Doubt>(doubt);
+  update.leaving = in[4].asUInt() != 0;
+  update.address = in[5].asString();
+  update.place.domain.text = in[6].asString();
+  update.place.region.text = in[7].asString();
+  return update;
+}
+
+/// What the JSON library throws becomes kInvalid.
+template <typename T, typename Read>
+base::Outcome<T> Guarded(const Json::Value& in, const Read& read) {
+  try {
+    if (!in.isObject()) throw Json::LogicError("not an object");
+    return read(in);
+  } catch (const std::exception& error) {
+    return base::Error(base::Errc::kInvalid, error.what());
+  }
+}
+
+policy::MembershipMessage MessageFromJson(const Json::Value& in) {
+  policy::MembershipMessage message;
+  message.incarnation = in["i"].asUInt64();
+  message.generation = in["g"].asUInt();
+  message.digest = in["d"].asUInt64();
+  for (const auto& update : in["u"]) {
+    message.updates.push_back(UpdateFromJson(update));
+  }
+  for (const auto& beat : in["b"]) {
+    message.beats.push_back(
+        {base::FailureDomain(beat[0].asString()), beat[1].asUInt64()});
+  }
+  for (const auto& endpoint : in["e"]) {
+    message.leaving_endpoints.emplace_back(endpoint.asString());
+  }
+  return message;
+}
+
+policy::SyncRequest RequestFromJson(const Json::Value& in) {
+  policy::SyncRequest request;
+  for (const auto& domain : in.getMemberNames()) {
+    request.digests[domain] = in[domain].asUInt64();
+  }
+  return request;
+}
+
+}  // namespace
+
+Json::Value ToJson(const policy::MembershipMessage& message) {
+  Json::Value out(Json::objectValue);
+  out["i"] = Number(message.incarnation);
+  if (message.generation != 0) out["g"] = message.generation;
+  out["d"] = Number(message.digest);
+  for (const auto& update : message.updates) out["u"].append(ToJson(update));
+  for (const auto& beat : message.beats) {
+    Json::Value pair(Json::arrayValue);
+    pair.append(beat.domain.text);
+    pair.append(Number(beat.beat));
+    out["b"].append(std::move(pair));
+  }
+  for (const auto& id : message.leaving_endpoints) out["e"].append(id.text);
+  return out;
+}
+
+base::Outcome<policy::MembershipMessage> MembershipMessageFromJson(
+    const Json::Value& in) {
+  return Guarded<policy::MembershipMessage>(in, MessageFromJson);
+}
+
+Json::Value ToJson(const policy::SyncRequest& request) {
+  Json::Value out(Json::objectValue);
+  for (const auto& [domain, digest] : request.digests) {
+    out[domain] = Number(digest);
+  }
+  return out;
+}
+
+base::Outcome<policy::SyncRequest> SyncRequestFromJson(const Json::Value& in) {
+  return Guarded<policy::SyncRequest>(in, RequestFromJson);
+}
+
+}  // namespace gypsumtrack::peer
