Run membership in the daemon over the peer transport

The service polls the list, pings through signed calls, answers others and publishes each view by RCU. Three daemons over sockets find each other; one that leaves and an endpoint that leaves are known to all, also with the platform down. A VM takes its own address from the list, since a listener on all addresses doesn't know it: without, VMs behind one listener address called each other replaced.

--- a/packages/gateway/include/gypsumtrack/gateway/membership_service.h
+++ b/packages/gateway/include/gypsumtrack/gateway/membership_service.h
@@ -11,8 +11,9 @@
 
 class MembershipService {
  public:
-  /// Precondition: `runtime` outlives the service; the peer transport hasn't
-  /// started.
+  /// Precondition: `runtime` outlives the service and its control strand's
+  /// work; the peer transport hasn't started; incarnations of VMs of one name
+  /// rise from start to start.
   explicit MembershipService(Runtime& runtime);
   ~MembershipService();
   MembershipService(const MembershipService&) = delete;
@@ -26,6 +27,9 @@
   /// Tells the peers that this VM takes no new work. Precondition: started.
   void Leave();
 
+  /// An endpoint or an operator says that the endpoint takes no new work.
+  void NoteEndpointLeaving(const base::EndpointId& id);
+
   // Queries. Thread-safe.
 
   /// Never null; empty of peers and endpoints until first heard of.
--- a/packages/gateway/src/membership_service.cc
+++ b/packages/gateway/src/membership_service.cc
@@ -6,103 +6,214 @@
 #include <utility>
 #include <vector>
 
+#include "gypsumtrack/base/hash.h"
 #include "gypsumtrack/gateway/rcu_cell.h"
+#include "gypsumtrack/peer/membership_codec.h"
+#include "gypsumtrack/policy/membership.h"
 
 namespace gypsumtrack::gateway {
 namespace {
 
-constexpr auto kListPeriod = std::chrono::seconds(1);
-constexpr auto kListTimeout = std::chrono::seconds(2);
+namespace asio = boost::asio;
 
-std::shared_ptr<policy::FleetView> FirstView(const Runtime& runtime) {
-  auto view = std::make_shared<policy::FleetView>();
-  view->self = runtime.self;
-  view->place = runtime.settings.place;
-  return view;
-}
+constexpr base::Duration kListPeriod = std::chrono::seconds(1);
+constexpr base::Duration kListTimeout = std::chrono::seconds(2);
+constexpr base::Duration kSyncTimeout = std::chrono::seconds(5);
 
-policy::Endpoint MakeEndpoint(const base::ListedVm& vm) {
-  return {.id = base::EndpointId(vm.name),
-          .address = vm.address,
-          .place = vm.place,
-          .service = vm.service,
-          .models = vm.models,
-          .slots = vm.slots,
-          .leaving = vm.state == base::VmState::kLeaving,
-          .checks_fencing = vm.checks_fencing};
-}
+using ListOutcome = base::Outcome<std::vector<base::ListedVm>>;
 
 }  // namespace
 
+/// Commands of the decision object run on the control strand alone.
 struct MembershipService::State
     : std::enable_shared_from_this<MembershipService::State> {
   explicit State(Runtime& shared)
-      : runtime(shared), timer(shared.control), view(FirstView(shared)) {}
+      : runtime(shared),
+        membership({}, shared.self, shared.settings.peer_listen,
+                   shared.settings.place,
+                   base::Hash64(shared.self.name, shared.self.incarnation)),
+        list_timer(shared.control),
+        tick_timer(shared.control),
+        view(std::make_shared<policy::FleetView>(
+            this->membership.View(shared.clock.now()))) {}
 
   Runtime& runtime;
-  boost::asio::steady_timer timer;
+  policy::Membership membership;
+  asio::steady_timer list_timer;
+  asio::steady_timer tick_timer;
   RcuCell<policy::FleetView> view;
   bool stopped = false;
+  /// Set once the platform has answered or failed to: until then this VM may
+  /// not know its own address.
+  bool begun = false;
+
+  /// Runs `command` on the control strand unless the service has stopped.
+  template <typename Command>
+  void Post(Command command) {
+    asio::post(this->runtime.control, [self = this->shared_from_this(),
+                                       command = std::move(command)]() mutable {
+      if (!self->stopped) command(*self);
+    });
+  }
+
+  void RegisterHandlers() {
+    const std::weak_ptr<State> weak = this->weak_from_this();
+    this->runtime.peers.on_call(
+        peer::kMembershipPing,
+        [weak](const base::VmId& from, const Json::Value& params,
+               peer::ReplyHandler reply) {
+          if (const auto self = weak.lock()) {
+            self->ServePing(from, params, std::move(reply));
+          }
+        });
+    this->runtime.peers.on_call(
+        peer::kMembershipSync,
+        [weak](const base::VmId&, const Json::Value& params,
+               peer::ReplyHandler reply) {
+          if (const auto self = weak.lock()) {
+            self->ServeSync(params, std::move(reply));
+          }
+        });
+  }
 
-  void Poll() {
+  void ServePing(const base::VmId& from, const Json::Value& params,
+                 peer::ReplyHandler reply) {
+    auto message = peer::MembershipMessageFromJson(params);
+    if (!message.ok()) return reply(message.error());
+    this->Post([from, message = std::move(*message),
+                reply = std::move(reply)](State& self) {
+      if (!self.begun) {
+        return reply(base::Error(base::Errc::kUnavailable, "starting"));
+      }
+      const auto now = self.runtime.clock.now();
+      reply(peer::ToJson(self.membership.HandlePing(now, from, message)));
+    });
+  }
+
+  void ServeSync(const Json::Value& params, peer::ReplyHandler reply) {
+    auto request = peer::SyncRequestFromJson(params);
+    if (!request.ok()) return reply(request.error());
+    this->Post(
+        [request = std::move(*request), reply = std::move(reply)](State& self) {
+          reply(peer::ToJson(self.membership.HandleSync(request)));
+        });
+  }
+
+  void PollList() {
     const auto deadline = this->runtime.clock.now() + kListTimeout;
     this->runtime.platform.vms(
-        deadline, [self = this->shared_from_this()](auto listed) {
-          boost::asio::post(
-              self->runtime.control,
-              [self, listed = std::move(listed)] { self->Listed(listed); });
+        deadline, [self = this->shared_from_this()](ListOutcome listed) {
+          self->Post([listed = std::move(listed)](State& state) {
+            state.TakeList(listed);
+          });
         });
   }
 
-  void Listed(const base::Outcome<std::vector<base::ListedVm>>& listed) {
-    if (this->stopped) return;
-    auto next = std::make_shared<policy::FleetView>(*this->view.Get());
-    next->platform_reachable = listed.ok();
-    if (listed.ok()) this->Replace(*next, *listed);
-    this->view.Set(std::move(next));
-    this->timer.expires_after(kListPeriod);
-    this->timer.async_wait([self = this->shared_from_this()](auto error) {
-      if (!error && !self->stopped) self->Poll();
+  void TakeList(const ListOutcome& listed) {
+    const auto now = this->runtime.clock.now();
+    if (listed.ok()) {
+      this->membership.HandleList(now, *listed);
+    } else {
+      this->membership.HandleListFailure(now);
+    }
+    if (!std::exchange(this->begun, true)) this->Tick();
+    this->Publish();
+    this->list_timer.expires_after(kListPeriod);
+    this->list_timer.async_wait([self = this->shared_from_this()](auto error) {
+      if (!error && !self->stopped) self->PollList();
     });
   }
 
-  void Replace(policy::FleetView& next,
-               const std::vector<base::ListedVm>& listed) const {
-    next.peers.clear();
-    next.endpoints.clear();
-    for (const auto& vm : listed) {
-      if (vm.role == base::VmRole::kEndpoint) {
-        next.endpoints.push_back(MakeEndpoint(vm));
-      } else if (vm.name != this->runtime.self.name) {
-        const bool leaving = vm.state == base::VmState::kLeaving;
-        next.peers.push_back({.id = {vm.name, 0},
-                              .address = vm.address,
-                              .place = vm.place,
-                              .state = leaving ? policy::PeerState::kLeaving
-                                               : policy::PeerState::kSuspect});
-      }
-    }
+  void Tick() {
+    const auto now = this->runtime.clock.now();
+    const auto actions = this->membership.Tick(now);
+    this->Perform(actions);
+    this->Publish();
+    this->tick_timer.expires_after(actions.wake - now);
+    this->tick_timer.async_wait([self = this->shared_from_this()](auto error) {
+      if (!error && !self->stopped) self->Tick();
+    });
+  }
+
+  void Perform(const policy::MembershipActions& actions) {
+    for (const auto& ping : actions.pings) this->Ping(ping);
+    for (const auto& sync : actions.syncs) this->Sync(sync);
+  }
+
+  void Ping(const policy::PingAction& ping) {
+    this->runtime.peers.call(
+        ping.address, peer::kMembershipPing, peer::ToJson(ping.message),
+        ping.deadline,
+        [self = this->shared_from_this(),
+         target = ping.target](base::Outcome<Json::Value> reply) {
+          self->Post([target, reply = std::move(reply)](State& state) {
+            state.TakeAnswer(target, reply);
+          });
+        });
+  }
+
+  void TakeAnswer(const std::string& target,
+                  const base::Outcome<Json::Value>& reply) {
+    const auto now = this->runtime.clock.now();
+    if (!reply.ok()) return this->membership.HandlePingFailure(now, target);
+    const auto message = peer::MembershipMessageFromJson(*reply);
+    if (!message.ok()) return this->membership.HandlePingFailure(now, target);
+    this->membership.HandleAck(now, target, *message);
+  }
+
+  void Sync(const policy::SyncAction& sync) {
+    this->runtime.peers.call(
+        sync.address, peer::kMembershipSync, peer::ToJson(sync.request),
+        this->runtime.clock.now() + kSyncTimeout,
+        [self = this->shared_from_this()](base::Outcome<Json::Value> reply) {
+          if (!reply.ok()) return;
+          auto message = peer::MembershipMessageFromJson(*reply);
+          if (!message.ok()) return;
+          self->Post([message = std::move(*message)](State& state) {
+            state.membership.HandleSyncReply(state.runtime.clock.now(),
+                                             message);
+          });
+        });
+  }
+
+  void Publish() {
+    this->view.Set(std::make_shared<policy::FleetView>(
+        this->membership.View(this->runtime.clock.now())));
   }
 };
 
 MembershipService::MembershipService(Runtime& runtime)
-    : state(std::make_shared<State>(runtime)) {}
+    : state(std::make_shared<State>(runtime)) {
+  this->state->RegisterHandlers();
+}
 
 MembershipService::~MembershipService() { this->Stop(); }
 
 void MembershipService::Start() {
-  boost::asio::post(this->state->runtime.control,
-                    [state = this->state] { state->Poll(); });
+  this->state->Post([](State& self) { self.PollList(); });
 }
 
 void MembershipService::Stop() {
-  boost::asio::post(this->state->runtime.control, [state = this->state] {
-    state->stopped = true;
-    state->timer.cancel();
+  this->state->Post([](State& self) {
+    self.stopped = true;
+    self.list_timer.cancel();
+    self.tick_timer.cancel();
   });
 }
 
-void MembershipService::Leave() {}
+void MembershipService::Leave() {
+  this->state->Post([](State& self) {
+    self.Perform(self.membership.Leave(self.runtime.clock.now()));
+    self.Publish();
+  });
+}
+
+void MembershipService::NoteEndpointLeaving(const base::EndpointId& id) {
+  this->state->Post([id](State& self) {
+    self.membership.NoteEndpointLeaving(self.runtime.clock.now(), id);
+    self.Publish();
+  });
+}
 
 std::shared_ptr<const policy::FleetView> MembershipService::View() const {
   return this->state->view.Get();
--- /dev/null
+++ b/packages/gateway/test/membership_service_test.cc
@@ -0,0 +1,130 @@
+#include "gypsumtrack/gateway/membership_service.h"
+
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/strand.hpp>
+#include <catch2/catch.hpp>
+#include <memory>
+#include <vector>
+
+#include "gypsumtrack/peer/peer_transport.h"
+#include "gypsumtrack/platform/http_platform.h"
+#include "gypsumtrack/testing/platform_server.h"
+
+namespace gypsumtrack::gateway {
+namespace {
+
+using policy::PeerState;
+
+/// A VM's transport and membership; others run on the same thread.
+struct Vm {
+  Runtime runtime;
+  std::unique_ptr<peer::PeerTransport> transport;
+  std::unique_ptr<MembershipService> service;
+
+  PeerState Sees(const std::string& name) const {
+    const auto view = this->service->View();
+    for (const auto& peer : view->peers) {
+      if (peer.id.name == name) return peer.state;
+    }
+    return PeerState::kLost;
+  }
+};
+
+struct Fleet {
+  boost::asio::io_context context;
+  testing::PlatformServer platform{context.get_executor()};
+  std::vector<std::unique_ptr<Vm>> vms;
+
+  explicit Fleet(int size) {
+    REQUIRE(this->platform.Start("127.0.0.1:0").ok());
+    for (int i = 0; i < size; ++i) this->Add("vm-" + std::to_string(i));
+    this->List();
+    for (auto& vm : this->vms) vm->service->Start();
+  }
+
+  void Add(const std::string& name) {
+    auto vm = std::make_unique<Vm>();
+    auto& runtime = vm->runtime;
+    runtime.self = {name, 1};
+    runtime.clock = base::SystemClock();
+    runtime.control = boost::asio::make_strand(this->context);
+    runtime.pool = this->context.get_executor();
+    runtime.settings.place.domain.text = "tartu-a";
+    // The port is known once the transport listens; the list tells it.
+    runtime.settings.peer_listen = name;
+    runtime.platform = platform::MakeHttpPlatform(
+        runtime.pool, this->platform.Address(), runtime.clock);
+    peer::TransportOptions options;
+    options.self = runtime.self;
+    options.listen = "127.0.0.1:0";
+    options.fleet_secret = "secret";
+    options.clock = runtime.clock;
+    options.executor = runtime.pool;
+    vm->transport = std::make_unique<peer::PeerTransport>(options);
+    runtime.peers = vm->transport->Link();
+    vm->service = std::make_unique<MembershipService>(runtime);
+    REQUIRE(vm->transport->Start().ok());
+    this->vms.push_back(std::move(vm));
+  }
+
+  void List() {
+    std::vector<base::ListedVm> listed;
+    for (const auto& vm : this->vms) {
+      listed.push_back({.name = vm->runtime.self.name,
+                        .address = vm->transport->Address(),
+                        .place = vm->runtime.settings.place});
+    }
+    listed.push_back({.name = "worker-1",
+                      .role = base::VmRole::kEndpoint,
+                      .address = "127.0.0.1:1",
+                      .slots = 4});
+    this->platform.SetVms(std::move(listed));
+  }
+
+  template <typename Condition>
+  void RunUntil(const Condition& condition) {
+    while (!condition()) this->context.run_one();
+  }
+
+  bool AllSee(const std::string& name, PeerState state) const {
+    return std::all_of(this->vms.begin(), this->vms.end(), [&](const auto& vm) {
+      return vm->runtime.self.name == name || vm->Sees(name) == state;
+    });
+  }
+};
+
+TEST_CASE("daemons find each other through the platform's list") {
+  Fleet fleet(3);
+  fleet.RunUntil([&] {
+    return fleet.AllSee("vm-0", PeerState::kLive) &&
+           fleet.AllSee("vm-1", PeerState::kLive) &&
+           fleet.AllSee("vm-2", PeerState::kLive);
+  });
+  const auto view = fleet.vms.front()->service->View();
+  CHECK(view->platform_reachable);
+  CHECK(view->peers.front().id.incarnation == 1);
+  REQUIRE(view->endpoints.size() == 1);
+  CHECK(view->endpoints.front().slots == 4);
+  SECTION("one that leaves says so, with the platform down") {
+    fleet.platform.SetFaults({.down = true});
+    fleet.vms[1]->service->Leave();
+    fleet.RunUntil([&] { return fleet.AllSee("vm-1", PeerState::kLeaving); });
+    fleet.RunUntil([&] {
+      return !fleet.vms.front()->service->View()->platform_reachable;
+    });
+    CHECK(fleet.vms.front()->service->View()->endpoints.size() == 1);
+  }
+  SECTION("an endpoint that leaves is known to all from one") {
+    fleet.vms[2]->service->NoteEndpointLeaving(base::EndpointId("worker-1"));
+    fleet.RunUntil([&] {
+      return std::all_of(
+          fleet.vms.begin(), fleet.vms.end(), [](const auto& vm) {
+            return vm->service->View()->endpoints.front().leaving;
+          });
+    });
+  }
+}
+
+}  // namespace
+}  // namespace gypsumtrack::gateway
--- a/packages/policy/src/membership.cc
+++ b/packages/policy/src/membership.cc
@@ -42,7 +42,10 @@
   for (const auto& vm : listed) {
     if (vm.role == base::VmRole::kEndpoint) {
       this->ListEndpoint(now, vm);
-    } else if (vm.name != this->self.id.name) {
+    } else if (vm.name == this->self.id.name) {
+      // The platform knows under which address others reach this VM.
+      this->self.address = vm.address;
+    } else {
       this->ListDaemon(vm);
     }
   }
--- a/packages/policy/src/membership_spread.cc
+++ b/packages/policy/src/membership_spread.cc
@@ -49,10 +49,9 @@
 
 MembershipActions Membership::Leave(base::Instant now) {
   MembershipActions actions;
-  if (this->self.leaving) return actions;
+  if (this->self.leaving || !this->options.spread_leaving) return actions;
   this->self.leaving = true;
   ++this->self.generation;
-  if (!this->options.spread_leaving) return actions;
   this->SpreadMember(this->self.id.name);
   for (const auto& name : this->OwnDomain(false)) {
     auto& member = this->members[name];
