--- /dev/null
+++ b/packages/policy/src/router.cc
@@ -0,0 +1,246 @@
+#include "gypsumtrack/policy/router.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <unordered_set>
+
+#include "gypsumtrack/base/hash.h"
+
+namespace gypsumtrack::policy {
+namespace {
+
+constexpr double kMeanTimeWeight = 0.05;
+constexpr std::size_t kMaxChanges = 4096;
+constexpr std::size_t kTiers = 3;
+/// A request slows those beside it even while slots are free.
+constexpr double kSharedSlowdown = 0.3;
+/// Further endpoints tried for a prefix whose first one is full.
+constexpr std::size_t kAffinityProbes = 3;
+
+base::Duration Scale(base::Duration duration, double by) {
+  return std::chrono::duration_cast<base::Duration>(duration * by);
+}
+
+bool Has(const std::vector<base::EndpointId>& ids, const base::EndpointId& id) {
+  return std::find(ids.begin(), ids.end(), id) != ids.end();
+}
+
+std::size_t TierOf(const Endpoint& endpoint, const base::Place& own) {
+  if (endpoint.place.domain == own.domain) return 0;
+  return endpoint.place.region == own.region ? 1 : 2;
+}
+
+}  // namespace
+
+EndpointRouter::EndpointRouter(RouterOptions options)
+    : options(options), mean_time(options.first_service_time) {}
+
+void EndpointRouter::OnView(const FleetView& view) {
+  std::unordered_set<base::EndpointId> live;
+  for (const auto& endpoint : view.endpoints) {
+    if (!endpoint.leaving) live.insert(endpoint.id);
+  }
+  for (auto& [id, state] : this->states) {
+    if (!state.said_leaving) continue;
+    if (live.count(id) == 0) {
+      state.seen_gone = true;
+    } else if (state.seen_gone) {
+      state.said_leaving = state.seen_gone = false;
+    }
+  }
+}
+
+void EndpointRouter::OnReport(const LoadReport& report) {
+  auto& state = this->states[report.endpoint];
+  if (report.as_of < state.reported_at) return;
+  state.reported_at = report.as_of;
+  std::uint32_t own = 0;
+  while (!state.changes.empty() && state.changes.front().at <= report.as_of) {
+    own = state.changes.front().outstanding;
+    if (state.changes.size() > 1 && state.changes[1].at <= report.as_of) {
+      state.changes.pop_front();
+      continue;
+    }
+    break;
+  }
+  state.others = report.requests > own ? report.requests - own : 0;
+}
+
+void EndpointRouter::OnSent(const base::EndpointId& endpoint,
+                            base::Instant now) {
+  auto& state = this->states[endpoint];
+  state.outstanding++;
+  this->NoteChange(state, now);
+}
+
+void EndpointRouter::OnEnded(const base::EndpointId& endpoint, SendEnd end,
+                             base::Duration took, base::Instant now) {
+  auto& state = this->states[endpoint];
+  if (state.outstanding > 0) state.outstanding--;
+  this->NoteChange(state, now);
+  if (end == SendEnd::kNeutral) return;
+  if (end == SendEnd::kAnswered) {
+    state.failures = 0;
+    state.ejected_until = {};
+    this->mean_time += Scale(took - this->mean_time, kMeanTimeWeight);
+    return;
+  }
+  state.failures++;
+  if (state.failures < this->options.failures_to_eject) return;
+  state.ejected_until = now + this->options.ejection;
+}
+
+void EndpointRouter::OnLeaving(const base::EndpointId& endpoint) {
+  this->states[endpoint].said_leaving = true;
+}
+
+void EndpointRouter::NoteChange(EndpointState& state, base::Instant now) {
+  state.changes.push_back({now, state.outstanding});
+  if (state.changes.size() > kMaxChanges) state.changes.pop_front();
+}
+
+const EndpointRouter::EndpointState* EndpointRouter::Find(
+    const base::EndpointId& endpoint) const {
+  const auto found = this->states.find(endpoint);
+  return found == this->states.end() ? nullptr : &found->second;
+}
+
+double EndpointRouter::Load(const base::EndpointId& endpoint) const {
+  const auto* state = this->Find(endpoint);
+  if (state == nullptr) return 0;
+  double load = 0;
+  if (this->options.use_own_outstanding) load += state->outstanding;
+  if (this->options.use_reports) load += state->others;
+  return load;
+}
+
+base::Duration EndpointRouter::ExpectedWait(const Endpoint& endpoint) const {
+  const double slots = std::max(1U, endpoint.slots);
+  const double load = this->Load(endpoint.id);
+  const double queued = std::max(0.0, load + 1 - slots);
+  const double shared = kSharedSlowdown * std::min(load, slots);
+  return Scale(this->mean_time, (queued + shared) / slots);
+}
+
+bool EndpointRouter::IsEjected(const base::EndpointId& endpoint,
+                               base::Instant now) const {
+  const auto* state = this->Find(endpoint);
+  return state != nullptr && state->ejected_until > now;
+}
+
+bool EndpointRouter::MayTake(const Endpoint& endpoint,
+                             const RouteRequest& request) const {
+  if (endpoint.leaving || endpoint.service != request.service) return false;
+  const auto* state = this->Find(endpoint.id);
+  if (state != nullptr && state->said_leaving) return false;
+  if (request.model.empty()) return true;
+  const auto& models = endpoint.models;
+  return std::find(models.begin(), models.end(), request.model) != models.end();
+}
+
+std::vector<const Endpoint*> EndpointRouter::Eligible(
+    const FleetView& view, const RouteRequest& request,
+    base::Instant now) const {
+  std::vector<const Endpoint*> all;
+  std::vector<const Endpoint*> healthy;
+  for (const auto& endpoint : view.endpoints) {
+    if (!this->MayTake(endpoint, request)) continue;
+    all.push_back(&endpoint);
+    if (!this->IsEjected(endpoint.id, now)) healthy.push_back(&endpoint);
+  }
+  // When most seem to fail, the fault is more likely on this side.
+  const bool minority = healthy.size() * 2 < all.size() + 1;
+  if (this->options.keep_majority && minority) healthy = all;
+  std::vector<const Endpoint*> fresh;
+  for (const auto* endpoint : healthy) {
+    if (!Has(request.avoid, endpoint->id)) fresh.push_back(endpoint);
+  }
+  return fresh.empty() ? healthy : fresh;
+}
+
+EndpointRouter::Candidate EndpointRouter::Sample(
+    const std::vector<const Endpoint*>& tier, std::uint64_t seed) const {
+  Candidate best;
+  const std::size_t count =
+      std::min<std::size_t>(this->options.choices, tier.size());
+  std::vector<std::size_t> drawn;
+  for (std::uint64_t i = 0; drawn.size() < count; ++i) {
+    const auto word =
+        base::Hash64({reinterpret_cast<const char*>(&i), sizeof i}, seed);
+    std::size_t index = word % tier.size();
+    while (std::find(drawn.begin(), drawn.end(), index) != drawn.end()) {
+      index = (index + 1) % tier.size();
+    }
+    drawn.push_back(index);
+    const auto cost = this->ExpectedWait(*tier[index]);
+    if (best.endpoint == nullptr || cost < best.cost) {
+      best = {tier[index], cost};
+    }
+  }
+  return best;
+}
+
+EndpointRouter::Candidate EndpointRouter::Affine(
+    const std::vector<const Endpoint*>& tier, std::string_view key) const {
+  double total = 0;
+  std::vector<std::pair<std::uint64_t, const Endpoint*>> ranked;
+  for (const auto* endpoint : tier) {
+    total += this->Load(endpoint->id);
+    ranked.emplace_back(base::RendezvousScore(key, endpoint->id.text),
+                        endpoint);
+  }
+  const auto mean = (total + 1) / static_cast<double>(tier.size());
+  const auto bound = std::ceil(this->options.affinity_load_bound * mean);
+  const auto probes = std::min(kAffinityProbes, ranked.size());
+  std::partial_sort(
+      ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(probes),
+      ranked.end(),
+      [](const auto& a, const auto& b) { return a.first > b.first; });
+  for (std::size_t i = 0; i < probes; ++i) {
+    const auto* endpoint = ranked[i].second;
+    if (this->Load(endpoint->id) + 1 > bound) continue;
+    return {endpoint, this->ExpectedWait(*endpoint)};
+  }
+  return {};
+}
+
+base::Duration EndpointRouter::Distance(const Endpoint& endpoint,
+                                        const base::Place& own) const {
+  switch (TierOf(endpoint, own)) {
+    case 0:
+      return {};
+    case 1:
+      return this->options.domain_round_trip;
+    default:
+      return this->options.region_round_trip;
+  }
+}
+
+const Endpoint* EndpointRouter::Choose(const FleetView& view,
+                                       const RouteRequest& request,
+                                       base::Instant now) const {
+  std::array<std::vector<const Endpoint*>, kTiers> tiers;
+  for (const auto* endpoint : this->Eligible(view, request, now)) {
+    tiers[TierOf(*endpoint, view.place)].push_back(endpoint);
+  }
+  Candidate best;
+  for (const auto& tier : tiers) {
+    if (tier.empty()) continue;
+    auto candidate = this->Sample(tier, request.seed);
+    if (!request.affinity_key.empty()) {
+      const auto affine = this->Affine(tier, request.affinity_key);
+      const auto gained = affine.cost - this->options.affinity_gain;
+      if (affine.endpoint != nullptr && gained < candidate.cost) {
+        candidate = {affine.endpoint, gained};
+      }
+    }
+    candidate.cost += this->Distance(*candidate.endpoint, view.place);
+    if (best.endpoint == nullptr || candidate.cost < best.cost) {
+      best = candidate;
+    }
+  }
+  return best.endpoint;
+}
+
+}  // namespace gypsumtrack::policy
