--- a/packages/gateway/include/gypsumtrack/gateway/dispatcher.h
+++ b/packages/gateway/include/gypsumtrack/gateway/dispatcher.h
@@ -19,6 +19,9 @@
   base::Service service;
   /// Empty for plain services.
   base::Model model;
+  /// Whose share of the endpoints it uses, and that share's weight.
+  base::Organisation organisation;
+  std::uint32_t share = 1;
   /// Requests with the same key find the same cached prefix; may be empty.
   std::string affinity_key;
   bool idempotent = true;
@@ -33,6 +36,7 @@
 enum class DispatchEnd {
   kAnswered,      ///< an endpoint's whole answer
   kNoEndpoint,    ///< no endpoint serves it
+  kOverload,      ///< its turn would come after its deadline; see `retry_at`
   kNotPermitted,  ///< the key was withdrawn while it waited
   kFailed,        ///< the last attempt failed; see `last`
 };
@@ -41,6 +45,7 @@
   DispatchEnd end = DispatchEnd::kNoEndpoint;
   /// What is known of all attempts together.
   policy::RunState run = policy::RunState::kNotRun;
+  base::Instant retry_at{};
   EndpointResult last;
 };
 
@@ -54,9 +59,14 @@
   /// Runs on the awaiting coroutine's strand. Thread-safe.
   boost::asio::awaitable<DispatchResult> Dispatch(DispatchRequest request);
 
+  /// Asks endpoints for their load until Stop. Precondition: called once.
+  void StartReports();
+  /// Ends the reports. Thread-safe.
+  void Stop();
+
  private:
   class State;
-  std::unique_ptr<State> state;
+  std::shared_ptr<State> state;
 };
 
 }  // namespace gypsumtrack::gateway
--- /dev/null
+++ b/packages/gateway/src/dispatch_state.cc
@@ -0,0 +1,137 @@
+#include "dispatch_state.h"
+
+#include <algorithm>
+
+namespace gypsumtrack::gateway {
+namespace {
+
+/// Engines take a little more than their slots, so that none runs dry.
+constexpr double kOverfill = 1.25;
+
+policy::SendEnd Blame(const EndpointResult& result) {
+  switch (result.end) {
+    case CallEnd::kWhole:
+      return policy::SendEnd::kAnswered;
+    case CallEnd::kRefused:
+    case CallEnd::kCancelled:
+    case CallEnd::kDeadline:
+      return policy::SendEnd::kNeutral;
+    default:
+      return policy::SendEnd::kFailed;
+  }
+}
+
+}  // namespace
+
+DispatchState::DispatchState(std::uint64_t seed)
+    : seed(seed), budget(this->retry_options), router({}) {}
+
+void DispatchState::NoteView(const ViewPtr& view) {
+  if (view == this->last_view) return;
+  this->last_view = view;
+  this->router.OnView(*view);
+}
+
+const policy::Endpoint* DispatchState::Choose(
+    const policy::FleetView& view, const DispatchRequest& request,
+    const std::vector<base::EndpointId>& avoid, base::Instant now) {
+  policy::RouteRequest route;
+  route.service = request.service;
+  route.model = request.model;
+  route.affinity_key = request.affinity_key;
+  route.avoid = avoid;
+  route.seed = ++this->seed;
+  return this->router.Choose(view, route, now);
+}
+
+std::optional<policy::Endpoint> DispatchState::Send(
+    const ViewPtr& view, const DispatchRequest& request,
+    const std::vector<base::EndpointId>& avoid, base::Instant now) {
+  const std::lock_guard lock(this->mutex);
+  this->NoteView(view);
+  const auto* endpoint = this->Choose(*view, request, avoid, now);
+  if (endpoint == nullptr) return std::nullopt;
+  this->router.OnSent(endpoint->id, now);
+  return *endpoint;
+}
+
+void DispatchState::End(const base::EndpointId& endpoint,
+                        const EndpointResult& result, base::Duration took,
+                        base::Instant now) {
+  const std::lock_guard lock(this->mutex);
+  this->router.OnEnded(endpoint, Blame(result), took, now);
+  if (result.leaving) this->router.OnLeaving(endpoint);
+}
+
+void DispatchState::Report(const policy::LoadReport& report) {
+  const std::lock_guard lock(this->mutex);
+  this->router.OnReport(report);
+}
+
+void DispatchState::CountRequest() {
+  const std::lock_guard lock(this->mutex);
+  this->budget.OnRequest();
+}
+
+bool DispatchState::TakeRetry(const policy::FailedAttempt& attempt,
+                              base::Instant now) {
+  const std::lock_guard lock(this->mutex);
+  return policy::TakeRetry(this->retry_options, attempt, now, this->budget);
+}
+
+std::uint64_t DispatchState::NextId() {
+  const std::lock_guard lock(this->mutex);
+  return ++this->next_id;
+}
+
+bool DispatchState::HasRoom(const policy::Endpoint& endpoint) const {
+  if (endpoint.slots == 0) return true;
+  return this->router.Load(endpoint.id) + 1 <= endpoint.slots * kOverfill;
+}
+
+base::Duration DispatchState::TimePerRequest(
+    const policy::FleetView& view, const DispatchRequest& request) const {
+  std::int64_t slots = 0;
+  for (const auto& endpoint : view.endpoints) {
+    if (endpoint.service == request.service) slots += endpoint.slots;
+  }
+  const auto sharers = static_cast<std::int64_t>(view.peers.size()) + 1;
+  return this->router.service_time() * sharers /
+         std::max<std::int64_t>(1, slots);
+}
+
+TurnVerdict DispatchState::AskTurn(std::uint64_t id, bool first,
+                                   const ViewPtr& view,
+                                   const DispatchRequest& request,
+                                   base::Instant now) {
+  const std::lock_guard lock(this->mutex);
+  this->NoteView(view);
+  auto& queue = this->queues
+                    .try_emplace({request.service, request.model},
+                                 policy::FairQueueOptions{})
+                    .first->second;
+  const auto each = this->TimePerRequest(*view, request);
+  if (this->evicted.erase(id) != 0) return {Turn::kRefused, now + each};
+  const auto* endpoint = this->Choose(*view, request, {}, now);
+  const bool room = endpoint == nullptr || this->HasRoom(*endpoint);
+  if (first) {
+    if (room && queue.size() == 0) return {Turn::kGo, {}};
+    const auto verdict = queue.Push(
+        {id, request.organisation, request.share, request.deadline}, each, now);
+    if (verdict.evicted) this->evicted.insert(*verdict.evicted);
+    if (!verdict.accepted) return {Turn::kRefused, verdict.retry_at};
+  }
+  if (!room || queue.front() != id) return {Turn::kWait, {}};
+  queue.Pop();
+  return {Turn::kGo, {}};
+}
+
+void DispatchState::LeaveQueue(std::uint64_t id,
+                               const DispatchRequest& request) {
+  const std::lock_guard lock(this->mutex);
+  this->evicted.erase(id);
+  const auto found = this->queues.find({request.service, request.model});
+  if (found != this->queues.end()) found->second.Remove(id);
+}
+
+}  // namespace gypsumtrack::gateway
--- a/packages/gateway/src/online_service.cc
+++ b/packages/gateway/src/online_service.cc
@@ -42,13 +42,16 @@
 }
 
 /// What callers are told when no whole answer came.
-ErrorReply FailureReply(const DispatchResult& result) {
+ErrorReply FailureReply(const DispatchResult& result, base::Instant now) {
   switch (result.end) {
     case DispatchEnd::kNotPermitted: {
       auto reply = Unauthorized();
       reply.run = result.run;
       return reply;
     }
+    case DispatchEnd::kOverload:
+      return {503, "overload", "The endpoints have no room for the request.",
+              result.run, RetryAfterSeconds(now, result.retry_at)};
     case DispatchEnd::kNoEndpoint:
       return {503, "no_endpoint", "No endpoint can take the request now.",
               result.run, 1};
@@ -249,6 +252,8 @@
   DispatchRequest request;
   request.service = grant.rule.id.service;
   request.model = grant.rule.id.model;
+  request.organisation = grant.organisation;
+  request.share = grant.rule.share;
   request.idempotent = grant.rule.idempotent;
   request.deadline = exchange.deadline();
   request.cancel = std::make_shared<CallCancel>();
@@ -319,7 +324,8 @@
     if (!whole && result.end == DispatchEnd::kAnswered) {
       co_await this->SendAnswer(exchange, result);
     } else if (!whole) {
-      co_await SendError(exchange, FailureReply(result));
+      co_await SendError(exchange,
+                         FailureReply(result, this->runtime.clock.now()));
     } else {
       std::ignore = co_await exchange.Send(AnswerHead("application/json"),
                                            generation.Assemble());
@@ -331,7 +337,8 @@
     if (marked.ok()) std::ignore = co_await exchange.EndStream();
     co_return;
   }
-  auto reply = RenderError(FailureReply(result)).body;
+  auto reply =
+      RenderError(FailureReply(result, this->runtime.clock.now())).body;
   reply.pop_back();
   std::ignore = co_await exchange.WritePart(EventText(reply));
   exchange.Abort();
@@ -379,7 +386,8 @@
   } else if (result.last.end == CallEnd::kCancelled) {
     exchange.Abort();
   } else {
-    co_await SendError(exchange, FailureReply(result));
+    co_await SendError(exchange,
+                       FailureReply(result, this->runtime.clock.now()));
   }
 }
 
--- a/packages/testing/src/endpoint_session.cc
+++ b/packages/testing/src/endpoint_session.cc
@@ -234,9 +234,12 @@
   const auto body = ParseObject(this->request.body());
   if (target == "/load") {
     const auto load = this->core->LaggingLoad();
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
+        this->core->options.report_lag);
     const json::object report{{"running", load.running},
                               {"waiting", load.waiting},
-                              {"slots", this->core->options.slots}};
+                              {"slots", this->core->options.slots},
+                              {"age_ms", age.count()}};
     co_return co_await this->Reply(200, json::serialize(report));
   }
   if (target == "/orders" && this->request.method() == http::verb::post) {
