Keep outcomes of non-idempotent requests, and test faults over sockets

Cause: a resend of a non-idempotent request could run it again; nothing showed what the gateway does when endpoints die, stall, cut, cross or leave. idempotency_store: intent row before the run, outcome after; a resend gets it or unknown on any VM; store down: refused, not-run. A header or query value that holds the caller's key is dropped, whatever its name. g++ 12 freed temporaries of a braced aggregate in an await twice (the 413 path aborted), so replies are built before the await. Shown able to fail in the tests: idempotent requests do run twice; a stop instead of a drain does cut streams.

--- a/packages/gateway/src/caller_headers.cc
+++ b/packages/gateway/src/caller_headers.cc
@@ -80,15 +80,25 @@
   return encoded ? encoded->decode() : std::string(text);
 }
 
-bool IsKeyParameter(std::string_view parameter) {
-  auto name = parameter.substr(0, parameter.find('='));
-  // Decoded until nothing changes, as an endpoint might decode twice.
-  std::string decoded(name);
+/// Decoded until nothing changes, as an endpoint might decode twice.
+std::string DecodeFully(std::string_view text) {
+  std::string decoded(text);
   for (std::string next = Decode(decoded); next != decoded;
        next = Decode(decoded)) {
     decoded = next;
   }
-  return Contains(kKeyParameters, decoded);
+  return decoded;
+}
+
+bool IsKeyParameter(std::string_view parameter) {
+  return Contains(kKeyParameters,
+                  DecodeFully(parameter.substr(0, parameter.find('='))));
+}
+
+/// Whether the caller's key stands in the text, in a place that has no name
+/// for it.
+bool Holds(std::string_view text, std::string_view key) {
+  return !key.empty() && text.find(key) != std::string_view::npos;
 }
 
 }  // namespace
@@ -107,7 +117,9 @@
 
 std::vector<Header> EndpointRequestHeaders(const RequestHead& request) {
   std::vector<Header> out;
+  const auto key = FindCallerKey(request);
   for (const auto& header : request.headers) {
+    if (Holds(header.value, key)) continue;
     if (Contains(kKeptFromEndpoints, header.name)) continue;
     if (IsNamedByConnection(request.headers, header.name)) continue;
     out.push_back(header);
@@ -125,7 +137,7 @@
   return out;
 }
 
-std::string StripKeyParameters(std::string_view query) {
+std::string StripKeyParameters(std::string_view query, std::string_view key) {
   std::string out;
   std::size_t begin = 0;
   while (begin < query.size()) {
@@ -133,6 +145,7 @@
     const auto parameter = query.substr(begin, end - begin);
     begin = end + 1;
     if (parameter.empty() || IsKeyParameter(parameter)) continue;
+    if (Holds(DecodeFully(parameter), key)) continue;
     if (!out.empty()) out += '&';
     out += parameter;
   }
--- a/packages/gateway/src/caller_headers.h
+++ b/packages/gateway/src/caller_headers.h
@@ -20,8 +20,8 @@
 /// The headers of an endpoint's answer that a caller may see. Thread-safe.
 std::vector<Header> CallerResponseHeaders(const std::vector<Header>& headers);
 
-/// The query without key parameters. Thread-safe.
-std::string StripKeyParameters(std::string_view query);
+/// The query without key parameters and without the key itself. Thread-safe.
+std::string StripKeyParameters(std::string_view query, std::string_view key);
 
 /// Percent-encodes a decoded path for a request line. Thread-safe.
 std::string EncodePath(std::string_view path);
--- a/packages/gateway/src/dispatcher.cc
+++ b/packages/gateway/src/dispatcher.cc
@@ -169,6 +169,7 @@
     while (!this->stopped.load()) {
       timer.expires_after(kReportInterval);
       co_await timer.async_wait(kUse);
+      if (this->stopped.load()) co_return;
       const auto view = this->fleet();
       const auto count = std::min(kReportsPerInterval, view->endpoints.size());
       for (std::size_t i = 0; i < count && !this->stopped.load(); ++i) {
--- a/packages/gateway/src/http_connection.cc
+++ b/packages/gateway/src/http_connection.cc
@@ -194,7 +194,8 @@
   Exchange exchange(*this);
   const auto* handler = this->context->router.Find(this->head);
   if (handler == nullptr) {
-    co_await SendError(exchange, {404, "no_such_route", "No such route."});
+    ErrorReply reply{404, "no_such_route", "No such route."};
+    co_await SendError(exchange, std::move(reply));
     co_return;
   }
   try {
@@ -204,8 +205,9 @@
   }
   this->on_gone = nullptr;
   if (!this->started) {
-    co_await SendError(exchange, {500, "internal", "The request failed.",
-                                  policy::RunState::kUnknown});
+    ErrorReply reply{500, "internal", "The request failed.",
+                     policy::RunState::kUnknown};
+    co_await SendError(exchange, std::move(reply));
   } else if (this->streaming && !this->ended) {
     this->Abort();
   }
--- a/packages/gateway/src/online_service.cc
+++ b/packages/gateway/src/online_service.cc
@@ -1,5 +1,6 @@
 #include "gypsumtrack/gateway/online_service.h"
 
+#include <boost/beast/core/string.hpp>
 #include <boost/json.hpp>
 #include <memory>
 #include <set>
@@ -10,6 +11,7 @@
 #include "generation.h"
 #include "gypsumtrack/base/hash.h"
 #include "gypsumtrack/gateway/error_reply.h"
+#include "gypsumtrack/gateway/idempotency_store.h"
 
 namespace gypsumtrack::gateway {
 namespace {
@@ -37,10 +39,55 @@
   std::string path;
 };
 
+/// A call of a plain service, as it reaches the endpoint.
+struct PlainCall {
+  base::Service service;
+  std::string path;
+  std::string query;
+  std::string body;
+};
+
 ErrorReply Unauthorized() {
   return {401, "unauthorized", "The request carries no valid key."};
 }
 
+ErrorReply BodyReply(const base::Error& error) {
+  if (error.Is(base::Errc::kTimeout)) {
+    return {408, "request_timeout", "The body came too slowly."};
+  }
+  return {413, "body_refused", error.message};
+}
+
+ErrorReply GrantReply(const base::Error& error) {
+  if (error.Is(base::Errc::kUnauthorized)) return Unauthorized();
+  if (error.Is(base::Errc::kForbidden)) {
+    return {403, "forbidden", error.message};
+  }
+  return {503, "not_ready", error.message, policy::RunState::kNotRun, 1};
+}
+
+/// Precondition: the verdict is a refusal.
+ErrorReply AdmissionReply(const Admission& admission, base::Instant now) {
+  ErrorReply reply;
+  reply.retry_after_seconds = RetryAfterSeconds(now, admission.retry_at);
+  reply.status = 503;
+  switch (admission.verdict) {
+    case AdmissionVerdict::kOverRate:
+      reply.status = 429;
+      reply.code = "over_rate";
+      reply.message = "The organisation is over its rate.";
+      return reply;
+    case AdmissionVerdict::kIsolated:
+      reply.code = "isolated";
+      reply.message = "This failure domain is cut off and the rule refuses.";
+      return reply;
+    default:
+      reply.code = "not_ready";
+      reply.message = "This VM holds no share of the rate yet.";
+      return reply;
+  }
+}
+
 /// What callers are told when no whole answer came.
 ErrorReply FailureReply(const DispatchResult& result, base::Instant now) {
   switch (result.end) {
@@ -103,6 +150,49 @@
   return json::serialize(list) + "\n";
 }
 
+StoredAnswer ToStored(const EndpointResult& result) {
+  StoredAnswer answer;
+  answer.status = result.head.status;
+  answer.body = result.body;
+  for (const auto& header : result.head.headers) {
+    if (boost::beast::iequals(header.name, "Content-Type")) {
+      answer.content_type = header.value;
+    }
+  }
+  return answer;
+}
+
+/// Answers a request whose idempotency key was seen before, or can't be looked
+/// up.
+asio::awaitable<void> SendStored(Exchange& exchange, Intent intent) {
+  ErrorReply reply;
+  switch (intent.state) {
+    case IntentState::kFresh:
+    case IntentState::kDone: {
+      ResponseHead head = AnswerHead(intent.answer.content_type);
+      head.status = intent.answer.status;
+      std::ignore = co_await exchange.Send(std::move(head),
+                                           std::move(intent.answer.body));
+      co_return;
+    }
+    case IntentState::kUnknown:
+      reply = {409, "outcome_unknown",
+               "A request with this idempotency key may have run.",
+               policy::RunState::kUnknown, 1};
+      break;
+    case IntentState::kOtherRequest:
+      reply = {422, "idempotency_key_reused",
+               "The idempotency key belongs to another request."};
+      break;
+    case IntentState::kStoreDown:
+      reply = {503, "store_unavailable",
+               "The outcome can't be kept now, so the request isn't run.",
+               policy::RunState::kNotRun, 1};
+      break;
+  }
+  co_await SendError(exchange, std::move(reply));
+}
+
 std::string EventText(std::string_view data) {
   return "data: " + std::string(data) + "\n\n";
 }
@@ -114,7 +204,8 @@
   State(const Runtime& runtime, OnlineHooks hooks)
       : runtime(runtime),
         hooks(std::move(hooks)),
-        sender(runtime, this->hooks.fleet) {}
+        sender(runtime, this->hooks.fleet),
+        outcomes(runtime) {}
 
   asio::awaitable<void> Generate(Exchange& exchange, GenerationKind kind);
   asio::awaitable<void> ListModels(Exchange& exchange);
@@ -138,10 +229,17 @@
                                          const Generation& generation,
                                          const DispatchResult& result);
   asio::awaitable<void> SendAnswer(Exchange& exchange, DispatchResult result);
+  asio::awaitable<DispatchResult> CallPlain(Exchange& exchange,
+                                            const Grant& grant,
+                                            const PlainCall& call);
+  asio::awaitable<void> CallOnce(Exchange& exchange, const Grant& grant,
+                                 const PlainCall& call, std::string key);
+  asio::awaitable<void> Reply(Exchange& exchange, DispatchResult result);
 
   const Runtime& runtime;
   OnlineHooks hooks;
   Dispatcher sender;
+  IdempotencyStore outcomes;
 };
 
 std::string OnlineService::State::KeyHash(const RequestHead& request) const {
@@ -192,14 +290,12 @@
     Exchange& exchange) {
   auto body = co_await exchange.ReadBody(this->runtime.settings.max_body_bytes);
   if (body.ok()) co_return std::move(*body);
-  if (body.error().Is(base::Errc::kTimeout)) {
-    co_await SendError(exchange,
-                       {408, "request_timeout", "The body came too slowly."});
-  } else if (body.error().Is(base::Errc::kInvalid)) {
-    co_await SendError(exchange, {413, "body_refused", body.error().message});
-  } else {
+  if (body.error().Is(base::Errc::kCancelled)) {
     exchange.Abort();
+    co_return std::nullopt;
   }
+  auto reply = BodyReply(body.error());
+  co_await SendError(exchange, std::move(reply));
   co_return std::nullopt;
 }
 
@@ -207,43 +303,18 @@
     Exchange& exchange, AccessQuestion question) {
   auto grant = this->FindGrant(exchange.request(), question);
   if (!grant.ok()) {
-    const auto& error = grant.error();
-    if (error.Is(base::Errc::kUnauthorized)) {
-      co_await SendError(exchange, Unauthorized());
-    } else if (error.Is(base::Errc::kForbidden)) {
-      co_await SendError(exchange, {403, "forbidden", error.message});
-    } else {
-      co_await SendError(exchange, {503, "not_ready", error.message,
-                                    policy::RunState::kNotRun, 1});
-    }
+    auto refusal = GrantReply(grant.error());
+    co_await SendError(exchange, std::move(refusal));
     co_return std::nullopt;
   }
   if (grant->open) co_return std::move(*grant);
   const auto admission =
       co_await this->hooks.admit(grant->rule, exchange.deadline());
-  const auto wait =
-      RetryAfterSeconds(this->runtime.clock.now(), admission.retry_at);
-  switch (admission.verdict) {
-    case AdmissionVerdict::kAdmitted:
-      co_return std::move(*grant);
-    case AdmissionVerdict::kOverRate:
-      co_await SendError(
-          exchange, {429, "over_rate", "The organisation is over its rate.",
-                     policy::RunState::kNotRun, wait});
-      break;
-    case AdmissionVerdict::kIsolated:
-      co_await SendError(exchange,
-                         {503, "isolated",
-                          "This failure domain is cut off and the rule says to "
-                          "refuse.",
-                          policy::RunState::kNotRun, wait});
-      break;
-    case AdmissionVerdict::kNotReady:
-      co_await SendError(exchange, {503, "not_ready",
-                                    "This VM holds no share of the rate yet.",
-                                    policy::RunState::kNotRun, wait});
-      break;
+  if (admission.verdict == AdmissionVerdict::kAdmitted) {
+    co_return std::move(*grant);
   }
+  auto reply = AdmissionReply(admission, this->runtime.clock.now());
+  co_await SendError(exchange, std::move(reply));
   co_return std::nullopt;
 }
 
@@ -283,8 +354,8 @@
   auto parsed = ParseGenerationRequest(kind, *body);
   const std::string model = parsed.ok() ? parsed->model : std::string();
   if (!parsed.ok()) {
-    co_await SendError(exchange,
-                       {400, "invalid_request", parsed.error().message});
+    ErrorReply reply{400, "invalid_request", parsed.error().message};
+    co_await SendError(exchange, std::move(reply));
     co_return;
   }
   AccessQuestion question;
@@ -324,8 +395,8 @@
     if (!whole && result.end == DispatchEnd::kAnswered) {
       co_await this->SendAnswer(exchange, result);
     } else if (!whole) {
-      co_await SendError(exchange,
-                         FailureReply(result, this->runtime.clock.now()));
+      auto reply = FailureReply(result, this->runtime.clock.now());
+      co_await SendError(exchange, std::move(reply));
     } else {
       std::ignore = co_await exchange.Send(AnswerHead("application/json"),
                                            generation.Assemble());
@@ -366,29 +437,77 @@
   question.path = path;
   const auto grant = co_await this->Admit(exchange, std::move(question));
   if (!grant) co_return;
-  const auto body = co_await this->ReadBody(exchange);
+  auto body = co_await this->ReadBody(exchange);
   if (!body) co_return;
-  auto request = this->MakeDispatch(exchange, *grant);
-  request.service = base::Service(rest.substr(0, slash));
-  const auto query = StripKeyParameters(head.query);
+  PlainCall call;
+  call.service = base::Service(rest.substr(0, slash));
+  call.path = path;
+  call.query = StripKeyParameters(head.query, FindCallerKey(head));
+  call.body = std::move(*body);
+  const auto* key = head.Find("Idempotency-Key");
+  if (key != nullptr && !grant->rule.idempotent) {
+    co_await this->CallOnce(exchange, *grant, call, *key);
+    co_return;
+  }
+  auto result = co_await this->CallPlain(exchange, *grant, call);
+  co_await this->Reply(exchange, std::move(result));
+}
+
+asio::awaitable<DispatchResult> OnlineService::State::CallPlain(
+    Exchange& exchange, const Grant& grant, const PlainCall& plain) {
+  auto request = this->MakeDispatch(exchange, grant);
+  request.service = plain.service;
   request.make_call = [&] {
+    const auto& head = exchange.request();
     EndpointCall call;
     call.method = head.method;
-    call.target = EncodePath(path) + (query.empty() ? "" : "?" + query);
+    call.target = EncodePath(plain.path);
+    if (!plain.query.empty()) call.target += "?" + plain.query;
     call.headers = EndpointRequestHeaders(head);
-    call.body = *body;
+    call.body = plain.body;
     call.request_id = exchange.request_id();
     return call;
   };
   auto result = co_await this->sender.Dispatch(std::move(request));
+  co_return result;
+}
+
+asio::awaitable<void> OnlineService::State::Reply(Exchange& exchange,
+                                                  DispatchResult result) {
   if (result.end == DispatchEnd::kAnswered) {
     co_await this->SendAnswer(exchange, std::move(result));
   } else if (result.last.end == CallEnd::kCancelled) {
     exchange.Abort();
   } else {
-    co_await SendError(exchange,
-                       FailureReply(result, this->runtime.clock.now()));
+    auto reply = FailureReply(result, this->runtime.clock.now());
+    co_await SendError(exchange, std::move(reply));
+  }
+}
+
+asio::awaitable<void> OnlineService::State::CallOnce(Exchange& exchange,
+                                                     const Grant& grant,
+                                                     const PlainCall& call,
+                                                     std::string key) {
+  IdempotentRequest identity;
+  identity.organisation = grant.organisation;
+  identity.key = std::move(key);
+  identity.digest =
+      RequestDigest(exchange.request().method, call.service.text + call.path,
+                    call.query, call.body);
+  auto intent =
+      co_await this->outcomes.Begin(std::move(identity), exchange.deadline());
+  if (intent.state != IntentState::kFresh) {
+    co_await SendStored(exchange, std::move(intent));
+    co_return;
+  }
+  auto result = co_await this->CallPlain(exchange, grant, call);
+  if (result.end == DispatchEnd::kAnswered &&
+      result.run == policy::RunState::kRan) {
+    co_await this->outcomes.Finish(intent, ToStored(result.last));
+  } else if (result.run == policy::RunState::kNotRun) {
+    co_await this->outcomes.Forget(intent);
   }
+  co_await this->Reply(exchange, std::move(result));
 }
 
 asio::awaitable<void> OnlineService::State::ListModels(Exchange& exchange) {
@@ -397,7 +516,8 @@
       access ? access->FindOrganisation(this->KeyHash(exchange.request()))
              : std::nullopt;
   if (!organisation) {
-    co_await SendError(exchange, Unauthorized());
+    auto reply = Unauthorized();
+    co_await SendError(exchange, std::move(reply));
     co_return;
   }
   std::ignore = co_await exchange.Send(AnswerHead("application/json"),
@@ -411,6 +531,7 @@
 
 void OnlineService::Register(Router& router) {
   auto* self = this->state.get();
+  self->dispatcher().StartReports();
   router.Add("POST", "/v1/completions", [self](Exchange& exchange) {
     return self->Generate(exchange, GenerationKind::kCompletion);
   });
--- a/packages/gateway/test/online_fixture.h
+++ b/packages/gateway/test/online_fixture.h
@@ -1,11 +1,15 @@
 #ifndef GYPSUMTRACK_GATEWAY_TEST_ONLINE_FIXTURE_H_
 #define GYPSUMTRACK_GATEWAY_TEST_ONLINE_FIXTURE_H_
 
+#include <atomic>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/thread_pool.hpp>
+#include <map>
 #include <memory>
+#include <mutex>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -13,6 +17,7 @@
 #include "gypsumtrack/gateway/http_server.h"
 #include "gypsumtrack/gateway/online_service.h"
 #include "gypsumtrack/gateway/rcu_cell.h"
+#include "gypsumtrack/platform/memory_platform.h"
 #include "gypsumtrack/testing/endpoint_server.h"
 
 /// A gateway's online part before endpoint stand-ins, in one process.
@@ -49,6 +54,7 @@
     this->runtime.control = boost::asio::make_strand(this->pool);
     this->rules = *policy::ParseRules(options.rules);
     this->SetWithdrawn({});
+    this->JoinTable();
     this->StartEndpoints(options);
     this->StartServer(options);
   }
@@ -68,6 +74,10 @@
         1, this->rules, std::vector{grant}, std::move(withdrawn)));
   }
 
+  /// The platform's table; off, its calls fail without being sent.
+  platform::MemoryPlatform table;
+  std::atomic<bool> table_on{true};
+
   std::string address() const { return this->server->address(); }  // NOLINT
 
   /// How often the endpoints ran any one request, at most.
@@ -90,6 +100,24 @@
   std::shared_ptr<policy::FleetView> view;
 
  private:
+  void JoinTable() {
+    const base::Error off(base::Errc::kUnavailable, "off");
+    this->runtime.platform.table.commit =
+        [this, off](const base::TableCommit& commit, base::Instant,
+                    const base::CommitHandler& handler) {
+          const std::lock_guard lock(this->table_mutex);
+          handler(this->table_on ? this->table.Commit(commit)
+                                 : base::Status(off));
+        };
+    this->runtime.platform.table.scan =
+        [this, off](const base::TableScan& scan, base::Instant,
+                    const base::ScanHandler& handler) {
+          const std::lock_guard lock(this->table_mutex);
+          if (!this->table_on) return handler(off);
+          handler(this->table.Scan(scan));
+        };
+  }
+
   void StartEndpoints(const FixtureOptions& options) {
     this->view = std::make_shared<policy::FleetView>();
     for (std::size_t i = 0; i < options.endpoints; ++i) {
@@ -130,6 +158,7 @@
     if (!this->server->Start().ok()) std::abort();
   }
 
+  std::mutex table_mutex;
   policy::RuleSet rules;
   RcuCell<policy::AccessSnapshot> access;
   std::unique_ptr<OnlineService> service;
