Measure routing, and let reports of others' load age

A report now fades to the mean of all endpoints within a service time, less than one request of difference counts as none, and equals are taken by longest unused, from 6 candidates in place of 2. Conclusion: reports help only while they are young against the service time.

--- a/packages/gateway/src/dispatch_state.cc
+++ b/packages/gateway/src/dispatch_state.cc
@@ -84,9 +84,10 @@
   return ++this->next_id;
 }
 
-bool DispatchState::HasRoom(const policy::Endpoint& endpoint) const {
+bool DispatchState::HasRoom(const policy::Endpoint& endpoint,
+                            base::Instant now) const {
   if (endpoint.slots == 0) return true;
-  return this->router.Load(endpoint.id) + 1 <= endpoint.slots * kOverfill;
+  return this->router.Load(endpoint.id, now) + 1 <= endpoint.slots * kOverfill;
 }
 
 base::Duration DispatchState::TimePerRequest(
@@ -113,7 +114,7 @@
   const auto each = this->TimePerRequest(*view, request);
   if (this->evicted.erase(id) != 0) return {Turn::kRefused, now + each};
   const auto* endpoint = this->Choose(*view, request, {}, now);
-  const bool room = endpoint == nullptr || this->HasRoom(*endpoint);
+  const bool room = endpoint == nullptr || this->HasRoom(*endpoint, now);
   if (first) {
     if (room && queue.size() == 0) return {Turn::kGo, {}};
     const auto verdict = queue.Push(
--- a/packages/gateway/src/dispatch_state.h
+++ b/packages/gateway/src/dispatch_state.h
@@ -61,7 +61,7 @@
                                  const std::vector<base::EndpointId>& avoid,
                                  base::Instant now);
   void NoteView(const ViewPtr& view);
-  bool HasRoom(const policy::Endpoint& endpoint) const;
+  bool HasRoom(const policy::Endpoint& endpoint, base::Instant now) const;
   base::Duration TimePerRequest(const policy::FleetView& view,
                                 const DispatchRequest& request) const;
 
--- a/packages/gateway/src/dispatcher.cc
+++ b/packages/gateway/src/dispatcher.cc
@@ -50,6 +50,27 @@
   return out;
 }
 
+/// The next endpoints to ask, most of them in the own domain.
+std::vector<const policy::Endpoint*> TakeForReports(
+    const policy::FleetView& view, std::size_t& next) {
+  std::vector<const policy::Endpoint*> own;
+  std::vector<const policy::Endpoint*> away;
+  for (const auto& endpoint : view.endpoints) {
+    const bool near = endpoint.place.domain == view.place.domain;
+    (near ? own : away).push_back(&endpoint);
+  }
+  std::vector<const policy::Endpoint*> out;
+  const auto count = std::min(kReportsPerInterval, own.size());
+  for (std::size_t i = 0; i < count; ++i) {
+    out.push_back(own[(next + i) % own.size()]);
+  }
+  if (!away.empty()) {
+    out.push_back(away[next / kReportsPerInterval % away.size()]);
+  }
+  next += kReportsPerInterval;
+  return out;
+}
+
 }  // namespace
 
 class Dispatcher::State : public std::enable_shared_from_this<State> {
@@ -171,11 +192,9 @@
       co_await timer.async_wait(kUse);
       if (this->stopped.load()) co_return;
       const auto view = this->fleet();
-      const auto count = std::min(kReportsPerInterval, view->endpoints.size());
-      for (std::size_t i = 0; i < count && !this->stopped.load(); ++i) {
-        const auto& endpoint = view->endpoints[next++ % view->endpoints.size()];
-        if (endpoint.place.domain != view->place.domain) continue;
-        co_await this->PollReport(endpoint);
+      for (const auto* endpoint : TakeForReports(*view, next)) {
+        if (this->stopped.load()) co_return;
+        co_await this->PollReport(*endpoint);
       }
     }
   }
--- a/packages/policy/include/gypsumtrack/policy/router.h
+++ b/packages/policy/include/gypsumtrack/policy/router.h
@@ -25,7 +25,9 @@
   /// The prefix's endpoint may hold this many times the mean load.
   double affinity_load_bound = 1.25;
   /// Candidates compared in each of own domain, own region and beyond.
-  std::uint32_t choices = 2;
+  std::uint32_t choices = 6;
+  /// Service times after which a report of others' load says little.
+  double report_memory = 1;
   base::Duration first_service_time = std::chrono::milliseconds(200);
   std::uint32_t failures_to_eject = 3;
   base::Duration ejection = std::chrono::seconds(10);
@@ -84,9 +86,11 @@
   /// Null if no endpoint may be given the request.
   const Endpoint* Choose(const FleetView& view, const RouteRequest& request,
                          base::Instant now) const;
-  /// Requests thought to be at the endpoint.
-  double Load(const base::EndpointId& endpoint) const;
-  base::Duration ExpectedWait(const Endpoint& endpoint) const;
+  /// Requests thought to be at the endpoint: own ones, and others' as last
+  /// reported, which with age fall back to the mean of all endpoints.
+  double Load(const base::EndpointId& endpoint, base::Instant now) const;
+  base::Duration ExpectedWait(const Endpoint& endpoint,
+                              base::Instant now) const;
   bool IsEjected(const base::EndpointId& endpoint, base::Instant now) const;
   base::Duration service_time() const { return this->mean_time; }  // NOLINT
 
@@ -100,6 +104,8 @@
     /// Back to the last report, so that others' part of it can be told.
     std::deque<OwnChange> changes;
     base::Instant reported_at{};
+    base::Instant sent_at{};
+    bool reported = false;
     /// Of the other VMs, at the last report.
     double others = 0;
     std::uint32_t failures = 0;
@@ -110,6 +116,15 @@
   struct Candidate {
     const Endpoint* endpoint = nullptr;
     base::Duration cost{};
+    /// Among equals, the one left alone for longest: others do the same, so
+    /// that arrivals at an endpoint come evenly.
+    base::Instant sent_at{};
+
+    bool IsBetterThan(const Candidate& other) const {
+      if (other.endpoint == nullptr) return true;
+      if (this->cost != other.cost) return this->cost < other.cost;
+      return this->sent_at < other.sent_at;
+    }
   };
 
   const EndpointState* Find(const base::EndpointId& endpoint) const;
@@ -118,16 +133,21 @@
   std::vector<const Endpoint*> Eligible(const FleetView& view,
                                         const RouteRequest& request,
                                         base::Instant now) const;
-  Candidate Sample(const std::vector<const Endpoint*>& tier,
-                   std::uint64_t seed) const;
+  Candidate Sample(const std::vector<const Endpoint*>& tier, std::uint64_t seed,
+                   base::Instant now) const;
   Candidate Affine(const std::vector<const Endpoint*>& tier,
-                   std::string_view key) const;
+                   std::string_view key, base::Instant now) const;
+  Candidate MakeCandidate(const Endpoint& endpoint, base::Instant now) const;
+  double Others(const EndpointState& state, base::Instant now) const;
   base::Duration Distance(const Endpoint& endpoint,
                           const base::Place& own) const;
 
   RouterOptions options;
   std::unordered_map<base::EndpointId, EndpointState> states;
   base::Duration mean_time;
+  /// Over all reported endpoints.
+  double others_sum = 0;
+  std::uint32_t others_count = 0;
 };
 
 }  // namespace gypsumtrack::policy
--- a/packages/policy/src/router.cc
+++ b/packages/policy/src/router.cc
@@ -64,13 +64,18 @@
     }
     break;
   }
-  state.others = report.requests > own ? report.requests - own : 0;
+  const double others = report.requests > own ? report.requests - own : 0;
+  this->others_sum += others - state.others;
+  if (!state.reported) this->others_count++;
+  state.reported = true;
+  state.others = others;
 }
 
 void EndpointRouter::OnSent(const base::EndpointId& endpoint,
                             base::Instant now) {
   auto& state = this->states[endpoint];
   state.outstanding++;
+  state.sent_at = now;
   this->NoteChange(state, now);
 }
 
@@ -106,23 +111,46 @@
   return found == this->states.end() ? nullptr : &found->second;
 }
 
-double EndpointRouter::Load(const base::EndpointId& endpoint) const {
+double EndpointRouter::Others(const EndpointState& state,
+                              base::Instant now) const {
+  const double mean =
+      this->others_count == 0 ? 0 : this->others_sum / this->others_count;
+  if (!state.reported) return mean;
+  const auto memory = Scale(this->mean_time, this->options.report_memory);
+  const auto age = now - state.reported_at;
+  const double weight = std::exp(-static_cast<double>(age.count()) /
+                                 static_cast<double>(memory.count() + 1));
+  const double above = (state.others - mean) * std::min(1.0, weight);
+  // Less than a request is noise, and would undo the even order of equals.
+  return std::abs(above) < 1 ? mean : mean + above;
+}
+
+double EndpointRouter::Load(const base::EndpointId& endpoint,
+                            base::Instant now) const {
   const auto* state = this->Find(endpoint);
   if (state == nullptr) return 0;
   double load = 0;
   if (this->options.use_own_outstanding) load += state->outstanding;
-  if (this->options.use_reports) load += state->others;
+  if (this->options.use_reports) load += this->Others(*state, now);
   return load;
 }
 
-base::Duration EndpointRouter::ExpectedWait(const Endpoint& endpoint) const {
+base::Duration EndpointRouter::ExpectedWait(const Endpoint& endpoint,
+                                            base::Instant now) const {
   const double slots = std::max(1U, endpoint.slots);
-  const double load = this->Load(endpoint.id);
+  const double load = this->Load(endpoint.id, now);
   const double queued = std::max(0.0, load + 1 - slots);
   const double shared = kSharedSlowdown * std::min(load, slots);
   return Scale(this->mean_time, (queued + shared) / slots);
 }
 
+EndpointRouter::Candidate EndpointRouter::MakeCandidate(
+    const Endpoint& endpoint, base::Instant now) const {
+  const auto* state = this->Find(endpoint.id);
+  const auto sent_at = state == nullptr ? base::Instant() : state->sent_at;
+  return {&endpoint, this->ExpectedWait(endpoint, now), sent_at};
+}
+
 bool EndpointRouter::IsEjected(const base::EndpointId& endpoint,
                                base::Instant now) const {
   const auto* state = this->Find(endpoint);
@@ -160,7 +188,8 @@
 }
 
 EndpointRouter::Candidate EndpointRouter::Sample(
-    const std::vector<const Endpoint*>& tier, std::uint64_t seed) const {
+    const std::vector<const Endpoint*>& tier, std::uint64_t seed,
+    base::Instant now) const {
   Candidate best;
   const std::size_t count =
       std::min<std::size_t>(this->options.choices, tier.size());
@@ -173,20 +202,19 @@
       index = (index + 1) % tier.size();
     }
     drawn.push_back(index);
-    const auto cost = this->ExpectedWait(*tier[index]);
-    if (best.endpoint == nullptr || cost < best.cost) {
-      best = {tier[index], cost};
-    }
+    const auto candidate = this->MakeCandidate(*tier[index], now);
+    if (candidate.IsBetterThan(best)) best = candidate;
   }
   return best;
 }
 
 EndpointRouter::Candidate EndpointRouter::Affine(
-    const std::vector<const Endpoint*>& tier, std::string_view key) const {
+    const std::vector<const Endpoint*>& tier, std::string_view key,
+    base::Instant now) const {
   double total = 0;
   std::vector<std::pair<std::uint64_t, const Endpoint*>> ranked;
   for (const auto* endpoint : tier) {
-    total += this->Load(endpoint->id);
+    total += this->Load(endpoint->id, now);
     ranked.emplace_back(base::RendezvousScore(key, endpoint->id.text),
                         endpoint);
   }
@@ -199,8 +227,8 @@
       [](const auto& a, const auto& b) { return a.first > b.first; });
   for (std::size_t i = 0; i < probes; ++i) {
     const auto* endpoint = ranked[i].second;
-    if (this->Load(endpoint->id) + 1 > bound) continue;
-    return {endpoint, this->ExpectedWait(*endpoint)};
+    if (this->Load(endpoint->id, now) + 1 > bound) continue;
+    return this->MakeCandidate(*endpoint, now);
   }
   return {};
 }
@@ -227,12 +255,13 @@
   Candidate best;
   for (const auto& tier : tiers) {
     if (tier.empty()) continue;
-    auto candidate = this->Sample(tier, request.seed);
+    auto candidate = this->Sample(tier, request.seed, now);
     if (!request.affinity_key.empty()) {
-      const auto affine = this->Affine(tier, request.affinity_key);
+      const auto affine = this->Affine(tier, request.affinity_key, now);
       const auto gained = affine.cost - this->options.affinity_gain;
       if (affine.endpoint != nullptr && gained < candidate.cost) {
-        candidate = {affine.endpoint, gained};
+        candidate = affine;
+        candidate.cost = gained;
       }
     }
     candidate.cost += this->Distance(*candidate.endpoint, view.place);
--- /dev/null
+++ b/packages/testing/tool/bench.h
@@ -0,0 +1,15 @@
+#ifndef GYPSUMTRACK_TESTING_TOOL_BENCH_H_
+#define GYPSUMTRACK_TESTING_TOOL_BENCH_H_
+
+#include <string>
+#include <vector>
+
+/// Measurements that docs/measurements/ quotes.
+namespace gypsumtrack::bench {
+
+/// Prints waits under several ways of routing. Returns the exit status.
+int BenchRouting(const std::vector<std::string>& args);
+
+}  // namespace gypsumtrack::bench
+
+#endif  // GYPSUMTRACK_TESTING_TOOL_BENCH_H_
