Show the batch properties under faults, and mend what they found

RapidCheck drives three VMs, three endpoints and a platform with lost requests and answers; VMs are lost, paused and cut off, endpoints die. Found and mended: an endpoint that fails everything was blamed on items when no other item was left to prove it (now a finished item runs again as a control, or the chunk goes to another VM, at most four times); a second cancel was answered before the first had taken effect.

--- a/packages/gateway/src/batch_service.cc
+++ b/packages/gateway/src/batch_service.cc
@@ -457,7 +457,7 @@
 
 awaitable<void> BatchService::State::Cancel(Exchange& exchange,
                                             policy::BatchJob job) {
-  if (job.state == policy::JobState::kOpen) {
+  if (job.state != policy::JobState::kFinished) {
     const auto status = co_await AwaitHandler<base::Status>(
         [this, job](auto handler) { this->runner.Cancel(job, handler); });
     if (!status.ok() && !status.error().Is(base::Errc::kConflict)) {
--- a/packages/policy/include/gypsumtrack/policy/batch_chunk.h
+++ b/packages/policy/include/gypsumtrack/policy/batch_chunk.h
@@ -54,8 +54,11 @@
   std::uint32_t failures_alone = 3;
   /// This many endpoints' refusals end it as failed.
   std::uint32_t rejections = 2;
-  /// As many refusals by endpoints not known to work end it, too.
-  std::uint32_t unvouched_rejections = 8;
+  /// After as many failures alone, or refusals, on endpoints not known to work,
+  /// with nothing at hand that could show whether one does, another VM tries.
+  std::uint32_t unvouched = 4;
+  /// After as many VMs the item ends as failed.
+  std::uint32_t returns = 4;
 };
 
 struct ItemStart {
@@ -67,10 +70,11 @@
 /// Tracks the items of a held chunk. Not thread-safe.
 class ChunkRun {
  public:
-  /// Items below `sent` in run order without a result in `known` are unknown:
-  /// they may have run under an earlier holder.
+  /// Items below `row.sent` in run order without a result in `known` are
+  /// unknown: they may have run under an earlier holder.
   ChunkRun(std::vector<std::string> lines, bool idempotent,
-           PoisonOptions options, std::uint32_t sent, const ItemResults& known);
+           PoisonOptions options, const ChunkRow& row,
+           const ItemResults& known);
 
   // Queries.
 
@@ -82,8 +86,11 @@
   std::uint32_t running() const { return this->in_flight; }  // NOLINT
   /// Items that can start now, whatever the endpoint.
   std::uint32_t Startable() const;
-  /// Whether an item waits to run alone.
-  bool WantsAlone() const;
+  /// Whether all that remains is left to other VMs.
+  bool Stuck() const;
+  /// A finished item to run once more, its result dropped, so as to see whether
+  /// an endpoint works; none if no waiting item needs to know that.
+  std::optional<std::uint32_t> Control() const;
   const std::string& line(std::uint32_t item) const;         // NOLINT
   const std::string& streamed(std::uint32_t item) const;     // NOLINT
   const ItemResults& results() const { return this->done; }  // NOLINT
@@ -112,7 +119,8 @@
     std::uint32_t failures = 0;
     std::uint32_t failures_alone = 0;
     std::uint32_t rejections = 0;
-    std::uint32_t unvouched_rejections = 0;
+    std::uint32_t unvouched = 0;
+    bool stuck = false;
     /// Endpoints to avoid while others may take it.
     base::EndpointId last_failed;
     std::string streamed;
@@ -120,6 +128,9 @@
   };
 
   bool NeedsAlone(const Item& item) const;
+  /// Whether the item's next failure counts only on an endpoint that works.
+  bool NeedsProof(const Item& item) const;
+  void BookUnvouched(std::uint32_t number);
   void Record(std::uint32_t number, ItemResult result);
   void EndUnfinished(std::uint32_t number, const base::EndpointId& endpoint,
                      bool alone, bool vouched, ItemRun run);
@@ -133,6 +144,7 @@
   /// Items of `order` that may be sent.
   std::uint32_t allowed = 0;
   std::uint32_t in_flight = 0;
+  std::uint32_t returns = 0;
   std::uint64_t result_bytes = 0;
   ItemResults done;
 };
--- a/packages/policy/include/gypsumtrack/policy/batch_janitor.h
+++ b/packages/policy/include/gypsumtrack/policy/batch_janitor.h
@@ -29,6 +29,10 @@
   std::uint32_t sweep_rows = 20;
   /// Between looks at the chunks of a cancelled job.
   base::Duration cancel_poll = std::chrono::milliseconds(500);
+  /// From the write of a cancel to its acknowledgement at the soonest. Longer
+  /// than BatchOptions::answer_valid_for, so that no start rests on an answer
+  /// from before the cancel.
+  base::Duration cancel_grace = std::chrono::milliseconds(1500);
 };
 
 /// Recovers the chunks of lost holders, ends cancelled jobs, removes orphaned
@@ -66,6 +70,12 @@
                   const ChunkList& found);
   void Sweep(base::Instant now);
   void Claim(base::Instant now, const base::Row& row);
+  void CancelAgain(base::Instant now, const BatchJob& job,
+                   const CancelReply& done, const base::Status& conflict);
+  void ClearCancelled(base::Instant now, const std::string& uid,
+                      const CancelReply& done);
+  void Acknowledge(base::Instant now, base::Instant earliest,
+                   const CancelReply& done);
   void RemoveChunkRows(base::Instant now, const std::string& uid,
                        const CancelReply& done);
   void RemoveInputs(base::Instant now, const std::string& uid,
--- a/packages/policy/include/gypsumtrack/policy/batch_node.h
+++ b/packages/policy/include/gypsumtrack/policy/batch_node.h
@@ -41,6 +41,8 @@
   base::Duration fresh_for = std::chrono::seconds(30);
   /// Between probes of a store that doesn't answer, while items wait to start.
   base::Duration probe_every = std::chrono::milliseconds(500);
+  /// A peer's answer lets items start for this long after it was asked.
+  base::Duration answer_valid_for = std::chrono::seconds(1);
   base::Duration index_every = std::chrono::seconds(10);
   std::uint32_t index_page_rows = 200;
   std::uint32_t lease_scan_rows = 24;
@@ -48,6 +50,8 @@
   std::uint32_t max_chunks_per_lease = 4;
   /// A job whose chunks are all held is looked at again after this.
   base::Duration job_pause = std::chrono::seconds(5);
+  /// A job is left to other VMs after no endpoint here was known to work.
+  base::Duration return_pause = std::chrono::seconds(60);
   /// Above this no item starts until results are durable.
   std::uint64_t max_pending_bytes = 32ULL * 1024 * 1024;
   /// Non-idempotent items that one intent covers.
@@ -147,9 +151,11 @@
     std::uint32_t running = 0;
     /// Finished something since it last failed.
     bool vouched = true;
-    /// Runs an item alone, or is kept free for one.
-    bool reserved = false;
+    /// Runs an item that no other batch item may run beside.
     bool alone = false;
+    /// Nothing starts before this after failures in a row.
+    base::Instant retry_at{};
+    std::uint32_t failures = 0;
   };
   struct RunningItem {
     std::string chunk_key;
@@ -159,14 +165,20 @@
     bool vouched = false;
     bool stopping = false;
     bool idempotent = true;
+    /// Only shows whether the endpoint works.
+    bool control = false;
   };
 
   // batch_node.cc: endpoints and items.
   void Pump(base::Instant now);
   bool MayStart(base::Instant now);
-  void FillEndpoint(EndpointState& endpoint);
+  void FillEndpoint(base::Instant now, EndpointState& endpoint);
   bool StartOne(EndpointState& endpoint);
-  void Start(HeldChunk& chunk, const ItemStart& start, EndpointState& endpoint);
+  bool StartControl(EndpointState& endpoint);
+  void Start(HeldChunk& chunk, const ItemStart& start, EndpointState& endpoint,
+             bool control);
+  void BookOutcome(base::Instant now, EndpointState& endpoint,
+                   ItemOutcome outcome);
   void StopSurplus(EndpointState& endpoint);
   void StopChunk(const HeldChunk& chunk);
   void Advance(base::Instant now, const std::string& key);
--- a/packages/policy/include/gypsumtrack/policy/batch_state.h
+++ b/packages/policy/include/gypsumtrack/policy/batch_state.h
@@ -66,6 +66,9 @@
   std::uint32_t sent = 0;
   /// Object with the results of sent items that are known; may be empty.
   std::string partial;
+  /// How often a holder gave it back since no endpoint of its was known to
+  /// work.
+  std::uint32_t returns = 0;
 
   bool operator==(const ChunkRow&) const = default;
 };
--- a/packages/policy/src/batch_chunk.cc
+++ b/packages/policy/src/batch_chunk.cc
@@ -91,18 +91,19 @@
 }
 
 ChunkRun::ChunkRun(std::vector<std::string> item_lines, bool may_repeat,
-                   PoisonOptions poison, std::uint32_t sent_before,
+                   PoisonOptions poison, const ChunkRow& row,
                    const ItemResults& known)
     : lines(std::move(item_lines)),
       idempotent(may_repeat),
       options(poison),
       order(RunOrder(this->lines)),
-      items(this->lines.size()) {
+      items(this->lines.size()),
+      returns(row.returns) {
   for (const auto& [item, result] : known) {
     if (item < this->items.size()) this->Record(item, result);
   }
   const auto count = static_cast<std::uint32_t>(this->items.size());
-  this->allowed = this->idempotent ? count : std::min(sent_before, count);
+  this->allowed = this->idempotent ? count : std::min(row.sent, count);
   if (this->idempotent) return;
   for (std::uint32_t i = 0; i < this->allowed; ++i) {
     const auto item = this->order[i];
@@ -116,15 +117,20 @@
   return item.failures >= this->options.failures_before_alone;
 }
 
+bool ChunkRun::NeedsProof(const Item& item) const {
+  return this->NeedsAlone(item) || item.rejections + item.unvouched > 0;
+}
+
 std::optional<ItemStart> ChunkRun::Next(const base::EndpointId& endpoint,
                                         bool vouched) const {
   std::optional<ItemStart> second_choice;
+  const bool has_control = this->Control().has_value();
   for (std::uint32_t i = 0; i < this->allowed; ++i) {
     const auto number = this->order[i];
     const auto& item = this->items[number];
-    if (item.phase != Phase::kWaiting) continue;
+    if (item.phase != Phase::kWaiting || item.stuck) continue;
     const bool alone = this->NeedsAlone(item);
-    if (alone && !vouched) continue;
+    if (!vouched && has_control && this->NeedsProof(item)) continue;
     if (item.last_failed != endpoint) return ItemStart{number, alone};
     if (!second_choice) second_choice = ItemStart{number, alone};
   }
@@ -139,16 +145,29 @@
   std::uint32_t count = 0;
   for (std::uint32_t i = 0; i < this->allowed; ++i) {
     const auto& item = this->items[this->order[i]];
-    if (item.phase == Phase::kWaiting) ++count;
+    if (item.phase == Phase::kWaiting && !item.stuck) ++count;
   }
   return count;
 }
 
-bool ChunkRun::WantsAlone() const {
-  return std::any_of(
-      this->items.begin(), this->items.end(), [this](const Item& item) {
-        return item.phase == Phase::kWaiting && this->NeedsAlone(item);
+bool ChunkRun::Stuck() const {
+  if (this->in_flight > 0 || this->Finished()) return false;
+  return std::all_of(this->items.begin(), this->items.end(), [](auto& item) {
+    return item.phase == Phase::kEnded || item.stuck;
+  });
+}
+
+std::optional<std::uint32_t> ChunkRun::Control() const {
+  if (!this->idempotent) return std::nullopt;
+  const bool wanted =
+      std::any_of(this->items.begin(), this->items.end(), [this](auto& item) {
+        return item.phase == Phase::kWaiting && this->NeedsProof(item);
       });
+  if (!wanted) return std::nullopt;
+  for (const auto& [item, result] : this->done) {
+    if (result.state == ItemState::kCompleted) return item;
+  }
+  return std::nullopt;
 }
 
 const std::string& ChunkRun::line(std::uint32_t item) const {
@@ -217,10 +236,11 @@
   item.reason = std::move(run.reason);
   if (run.outcome == ItemOutcome::kRejected) {
     // A non-idempotent item that an endpoint answered isn't sent again.
-    ++(vouched ? item.rejections : item.unvouched_rejections);
-    if (!this->idempotent || item.rejections >= this->options.rejections ||
-        item.unvouched_rejections >= this->options.unvouched_rejections) {
+    if (vouched) ++item.rejections;
+    if (!this->idempotent || item.rejections >= this->options.rejections) {
       this->Record(number, {ItemState::kFailed, "", item.reason});
+    } else if (!vouched) {
+      this->BookUnvouched(number);
     }
     return;
   }
@@ -228,9 +248,19 @@
     ++item.failures;
     return;
   }
-  if (vouched) ++item.failures_alone;
-  if (item.failures_alone >= this->options.failures_alone) {
+  if (!vouched) return this->BookUnvouched(number);
+  if (++item.failures_alone >= this->options.failures_alone) {
+    this->Record(number, {ItemState::kFailed, "", item.reason});
+  }
+}
+
+void ChunkRun::BookUnvouched(std::uint32_t number) {
+  auto& item = this->items[number];
+  if (++item.unvouched < this->options.unvouched) return;
+  if (this->returns >= this->options.returns) {
     this->Record(number, {ItemState::kFailed, "", item.reason});
+  } else {
+    item.stuck = true;
   }
 }
 
--- a/packages/policy/src/batch_janitor.cc
+++ b/packages/policy/src/batch_janitor.cc
@@ -130,14 +130,54 @@
                           std::function<void(base::Instant)> written) {
   auto commit =
       EndJob(this->calls->NextOperationId(), job, JobState::kCancelled);
-  this->calls->Commit(now, std::move(commit), CallMode::kUntilSettled,
-                      [this, uid = job.uid, done = std::move(done),
-                       written = std::move(written)](
-                          base::Instant at, const base::Status& status) {
-                        if (!status.ok()) return done(at, status);
-                        written(at);
-                        this->RemoveChunkRows(at, uid, done);
-                      });
+  this->calls->Commit(
+      now, std::move(commit), CallMode::kUntilSettled,
+      [this, job, done = std::move(done), written = std::move(written)](
+          base::Instant at, const base::Status& status) {
+        if (status.ok()) {
+          written(at);
+          this->ClearCancelled(at, job.uid, done);
+        } else {
+          this->CancelAgain(at, job, done, status);
+        }
+      });
+}
+
+/// The job wasn't open: an earlier cancel is waited for like this one.
+void BatchJanitor::CancelAgain(base::Instant now, const BatchJob& job,
+                               const CancelReply& done,
+                               const base::Status& conflict) {
+  base::TableScan scan;
+  scan.prefix = RowKeyOf(job);
+  scan.limit = 1;
+  this->calls->Scan(now, std::move(scan), CallMode::kUntilSettled,
+                    [this, job, done, conflict](
+                        base::Instant at, base::Outcome<base::ScanReply> page) {
+                      if (page.ok() && !page->rows.empty()) {
+                        const auto stored = DecodeJob(page->rows.front().value);
+                        if (stored.ok() && stored->uid == job.uid &&
+                            stored->state == JobState::kCancelled) {
+                          return this->ClearCancelled(at, job.uid, done);
+                        }
+                      }
+                      done(at, conflict);
+                    });
+}
+
+void BatchJanitor::ClearCancelled(base::Instant now, const std::string& uid,
+                                  const CancelReply& done) {
+  const auto earliest = now + this->options.cancel_grace;
+  this->RemoveChunkRows(
+      now, uid, [this, earliest, done](base::Instant at, const base::Status&) {
+        this->Acknowledge(at, earliest, done);
+      });
+}
+
+void BatchJanitor::Acknowledge(base::Instant now, base::Instant earliest,
+                               const CancelReply& done) {
+  if (now >= earliest) return done(now, base::Done{});
+  this->later.push_back(
+      {earliest, [done](base::Instant at) { done(at, base::Done{}); }});
 }
 
 /// Removes free chunks at once and held ones when their holder lets go or is
--- a/packages/policy/src/batch_node.cc
+++ b/packages/policy/src/batch_node.cc
@@ -4,6 +4,13 @@
 #include <utility>
 
 namespace gypsumtrack::policy {
+namespace {
+
+/// Pause of an endpoint after its first failure; doubles with each in a row.
+constexpr base::Duration kFirstPause = std::chrono::milliseconds(100);
+constexpr std::uint32_t kMaxDoublings = 6;
+
+}  // namespace
 
 BatchNode::BatchNode(base::VmId self_id, BatchOptions node_options,
                      std::uint64_t node_seed)
@@ -73,21 +80,10 @@
   this->running.erase(found);
   auto& endpoint = this->endpoints[item.endpoint];
   --endpoint.running;
-  if (item.start.alone) {
-    endpoint.alone = false;
-    endpoint.reserved = false;
-  }
-  if (result.outcome == ItemOutcome::kCompleted) {
-    endpoint.vouched = true;
-    ++this->counted.items_completed;
-  }
-  if (result.outcome == ItemOutcome::kStopped) ++this->counted.items_stopped;
-  if (result.outcome == ItemOutcome::kEndpointFailed ||
-      result.outcome == ItemOutcome::kRejected) {
-    endpoint.vouched = false;
-  }
+  if (item.start.alone) endpoint.alone = false;
+  this->BookOutcome(now, endpoint, result.outcome);
   const bool vouched = item.vouched || !this->options.mechanisms.vouching;
-  if (this->Holds(item.chunk_key, item.token)) {
+  if (!item.control && this->Holds(item.chunk_key, item.token)) {
     auto* chunk = this->Find(item.chunk_key);
     chunk->run->End(item.start.item, item.endpoint, item.start.alone, vouched,
                     std::move(result));
@@ -96,6 +92,25 @@
   this->Pump(now);
 }
 
+void BatchNode::BookOutcome(base::Instant now, EndpointState& endpoint,
+                            ItemOutcome outcome) {
+  if (outcome == ItemOutcome::kStopped) {
+    ++this->counted.items_stopped;
+    return;
+  }
+  if (outcome == ItemOutcome::kCompleted) {
+    ++this->counted.items_completed;
+    endpoint.vouched = true;
+    endpoint.failures = 0;
+    return;
+  }
+  if (outcome != ItemOutcome::kNotRun) endpoint.vouched = false;
+  if (outcome == ItemOutcome::kRejected) return;
+  const auto doublings = std::min(endpoint.failures, kMaxDoublings);
+  endpoint.retry_at = now + kFirstPause * (1 << doublings);
+  ++endpoint.failures;
+}
+
 void BatchNode::OnPeerAnswer(base::Instant now, CallId id, bool answered,
                              const std::vector<std::string>& ended_keys) {
   for (const auto& key : ended_keys) {
@@ -262,14 +277,17 @@
   if (this->FreeSlots() > 0 && this->Startable() > 0 &&
       this->PendingBytes() < this->options.max_pending_bytes &&
       this->MayStart(now)) {
-    for (auto& [id, endpoint] : this->endpoints) this->FillEndpoint(endpoint);
+    for (auto& [id, endpoint] : this->endpoints) {
+      this->FillEndpoint(now, endpoint);
+    }
   }
   this->LeaseMore(now);
 }
 
-void BatchNode::FillEndpoint(EndpointState& endpoint) {
+void BatchNode::FillEndpoint(base::Instant now, EndpointState& endpoint) {
+  if (now < endpoint.retry_at) return;
   while (endpoint.running < endpoint.capacity.slots && !endpoint.alone) {
-    if (!this->StartOne(endpoint)) return;
+    if (!this->StartOne(endpoint) && !this->StartControl(endpoint)) return;
   }
 }
 
@@ -281,20 +299,31 @@
         chunk.run->Next(endpoint.capacity.endpoint,
                         endpoint.vouched || !this->options.mechanisms.vouching);
     if (!start) continue;
-    if (start->alone && endpoint.running > 0) {
-      // Left to run empty, so that the item gets the endpoint for itself.
-      endpoint.reserved = true;
-      return false;
-    }
-    this->Start(chunk, *start, endpoint);
+    // The endpoint runs empty first, so that the item gets it for itself.
+    if (start->alone && endpoint.running > 0) return false;
+    this->Start(chunk, *start, endpoint, /*control=*/false);
+    return true;
+  }
+  return false;
+}
+
+/// Nothing else is left that could show whether the endpoint works.
+bool BatchNode::StartControl(EndpointState& endpoint) {
+  if (endpoint.vouched || endpoint.running > 0) return false;
+  for (auto& [key, chunk] : this->chunks) {
+    if (chunk.phase != Phase::kRunning) continue;
+    if (!this->Serves(endpoint, chunk.job)) continue;
+    const auto item = chunk.run->Control();
+    if (!item) continue;
+    this->Start(chunk, {*item, true}, endpoint, /*control=*/true);
     return true;
   }
   return false;
 }
 
 void BatchNode::Start(HeldChunk& chunk, const ItemStart& start,
-                      EndpointState& endpoint) {
-  chunk.run->Start(start);
+                      EndpointState& endpoint, bool control) {
+  if (!control) chunk.run->Start(start);
   ++endpoint.running;
   endpoint.alone = start.alone;
   const RunId run = ++this->last_run;
@@ -305,6 +334,7 @@
   item.endpoint = endpoint.capacity.endpoint;
   item.vouched = endpoint.vouched;
   item.idempotent = chunk.job.idempotent;
+  item.control = control;
   this->running.emplace(run, item);
   ++this->counted.items_started;
   StartItem action;
@@ -319,7 +349,7 @@
   action.idempotent = chunk.job.idempotent;
   action.endpoint = item.endpoint;
   action.body = chunk.run->line(start.item);
-  action.streamed = chunk.run->streamed(start.item);
+  if (!control) action.streamed = chunk.run->streamed(start.item);
   this->actions.emplace_back(std::move(action));
 }
 
@@ -362,7 +392,8 @@
   if (chunk->phase != Phase::kRunning) return;
   if (chunk->run->Finished()) {
     this->CommitChunk(now, *chunk);
-  } else if (this->draining && chunk->run->running() == 0) {
+  } else if (chunk->run->Stuck() ||
+             (this->draining && chunk->run->running() == 0)) {
     this->HandBack(now, *chunk);
   } else if (chunk->run->WantsIntent() && !this->draining) {
     this->WriteIntent(now, *chunk);
--- a/packages/policy/src/batch_node_lease.cc
+++ b/packages/policy/src/batch_node_lease.cc
@@ -259,9 +259,13 @@
   }
   this->asking = true;
   this->calls.Ask(now, {keys.begin(), keys.end()},
-                  [this](base::Instant at, const base::Status&) {
+                  [this, now](base::Instant at, const base::Status& status) {
                     // Those known to be cancelled are gone by now.
                     this->asking = false;
+                    const auto age = at - now;
+                    if (status.ok() && age > this->options.answer_valid_for) {
+                      return;
+                    }
                     this->unreachable = true;
                     this->Pump(at);
                     this->unreachable = false;
@@ -351,7 +355,7 @@
                          const std::string& input, const ItemResults& known) {
   auto& chunk = this->chunks.at(key);
   chunk.run.emplace(SplitLines(input), chunk.job.idempotent,
-                    this->options.poison, chunk.stored.row.sent, known);
+                    this->options.poison, chunk.stored.row, known);
   if (!this->options.mechanisms.intents) chunk.run->AllowMore(UINT32_MAX);
   chunk.phase = Phase::kRunning;
   this->Advance(now, key);
@@ -371,6 +375,10 @@
   chunk.phase = Phase::kReturning;
   ChunkRow next = chunk.stored.row;
   next.holder.clear();
+  if (chunk.run->Stuck()) {
+    ++next.returns;
+    this->paused[chunk.job.uid] = now + this->options.return_pause;
+  }
   this->UpdateRow(now, chunk, std::move(next));
 }
 
--- a/packages/policy/src/batch_state.cc
+++ b/packages/policy/src/batch_state.cc
@@ -149,7 +149,7 @@
   FieldWriter line;
   line.Number(row.token).Text(row.holder);
   line.Number(row.first_item).Number(row.items);
-  line.Number(row.sent).Text(row.partial);
+  line.Number(row.sent).Text(row.partial).Number(row.returns);
   return line.Take();
 }
 
@@ -162,6 +162,7 @@
   row.items = line.Number<std::uint32_t>();
   row.sent = line.Number<std::uint32_t>();
   row.partial = line.Text();
+  row.returns = line.Number<std::uint32_t>();
   if (!line.Whole()) return BadRow("chunk");
   return row;
 }
--- a/packages/testing/include/gypsumtrack/testing/batch_world.h
+++ b/packages/testing/include/gypsumtrack/testing/batch_world.h
@@ -44,6 +44,8 @@
   std::uint32_t chunk = 0;
   std::uint32_t item = 0;
   policy::ItemOutcome outcome = policy::ItemOutcome::kEndpointFailed;
+  /// Whether the VM reached the table, or a peer that did.
+  bool connected = true;
 };
 
 /// Lines with this text take their endpoint down.
@@ -94,6 +96,7 @@
   std::map<std::uint64_t, policy::ItemResult> Results(
       const SubmittedJob& job) const;
   const policy::BatchNode& node(std::size_t vm) const;  // NOLINT
+  bool Connected(std::size_t vm) const;
   bool Alive(std::size_t vm) const { return this->machines[vm].alive; }
   bool ReachesTable(std::size_t vm) const;
   std::uint64_t row_writes() const { return this->writes; }  // NOLINT
--- a/packages/testing/src/batch_world.cc
+++ b/packages/testing/src/batch_world.cc
@@ -213,7 +213,8 @@
   const auto index = IndexOf(item.endpoint);
   auto& endpoint = this->endpoints[index];
   const auto incarnation = this->machines[vm].incarnation;
-  ItemSend send{this->time, vm, item.job_uid, item.chunk, item.item, {}};
+  ItemSend send{this->time, vm, item.job_uid,       item.chunk,
+                item.item,  {}, this->Connected(vm)};
   if (endpoint.down_until > this->time) {
     send.outcome = policy::ItemOutcome::kNotRun;
     this->sent.push_back(send);
@@ -320,6 +321,7 @@
   if (this->machines[vm].cut_from_peers) return;
   for (std::size_t peer = 0; peer < this->machines.size(); ++peer) {
     if (peer == vm || this->machines[peer].cut_from_peers) continue;
+    if (this->machines[peer].paused_until > this->time) continue;
     const auto incarnation = this->machines[peer].incarnation;
     this->At(milliseconds(2), [this, peer, incarnation, uid = tell.job_uid] {
       this->Deliver(peer, incarnation, [this, uid](policy::BatchNode& node) {
@@ -485,6 +487,18 @@
   return *this->machines[vm].node;
 }
 
+bool BatchWorld::Connected(std::size_t vm) const {
+  if (this->ReachesTable(vm)) return true;
+  if (this->machines[vm].cut_from_peers) return false;
+  for (std::size_t peer = 0; peer < this->machines.size(); ++peer) {
+    const auto& machine = this->machines[peer];
+    const bool answers = machine.alive && !machine.cut_from_peers &&
+                         machine.paused_until <= this->time;
+    if (peer != vm && answers && this->ReachesTable(peer)) return true;
+  }
+  return false;
+}
+
 bool BatchWorld::ReachesTable(std::size_t vm) const {
   return !this->machines[vm].cut;
 }
