--- a/packages/policy/include/gypsumtrack/policy/batch_slots.h
+++ b/packages/policy/include/gypsumtrack/policy/batch_slots.h
@@ -24,6 +24,9 @@
   base::Instant reported_at{};
   /// Requests of this daemon at the endpoint now.
   std::uint32_t own_online = 0;
+  /// Requests of the other daemons of the domain, if they tell.
+  std::uint32_t peer_online = 0;
+  bool peers_known = false;
   std::uint32_t own_batch = 0;
 };
 
--- a/packages/policy/src/batch_slots.cc
+++ b/packages/policy/src/batch_slots.cc
@@ -64,7 +64,7 @@
   while (!state.peaks.empty() && state.peaks.front().at < oldest) {
     state.peaks.pop_front();
   }
-  std::uint32_t online = sample.own_online;
+  std::uint32_t online = sample.own_online + sample.peer_online;
   if (sample.reported_at != state.last.reported_at) {
     const auto batch = this->BatchAt(state, sample.reported_at);
     const auto running = sample.reported_running;
