--- a/packages/gateway/src/batch_runner.cc
+++ b/packages/gateway/src/batch_runner.cc
@@ -15,7 +15,7 @@
 namespace {
 
 constexpr base::Logger kLog{"batch"};
-constexpr auto kTick = std::chrono::milliseconds(50);
+constexpr auto kTick = std::chrono::milliseconds(20);
 constexpr base::Duration kStoreDeadline = std::chrono::seconds(5);
 constexpr base::Duration kPeerDeadline = std::chrono::seconds(1);
 constexpr std::size_t kPeersAsked = 3;
--- a/packages/policy/include/gypsumtrack/policy/batch_node.h
+++ b/packages/policy/include/gypsumtrack/policy/batch_node.h
@@ -43,6 +43,9 @@
   base::Duration probe_every = std::chrono::milliseconds(500);
   /// A peer's answer lets items start for this long after it was asked.
   base::Duration answer_valid_for = std::chrono::seconds(1);
+  /// Between two starts at an endpoint, so that prompts of batch items don't
+  /// queue up before an online one.
+  base::Duration start_every = std::chrono::milliseconds(30);
   base::Duration index_every = std::chrono::seconds(10);
   std::uint32_t index_page_rows = 200;
   std::uint32_t lease_scan_rows = 24;
@@ -155,6 +158,7 @@
     bool alone = false;
     /// Nothing starts before this after failures in a row.
     base::Instant retry_at{};
+    base::Instant start_at{};
     std::uint32_t failures = 0;
   };
   struct RunningItem {
--- a/packages/policy/include/gypsumtrack/policy/batch_scheduler.h
+++ b/packages/policy/include/gypsumtrack/policy/batch_scheduler.h
@@ -17,9 +17,12 @@
 
 struct SchedulerOptions {
   /// Items of credit that an organisation of share 1 gets in a round.
-  std::int64_t quantum_items = 160;
+  std::int64_t quantum_items = 10;
   /// Rounds of credit that an idle or overdrawn organisation may have.
-  std::int64_t max_rounds = 4;
+  std::int64_t max_rounds = 64;
+  /// VMs begin at different points of a round, this many items apart at most,
+  /// so that their choices add up to the organisations' shares soon.
+  std::uint64_t phase_items = 160;
   /// Every so many picks within an organisation go to its smallest job.
   std::uint32_t smallest_every = 4;
   /// A job is in danger once its due time is this near.
@@ -33,7 +36,7 @@
  public:
   using Eligible = std::function<bool(const BatchJob&)>;
 
-  explicit BatchScheduler(SchedulerOptions options);
+  BatchScheduler(SchedulerOptions options, std::uint64_t seed);
 
   // Commands.
 
@@ -69,6 +72,7 @@
   std::int64_t MaxCredit(const Queue& queue) const;
 
   SchedulerOptions options;
+  std::uint64_t seed;
   std::map<base::Organisation, Queue> queues;
   std::map<std::string, BatchJob> by_uid;
   /// The organisation picked last.
--- a/packages/policy/include/gypsumtrack/policy/batch_slots.h
+++ b/packages/policy/include/gypsumtrack/policy/batch_slots.h
@@ -31,18 +31,19 @@
 };
 
 struct SlotOptions {
-  /// Part of an endpoint's slots that batch never takes.
-  double spare_share = 0.1;
-  /// Room kept for each online request that was seen in the window.
+  /// Part of an endpoint's slots kept free for the next online requests: batch
+  /// is stopped when fewer are free, and takes more when this many still are.
+  double least_spare = 0.03;
+  double spare = 0.06;
+  /// Room beside, for each online request that was seen in the window and that
+  /// the other daemons didn't tell of.
   double burst_room = 0.5;
-  /// How long a peak of online requests is remembered.
+  /// How long a peak of online requests is remembered when others don't tell.
   base::Duration window = std::chrono::seconds(3);
   /// A report older than this counts as a busy endpoint.
   base::Duration report_lapse = std::chrono::seconds(5);
   /// How long batch stays away after online requests had to wait.
-  base::Duration hold = std::chrono::seconds(1);
-  /// Between two steps up of one slot.
-  base::Duration grow_every = std::chrono::milliseconds(200);
+  base::Duration hold = std::chrono::milliseconds(500);
 };
 
 /// Each endpoint's batch slots belong to one VM of its domain. A wrong view of
@@ -78,11 +79,12 @@
     std::deque<Peak> peaks;
     std::deque<BatchCount> batch_before;
     base::Instant held_until{};
-    base::Instant grow_at{};
     std::uint32_t granted = 0;
   };
 
-  std::uint32_t Target(const State& state, base::Instant now) const;
+  /// Online requests that the endpoint must be thought to have.
+  double Online(const State& state) const;
+  bool Blocked(const State& state, base::Instant now) const;
   std::uint32_t BatchAt(const State& state, base::Instant when) const;
 
   SlotOptions options;
--- a/packages/policy/src/batch_node.cc
+++ b/packages/policy/src/batch_node.cc
@@ -20,7 +20,7 @@
       calls(this->self),
       janitor(this->calls, HolderRowKey(this->self, 0), node_options.janitor,
               node_seed),
-      jobs(node_options.scheduler) {
+      jobs(node_options.scheduler, node_seed) {
   this->holder.key = HolderRowKey(this->self, this->epoch);
   this->holder.row.vm = this->self.name;
 }
@@ -286,8 +286,10 @@
 
 void BatchNode::FillEndpoint(base::Instant now, EndpointState& endpoint) {
   if (now < endpoint.retry_at) return;
-  while (endpoint.running < endpoint.capacity.slots && !endpoint.alone) {
+  while (endpoint.running < endpoint.capacity.slots && !endpoint.alone &&
+         now >= endpoint.start_at) {
     if (!this->StartOne(endpoint) && !this->StartControl(endpoint)) return;
+    endpoint.start_at = now + this->options.start_every;
   }
 }
 
--- a/packages/policy/src/batch_scheduler.cc
+++ b/packages/policy/src/batch_scheduler.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <tuple>
 
+#include "gypsumtrack/base/hash.h"
+
 namespace gypsumtrack::policy {
 
 bool BatchScheduler::DueOrder::operator()(const BatchJob& a,
@@ -11,12 +13,19 @@
          std::tie(b.due_at, b.items, b.uid);
 }
 
-BatchScheduler::BatchScheduler(SchedulerOptions scheduler_options)
-    : options(scheduler_options) {}
+BatchScheduler::BatchScheduler(SchedulerOptions scheduler_options,
+                               std::uint64_t scheduler_seed)
+    : options(scheduler_options), seed(scheduler_seed) {}
 
 void BatchScheduler::Put(const BatchJob& job) {
   this->Remove(job.uid);
-  auto& queue = this->queues[job.organisation];
+  const auto [entry, added] = this->queues.try_emplace(job.organisation);
+  auto& queue = entry->second;
+  if (added) {
+    const auto phase = base::Hash64(job.organisation.text, this->seed) %
+                       this->options.phase_items;
+    queue.credit = -static_cast<std::int64_t>(phase);
+  }
   queue.share = std::max(1U, job.share);
   queue.jobs.emplace(job, job.items);
   this->by_uid.emplace(job.uid, job);
--- a/packages/policy/src/batch_slots.cc
+++ b/packages/policy/src/batch_slots.cc
@@ -69,7 +69,8 @@
     const auto batch = this->BatchAt(state, sample.reported_at);
     const auto running = sample.reported_running;
     online = std::max(online, running > batch ? running - batch : 0);
-    if (sample.reported_waiting > 0) {
+    // A few always wait for the engine's next step; only a full one is late.
+    if (sample.reported_waiting > 0 && running >= state.endpoint.slots) {
       state.held_until = now + this->options.hold;
     }
   }
@@ -80,29 +81,32 @@
   state.last = sample;
 }
 
-std::uint32_t BatchSlots::Target(const State& state, base::Instant now) const {
-  const auto slots = state.endpoint.slots;
-  if (now < state.held_until) return 0;
-  const bool reported = state.last.reported_at != base::Instant{};
-  if (reported && now - state.last.reported_at > this->options.report_lapse) {
-    return 0;
+double BatchSlots::Online(const State& state) const {
+  if (state.last.peers_known) {
+    return state.last.own_online + state.last.peer_online;
   }
-  const double online = state.peaks.empty() ? 0 : state.peaks.front().online;
-  const double room = std::ceil(slots * this->options.spare_share) +
-                      std::ceil(online * (1 + this->options.burst_room));
-  return room >= slots ? 0 : slots - static_cast<std::uint32_t>(room);
+  const double peak = state.peaks.empty() ? 0 : state.peaks.front().online;
+  return std::ceil(peak * (1 + this->options.burst_room));
+}
+
+bool BatchSlots::Blocked(const State& state, base::Instant now) const {
+  if (now < state.held_until) return true;
+  const bool reported = state.last.reported_at != base::Instant{};
+  return reported && now - state.last.reported_at > this->options.report_lapse;
 }
 
 std::vector<BatchCapacity> BatchSlots::Capacity(base::Instant now) {
   std::vector<BatchCapacity> capacity;
   for (auto& [id, state] : this->owned) {
-    const auto target = this->Target(state, now);
-    if (target <= state.granted) {
-      state.granted = target;
-    } else if (now >= state.grow_at) {
-      ++state.granted;
-      state.grow_at = now + this->options.grow_every;
-    }
+    const double slots = state.endpoint.slots;
+    const double idle =
+        this->Blocked(state, now) ? 0 : slots - this->Online(state);
+    const auto part = [idle, slots](double spare) {
+      const double rest = idle - std::ceil(slots * spare);
+      return rest <= 0 ? 0U : static_cast<std::uint32_t>(rest);
+    };
+    state.granted = std::min(state.granted, part(this->options.least_spare));
+    state.granted = std::max(state.granted, part(this->options.spare));
     BatchCapacity offer;
     offer.endpoint = id;
     offer.service = state.endpoint.service;
--- a/packages/testing/include/gypsumtrack/testing/shared_fleet.h
+++ b/packages/testing/include/gypsumtrack/testing/shared_fleet.h
@@ -87,6 +87,8 @@
     std::unique_ptr<policy::BatchSlots> slots;
     /// Own online requests by endpoint.
     std::vector<std::uint32_t> online;
+    /// The same as the endpoint's owner was told.
+    std::vector<std::uint32_t> told;
     std::map<policy::RunId, std::uint64_t> requests;
   };
   struct Report {
@@ -106,6 +108,7 @@
               std::uint32_t items, base::Duration due_in);
   void Arrive();
   void SendOnline(std::size_t vm);
+  void Tell(std::size_t vm, std::size_t endpoint);
   std::size_t ChooseEndpoint(const Vm& vm);
   void ReportLoad();
   void TickVm(std::size_t vm);
--- a/packages/testing/src/batch_world.cc
+++ b/packages/testing/src/batch_world.cc
@@ -35,6 +35,7 @@
       random(world_options.seed),
       machines(world_options.vms),
       endpoints(world_options.endpoints) {
+  this->options.batch.start_every = base::Duration(0);
   for (std::size_t vm = 0; vm < this->machines.size(); ++vm) this->Start(vm);
 }
 
--- a/packages/testing/src/shared_fleet.cc
+++ b/packages/testing/src/shared_fleet.cc
@@ -10,12 +10,14 @@
 
 using std::chrono::milliseconds;
 
-constexpr base::Duration kSlotTick = milliseconds(10);
+constexpr base::Duration kSlotTick = milliseconds(20);
 constexpr base::Duration kStoreLatency = milliseconds(5);
 /// Caller to VM to endpoint, one way.
 constexpr base::Duration kOneWay = std::chrono::microseconds(2'500);
 /// One way between VMs of a domain.
 constexpr base::Duration kNoticeDelay = std::chrono::microseconds(1'500);
+/// A VM tells of its load at most this often.
+constexpr base::Duration kNoticeTick = milliseconds(20);
 constexpr base::Duration kIdleSample = milliseconds(10);
 constexpr base::Duration kWarmUp = std::chrono::seconds(10);
 constexpr std::uint32_t kChunkItems = 160;
@@ -82,6 +84,7 @@
     vm.id = {fmt::format("vm{}", i), 1};
     vm.domain = i / this->options.vms_per_domain;
     vm.online.resize(this->engines.size());
+    vm.told.resize(this->engines.size());
     vm.node = std::make_unique<policy::BatchNode>(
         vm.id, policy::BatchOptions{}, this->options.seed * 1000 + i);
     vm.slots = std::make_unique<policy::BatchSlots>(this->options.slots);
@@ -212,6 +215,7 @@
   const auto endpoint = this->ChooseEndpoint(vm);
   const auto sent_at = this->time;
   ++vm.online[endpoint];
+  this->Tell(index, endpoint);
   EngineRequest request;
   request.id = ++this->last_request;
   request.tokens = this->options.online_tokens;
@@ -226,12 +230,23 @@
   }
   request.end = [this, index, endpoint](base::Instant, std::uint32_t) {
     --this->vms[index].online[endpoint];
+    this->Tell(index, endpoint);
   };
   this->At(kOneWay, [this, endpoint, request] {
     this->engines[endpoint]->Submit(request);
   });
 }
 
+void SharedFleet::Tell(std::size_t index, std::size_t endpoint) {
+  const auto rest = kNoticeTick - this->time.time_since_epoch() % kNoticeTick;
+  this->At(rest, [this, index, endpoint] {
+    const auto count = this->vms[index].online[endpoint];
+    this->At(kNoticeDelay, [this, index, endpoint, count] {
+      this->vms[index].told[endpoint] = count;
+    });
+  });
+}
+
 void SharedFleet::ReportLoad() {
   for (std::size_t i = 0; i < this->engines.size(); ++i) {
     const Report report{this->time, this->engines[i]->running(),
@@ -264,7 +279,7 @@
     sample.own_batch = vm.node->Running(id);
     if (this->options.load_notices) {
       for (const auto& other : this->vms) {
-        if (other.id != vm.id) sample.peer_online += other.online[i];
+        if (other.id != vm.id) sample.peer_online += other.told[i];
       }
       sample.peers_known = true;
     }
--- a/packages/testing/tool/bench_batch.cc
+++ b/packages/testing/tool/bench_batch.cc
@@ -10,7 +10,7 @@
 namespace gypsumtrack::testing {
 namespace {
 
-constexpr std::uint64_t kSeeds = 3;
+constexpr std::uint64_t kSeeds = 5;
 constexpr std::uint64_t kRecoverySeeds = 50;
 
 double Quantile(const std::vector<double>& sorted, double part) {
@@ -110,9 +110,18 @@
       "ratio | throughput over oracle | worst share | late items | writes per "
       "item | stops per item |\n|---|---|---|---|---|---|---|---|---|---|---|"
       "---|\n");
-  PrintRow("online only", off, off);
+  fmt::print(
+      "| online only | {:.1f} | {:.1f} | {:.1f} | 1 | 1 | 1 | | | | | |\n",
+      off.p50, off.p99, off.p999);
   options.mode = FleetMode::kYield;
   PrintRow("yield", Measure(options), off);
+  for (const double spare : {0.15, 0.3, 0.6}) {
+    auto other = options;
+    other.slots.spare = spare;
+    other.slots.least_spare = std::min(spare, options.slots.least_spare);
+    PrintRow(fmt::format("yield, {:.0f}% spare", spare * 100), Measure(other),
+             off);
+  }
   options.load_notices = false;
   PrintRow("yield, reports only", Measure(options), off);
   options.mode = FleetMode::kOrdinary;
