--- a/packages/policy/include/gypsumtrack/policy/batch_slots.h
+++ b/packages/policy/include/gypsumtrack/policy/batch_slots.h
@@ -33,7 +33,7 @@
 struct SlotOptions {
   /// Part of an endpoint's slots kept free for the next online requests: batch
   /// is stopped when fewer are free, and takes more when this many still are.
-  double least_spare = 0.03;
+  double least_spare = 0.05;
   double spare = 0.06;
   /// Room beside, for each online request that was seen in the window and that
   /// the other daemons didn't tell of.
@@ -63,6 +63,9 @@
   // Queries.
 
   bool Owns(const base::EndpointId& endpoint) const;
+  /// The peer that owns the endpoint's batch slots in this view; null if it is
+  /// this VM, or the endpoint is of another domain.
+  static const PeerVm* OwnerOf(const FleetView& view, const Endpoint& endpoint);
 
  private:
   struct Peak {
@@ -80,6 +83,8 @@
     std::deque<BatchCount> batch_before;
     base::Instant held_until{};
     std::uint32_t granted = 0;
+    /// Online requests by the newest report.
+    std::uint32_t reported_online = 0;
   };
 
   /// Online requests that the endpoint must be thought to have.
--- a/packages/policy/src/batch_slots.cc
+++ b/packages/policy/src/batch_slots.cc
@@ -8,18 +8,10 @@
 namespace gypsumtrack::policy {
 namespace {
 
-/// Whether `self` has the highest score of its domain's live VMs.
+/// Whether this VM has the highest score of its domain's live VMs.
 bool IsOwner(const FleetView& view, const Endpoint& endpoint) {
-  if (endpoint.place.domain != view.place.domain) return false;
-  const auto& key = endpoint.id.text;
-  const auto own = base::RendezvousScore(key, view.self.name);
-  return std::none_of(view.peers.begin(), view.peers.end(),
-                      [&](const PeerVm& peer) {
-                        return peer.place.domain == view.place.domain &&
-                               peer.state == PeerState::kLive &&
-                               peer.id.name != view.self.name &&
-                               base::RendezvousScore(key, peer.id.name) > own;
-                      });
+  return endpoint.place.domain == view.place.domain &&
+         BatchSlots::OwnerOf(view, endpoint) == nullptr;
 }
 
 }  // namespace
@@ -68,7 +60,8 @@
   if (sample.reported_at != state.last.reported_at) {
     const auto batch = this->BatchAt(state, sample.reported_at);
     const auto running = sample.reported_running;
-    online = std::max(online, running > batch ? running - batch : 0);
+    state.reported_online = running > batch ? running - batch : 0;
+    online = std::max(online, state.reported_online);
     // A few always wait for the engine's next step; only a full one is late.
     if (sample.reported_waiting > 0 && running >= state.endpoint.slots) {
       state.held_until = now + this->options.hold;
@@ -83,7 +76,12 @@
 
 double BatchSlots::Online(const State& state) const {
   if (state.last.peers_known) {
-    return state.last.own_online + state.last.peer_online;
+    // Half of the report's surplus: it covers lost notices, and errs by the
+    // batch items that came or went since.
+    const auto told = state.last.own_online + state.last.peer_online;
+    const auto surplus =
+        state.reported_online > told ? state.reported_online - told : 0;
+    return told + surplus / 2;
   }
   const double peak = state.peaks.empty() ? 0 : state.peaks.front().online;
   return std::ceil(peak * (1 + this->options.burst_room));
@@ -117,6 +115,23 @@
   return capacity;
 }
 
+const PeerVm* BatchSlots::OwnerOf(const FleetView& view,
+                                  const Endpoint& endpoint) {
+  if (endpoint.place.domain != view.place.domain) return nullptr;
+  const auto& key = endpoint.id.text;
+  auto best = base::RendezvousScore(key, view.self.name);
+  const PeerVm* owner = nullptr;
+  for (const auto& peer : view.peers) {
+    if (peer.place.domain != view.place.domain) continue;
+    if (peer.state != PeerState::kLive) continue;
+    const auto score = base::RendezvousScore(key, peer.id.name);
+    if (score <= best) continue;
+    best = score;
+    owner = &peer;
+  }
+  return owner;
+}
+
 bool BatchSlots::Owns(const base::EndpointId& endpoint) const {
   return this->owned.count(endpoint) != 0;
 }
--- a/packages/testing/include/gypsumtrack/testing/engine_model.h
+++ b/packages/testing/include/gypsumtrack/testing/engine_model.h
@@ -2,75 +2,50 @@
 #define GYPSUMTRACK_TESTING_ENGINE_MODEL_H_
 
 #include <cstdint>
-#include <deque>
-#include <functional>
-#include <map>
-#include <vector>
+#include <list>
+#include <string>
+#include <string_view>
+#include <unordered_map>
 
 #include "gypsumtrack/base/time.h"
 
-/// A model engine that batches continuously and knows no priorities.
+/// What a model engine computes and how long that takes, without sockets.
 namespace gypsumtrack::testing {
 
-struct EngineOptions {
-  std::uint32_t slots = 32;
-  /// A decoding step, and what each running request adds to it.
-  base::Duration step = std::chrono::microseconds(20'000);
-  base::Duration step_per_request = std::chrono::microseconds(100);
-  /// Prompts that one step reads.
-  std::uint32_t prefills_per_step = 4;
-};
+/// Token `index` of the answer to `prompt`: the same each time. Thread-safe.
+std::string AnswerToken(std::string_view prompt, std::uint64_t index);
 
-/// A request at the engine.
-struct EngineRequest {
-  std::uint64_t id = 0;
-  std::uint32_t tokens = 0;
-  /// Time to read what the prefix cache doesn't hold of the prompt.
-  base::Duration prefill = std::chrono::microseconds(8'000);
-  std::function<void(base::Instant)> first_token;
-  /// With the number of tokens streamed; fewer than asked for when stopped.
-  std::function<void(base::Instant, std::uint32_t)> end;
-};
+/// The first `tokens` tokens of the answer. Thread-safe.
+std::string AnswerText(std::string_view prompt, std::uint64_t tokens);
 
-/// Driven by the caller's event queue. Not thread-safe.
-class EngineModel {
+/// Prompt prefixes that an engine holds in limited memory; the least recently
+/// used goes first. Not thread-safe.
+class PrefixCache {
  public:
-  using Schedule = std::function<void(base::Duration, std::function<void()>)>;
-  using Now = std::function<base::Instant()>;
-
-  EngineModel(EngineOptions options, Now now, Schedule schedule);
-
-  // Commands.
+  explicit PrefixCache(std::size_t max_entries);
 
-  void Submit(EngineRequest request);
-  /// Takes effect at the end of the step.
-  void Stop(std::uint64_t id);
-  /// Changes how many requests run at once.
-  void SetSlots(std::uint32_t slots) { this->options.slots = slots; }
+  /// Bytes of the prompt found in the cache; the prompt is cached from now on.
+  std::size_t Use(std::string_view prompt);
 
-  // Queries.
+ private:
+  using Order = std::list<std::uint64_t>;
 
-  std::uint32_t running() const;  // NOLINT
-  std::uint32_t waiting() const;  // NOLINT
+  void Insert(std::uint64_t block);
 
- private:
-  struct Running {
-    EngineRequest request;
-    std::uint32_t streamed = 0;
-    bool prefilled = false;
-    bool reading = false;
-    bool stopped = false;
-  };
+  std::size_t max_entries;
+  Order recent;
+  std::unordered_map<std::uint64_t, Order::iterator> blocks;
+};
 
-  void BeginStep();
-  void EndStep();
+struct EngineTiming {
+  base::Duration prefill_per_kilobyte = std::chrono::milliseconds(2);
+  /// A token's time in an engine that runs nothing else.
+  base::Duration decode_step = std::chrono::milliseconds(1);
+  /// Added for each further request that runs, as a share of decode_step.
+  double batch_slowdown = 0.05;
 
-  EngineOptions options;
-  Now now;
-  Schedule schedule;
-  bool stepping = false;
-  std::vector<Running> active;
-  std::deque<EngineRequest> queue;
+  base::Duration Prefill(std::size_t uncached_bytes) const;
+  base::Duration Step(std::uint32_t running) const;
 };
 
 }  // namespace gypsumtrack::testing
--- a/packages/testing/include/gypsumtrack/testing/shared_fleet.h
+++ b/packages/testing/include/gypsumtrack/testing/shared_fleet.h
@@ -13,7 +13,7 @@
 #include "gypsumtrack/platform/memory_platform.h"
 #include "gypsumtrack/policy/batch_node.h"
 #include "gypsumtrack/policy/batch_slots.h"
-#include "gypsumtrack/testing/engine_model.h"
+#include "gypsumtrack/testing/step_engine.h"
 
 /// Online and batch work on one fleet of modelled engines, in virtual time.
 namespace gypsumtrack::testing {
@@ -39,7 +39,7 @@
   std::uint32_t vms_per_domain = 4;
   std::uint32_t endpoints_per_domain = 6;
   base::Duration length = std::chrono::seconds(240);
-  EngineOptions engine;
+  StepEngineOptions engine;
   /// Online requests a second at each endpoint, outside bursts.
   double online_rate = 3.0;
   double burst_factor = 3.0;
@@ -134,7 +134,7 @@
   std::multimap<base::Instant, std::function<void()>> events;
   platform::MemoryPlatform memory;
   std::vector<Vm> vms;
-  std::vector<std::unique_ptr<EngineModel>> engines;
+  std::vector<std::unique_ptr<StepEngine>> engines;
   std::vector<Report> reports;
   policy::FleetView view;
   std::vector<Organisation> organisations;
--- a/packages/testing/src/engine_model.cc
+++ b/packages/testing/src/engine_model.cc
@@ -1,86 +1,67 @@
 #include "gypsumtrack/testing/engine_model.h"
 
-#include <algorithm>
-#include <utility>
+#include <fmt/format.h>
+
+#include "gypsumtrack/base/hash.h"
 
 namespace gypsumtrack::testing {
+namespace {
 
-EngineModel::EngineModel(EngineOptions engine_options, Now clock, Schedule at)
-    : options(engine_options), now(std::move(clock)), schedule(std::move(at)) {}
+constexpr std::size_t kBlockBytes = 64;
+constexpr std::uint64_t kVocabulary = 1 << 20;
+constexpr double kBytesPerKilobyte = 1024;
 
-void EngineModel::Submit(EngineRequest request) {
-  this->queue.push_back(std::move(request));
-  if (!this->stepping) this->BeginStep();
+base::Duration Scale(base::Duration duration, double by) {
+  return std::chrono::duration_cast<base::Duration>(duration * by);
 }
 
-void EngineModel::Stop(std::uint64_t id) {
-  const auto waits = std::find_if(
-      this->queue.begin(), this->queue.end(),
-      [id](const EngineRequest& request) { return request.id == id; });
-  if (waits != this->queue.end()) {
-    const auto request = std::move(*waits);
-    this->queue.erase(waits);
-    request.end(this->now(), 0);
-    return;
-  }
-  for (auto& running : this->active) {
-    if (running.request.id == id) running.stopped = true;
-  }
-}
+}  // namespace
 
-std::uint32_t EngineModel::running() const {
-  return static_cast<std::uint32_t>(this->active.size());
+std::string AnswerToken(std::string_view prompt, std::uint64_t index) {
+  return fmt::format(" w{:x}", base::Hash64(prompt, index) % kVocabulary);
 }
 
-std::uint32_t EngineModel::waiting() const {
-  return static_cast<std::uint32_t>(this->queue.size());
+std::string AnswerText(std::string_view prompt, std::uint64_t tokens) {
+  std::string text;
+  for (std::uint64_t i = 0; i < tokens; ++i) text += AnswerToken(prompt, i);
+  return text;
 }
 
-void EngineModel::BeginStep() {
-  while (!this->queue.empty() && this->active.size() < this->options.slots) {
-    Running next;
-    next.request = std::move(this->queue.front());
-    this->active.push_back(std::move(next));
-    this->queue.pop_front();
-  }
-  this->stepping = !this->active.empty();
-  if (!this->stepping) return;
-  std::uint32_t reads = 0;
-  base::Duration reading{0};
-  for (auto& running : this->active) {
-    if (running.prefilled || reads == this->options.prefills_per_step) continue;
-    running.reading = true;
-    reading += running.request.prefill;
-    ++reads;
+PrefixCache::PrefixCache(std::size_t max_entries) : max_entries(max_entries) {}
+
+std::size_t PrefixCache::Use(std::string_view prompt) {
+  std::size_t found = 0;
+  bool unbroken = true;
+  std::uint64_t block = 0;
+  for (std::size_t end = kBlockBytes; end <= prompt.size();
+       end += kBlockBytes) {
+    block = base::Hash64(prompt.substr(end - kBlockBytes, kBlockBytes), block);
+    unbroken = unbroken && this->blocks.count(block) != 0;
+    if (unbroken) found = end;
+    this->Insert(block);
   }
-  const auto requests = static_cast<std::int64_t>(this->active.size());
-  this->schedule(
-      this->options.step + this->options.step_per_request * requests + reading,
-      [this] { this->EndStep(); });
+  return found;
 }
 
-void EngineModel::EndStep() {
-  std::vector<Running> ended;
-  for (auto& running : this->active) {
-    if (running.reading) {
-      running.reading = false;
-      running.prefilled = true;
-      if (running.request.first_token) running.request.first_token(this->now());
-    }
-    if (running.prefilled) ++running.streamed;
-  }
-  std::erase_if(this->active, [&ended](Running& running) {
-    if (!running.stopped && running.streamed < running.request.tokens) {
-      return false;
-    }
-    ended.push_back(std::move(running));
-    return true;
-  });
-  // Callers may submit from these handlers: the step isn't over before them.
-  for (const auto& running : ended) {
-    running.request.end(this->now(), running.streamed);
-  }
-  this->BeginStep();
+void PrefixCache::Insert(std::uint64_t block) {
+  if (this->max_entries == 0) return;
+  const auto known = this->blocks.find(block);
+  if (known != this->blocks.end()) this->recent.erase(known->second);
+  this->recent.push_front(block);
+  this->blocks[block] = this->recent.begin();
+  if (this->blocks.size() <= this->max_entries) return;
+  this->blocks.erase(this->recent.back());
+  this->recent.pop_back();
+}
+
+base::Duration EngineTiming::Prefill(std::size_t uncached_bytes) const {
+  return Scale(this->prefill_per_kilobyte,
+               static_cast<double>(uncached_bytes) / kBytesPerKilobyte);
+}
+
+base::Duration EngineTiming::Step(std::uint32_t running) const {
+  const auto others = running > 0 ? running - 1 : 0;
+  return Scale(this->decode_step, 1 + this->batch_slowdown * others);
 }
 
 }  // namespace gypsumtrack::testing
--- a/packages/testing/src/shared_fleet.cc
+++ b/packages/testing/src/shared_fleet.cc
@@ -10,14 +10,14 @@
 
 using std::chrono::milliseconds;
 
-constexpr base::Duration kSlotTick = milliseconds(20);
+constexpr base::Duration kSlotTick = milliseconds(10);
 constexpr base::Duration kStoreLatency = milliseconds(5);
 /// Caller to VM to endpoint, one way.
 constexpr base::Duration kOneWay = std::chrono::microseconds(2'500);
 /// One way between VMs of a domain.
 constexpr base::Duration kNoticeDelay = std::chrono::microseconds(1'500);
 /// A VM tells of its load at most this often.
-constexpr base::Duration kNoticeTick = milliseconds(20);
+constexpr base::Duration kNoticeTick = milliseconds(5);
 constexpr base::Duration kIdleSample = milliseconds(10);
 constexpr base::Duration kWarmUp = std::chrono::seconds(10);
 constexpr std::uint32_t kChunkItems = 160;
@@ -44,7 +44,7 @@
                      {"tanta-club", 1}}) {
   const auto count = this->options.domains * this->options.endpoints_per_domain;
   for (std::uint32_t i = 0; i < count; ++i) {
-    this->engines.push_back(std::make_unique<EngineModel>(
+    this->engines.push_back(std::make_unique<StepEngine>(
         this->options.engine, [this] { return this->time; },
         [this](base::Duration after, std::function<void()> run) {
           this->At(after, std::move(run));
