--- a/packages/gateway/src/batch_runner.cc
+++ b/packages/gateway/src/batch_runner.cc
@@ -15,7 +15,11 @@
 namespace {
 
 constexpr base::Logger kLog{"batch"};
-constexpr auto kTick = std::chrono::milliseconds(50);
+constexpr auto kTick = std::chrono::milliseconds(10);
+/// A count that a peer told is good for this long, and told again sooner.
+constexpr base::Duration kLoadLapse = std::chrono::seconds(3);
+constexpr base::Duration kLoadRepeat = std::chrono::seconds(1);
+constexpr const char* kLoadNotice = "batch.load";
 constexpr base::Duration kStoreDeadline = std::chrono::seconds(5);
 constexpr base::Duration kPeerDeadline = std::chrono::seconds(1);
 constexpr std::size_t kPeersAsked = 3;
@@ -53,7 +57,19 @@
 
  private:
   base::Instant Now() const { return this->runtime->clock.now(); }
+  /// Online requests that a VM has at an endpoint, as it was told.
+  struct ToldLoad {
+    std::uint32_t online = 0;
+    base::Instant at{};
+  };
+  using EndpointLoads = std::map<base::EndpointId, ToldLoad>;
+
   void UpdateSlots();
+  void TellOwners(const policy::FleetView& view,
+                  const std::vector<policy::LoadSample>& samples);
+  void OnLoad(const base::VmId& from, const std::string& endpoint,
+              std::uint32_t online);
+  std::uint32_t PeerOnline(const base::EndpointId& endpoint);
   void Perform();
   void Do(policy::CommitCall call);
   void Do(policy::ScanCall call);
@@ -89,6 +105,8 @@
   policy::BatchSlots slots;
   boost::asio::steady_timer timer;
   std::map<policy::RunId, std::shared_ptr<StopSignal>> running;
+  EndpointLoads told;
+  std::map<base::EndpointId, std::map<base::VmId, ToldLoad>> heard;
   bool performing = false;
   bool draining = false;
   std::function<void()> done;
@@ -123,14 +141,63 @@
   this->slots.SetFleet(*view);
   const auto now = this->Now();
   if (this->hooks.observe) {
-    for (auto sample : this->hooks.observe()) {
+    auto samples = this->hooks.observe();
+    this->TellOwners(*view, samples);
+    for (auto& sample : samples) {
+      if (!this->slots.Owns(sample.endpoint)) continue;
       sample.own_batch = this->node.Running(sample.endpoint);
+      sample.peer_online = this->PeerOnline(sample.endpoint);
+      sample.peers_known = true;
       this->slots.Observe(now, sample);
     }
   }
   this->node.SetCapacity(now, this->slots.Capacity(now));
 }
 
+/// Reports lag by more than a burst needs to fill an endpoint, so each VM tells
+/// the owner of the batch slots when its online requests there change.
+void BatchRunner::State::TellOwners(
+    const policy::FleetView& view,
+    const std::vector<policy::LoadSample>& samples) {
+  if (!this->runtime->peers.notify) return;
+  std::map<base::EndpointId, std::uint32_t> online;
+  for (const auto& sample : samples) {
+    online[sample.endpoint] = sample.own_online;
+  }
+  const auto now = this->Now();
+  for (const auto& endpoint : view.endpoints) {
+    const auto count = online[endpoint.id];
+    auto& last = this->told[endpoint.id];
+    const bool repeat = count > 0 && now - last.at > kLoadRepeat;
+    if (count == last.online && !repeat) continue;
+    last = {count, now};
+    const auto* owner = policy::BatchSlots::OwnerOf(view, endpoint);
+    if (owner == nullptr) continue;
+    Json::Value params;
+    params["endpoint"] = endpoint.id.text;
+    params["online"] = count;
+    this->runtime->peers.notify(owner->address, kLoadNotice, params);
+  }
+}
+
+void BatchRunner::State::OnLoad(const base::VmId& from,
+                                const std::string& endpoint,
+                                std::uint32_t online) {
+  this->heard[base::EndpointId(endpoint)][from] = {online, this->Now()};
+}
+
+std::uint32_t BatchRunner::State::PeerOnline(const base::EndpointId& endpoint) {
+  const auto found = this->heard.find(endpoint);
+  if (found == this->heard.end()) return 0;
+  const auto now = this->Now();
+  std::erase_if(found->second, [now](const auto& entry) {
+    return now - entry.second.at > kLoadLapse;
+  });
+  std::uint32_t sum = 0;
+  for (const auto& [vm, load] : found->second) sum += load.online;
+  return sum;
+}
+
 void BatchRunner::State::Perform() {
   if (this->performing) return;
   this->performing = true;
@@ -279,6 +346,19 @@
                             });
         });
   }
+  if (peers.on_notice) {
+    peers.on_notice(kLoadNotice, [weak](const base::VmId& from,
+                                        const Json::Value& params) {
+      const auto self = weak.lock();
+      if (!self || !params["endpoint"].isString()) return;
+      if (!params["online"].isUInt()) return;
+      boost::asio::post(self->runtime->control,
+                        [self, from, endpoint = params["endpoint"].asString(),
+                         online = params["online"].asUInt()] {
+                          self->OnLoad(from, endpoint, online);
+                        });
+    });
+  }
   if (peers.on_call) {
     peers.on_call(kFindEndedCall, [weak](const base::VmId&,
                                          const Json::Value& params,
--- a/packages/policy/include/gypsumtrack/policy/batch_slots.h
+++ b/packages/policy/include/gypsumtrack/policy/batch_slots.h
@@ -24,22 +24,26 @@
   base::Instant reported_at{};
   /// Requests of this daemon at the endpoint now.
   std::uint32_t own_online = 0;
+  /// Requests of the other daemons of the domain, if they tell.
+  std::uint32_t peer_online = 0;
+  bool peers_known = false;
   std::uint32_t own_batch = 0;
 };
 
 struct SlotOptions {
-  /// Part of an endpoint's slots that batch never takes.
-  double spare_share = 0.1;
-  /// Room kept for each online request that was seen in the window.
+  /// Part of an endpoint's slots kept free for the next online requests: batch
+  /// is stopped when fewer are free, and takes more when this many still are.
+  double least_spare = 0.05;
+  double spare = 0.06;
+  /// Room beside, for each online request that was seen in the window and that
+  /// the other daemons didn't tell of.
   double burst_room = 0.5;
-  /// How long a peak of online requests is remembered.
+  /// How long a peak of online requests is remembered when others don't tell.
   base::Duration window = std::chrono::seconds(3);
   /// A report older than this counts as a busy endpoint.
   base::Duration report_lapse = std::chrono::seconds(5);
   /// How long batch stays away after online requests had to wait.
-  base::Duration hold = std::chrono::seconds(1);
-  /// Between two steps up of one slot.
-  base::Duration grow_every = std::chrono::milliseconds(200);
+  base::Duration hold = std::chrono::milliseconds(500);
 };
 
 /// Each endpoint's batch slots belong to one VM of its domain. A wrong view of
@@ -59,6 +63,9 @@
   // Queries.
 
   bool Owns(const base::EndpointId& endpoint) const;
+  /// The peer that owns the endpoint's batch slots in this view; null if it is
+  /// this VM, or the endpoint is of another domain.
+  static const PeerVm* OwnerOf(const FleetView& view, const Endpoint& endpoint);
 
  private:
   struct Peak {
@@ -75,11 +82,14 @@
     std::deque<Peak> peaks;
     std::deque<BatchCount> batch_before;
     base::Instant held_until{};
-    base::Instant grow_at{};
     std::uint32_t granted = 0;
+    /// Online requests by the newest report.
+    std::uint32_t reported_online = 0;
   };
 
-  std::uint32_t Target(const State& state, base::Instant now) const;
+  /// Online requests that the endpoint must be thought to have.
+  double Online(const State& state) const;
+  bool Blocked(const State& state, base::Instant now) const;
   std::uint32_t BatchAt(const State& state, base::Instant when) const;
 
   SlotOptions options;
--- a/packages/testing/tool/bench.h
+++ b/packages/testing/tool/bench.h
@@ -10,6 +10,9 @@
 /// Prints waits under several ways of routing. Returns the exit status.
 int BenchRouting(const std::vector<std::string>& args);
 
+/// Prints how batch does beside online. Returns the exit status.
+int BenchBatch(const std::vector<std::string>& args);
+
 }  // namespace gypsumtrack::bench
 
 #endif  // GYPSUMTRACK_TESTING_TOOL_BENCH_H_
--- a/packages/testing/tool/bench_main.cc
+++ b/packages/testing/tool/bench_main.cc
@@ -19,6 +19,8 @@
 constexpr Bench kBenches[] = {
     {"routing", "waits of requests under several ways of choosing endpoints",
      gypsumtrack::bench::BenchRouting},
+    {"batch", "throughput beside online, harm to online, shares, recovery",
+     gypsumtrack::bench::BenchBatch},
 };
 
 int PrintUsage() {
