--- a/packages/policy/include/gypsumtrack/policy/config_node.h
+++ b/packages/policy/include/gypsumtrack/policy/config_node.h
@@ -116,6 +116,7 @@
   void Fetch(base::Instant now, const std::string& from, ConfigActions& out);
   void TellAnnounce(base::Instant now, ConfigActions& out);
   Announce MakeAnnounce(base::Instant now) const;
+  std::string FarVm(std::size_t turn) const;
   std::vector<std::string> StartPeers() const;
   bool StartedWhole(base::Instant now) const;
 
@@ -147,7 +148,8 @@
 
   base::Instant announce_at{};
   base::Instant announced_as_of{};
-  std::size_t next_neighbour = 0;
+  /// Counts the questions to others while nothing comes from above.
+  std::size_t turns = 0;
   std::optional<base::Instant> outside_at;
   std::map<std::string, base::Instant> fetched_at;
   /// Operation ids of the node's own proposals, and the rounds they end.
--- a/packages/policy/src/config_node.cc
+++ b/packages/policy/src/config_node.cc
@@ -299,11 +299,27 @@
   }
   this->announce_at = now + this->options.announce;
   if (!this->reader.IsSilent(now)) return;
-  // Nothing comes from above: ask around in the domain.
+  // Nothing comes from above: ask around, here and in the other domains.
+  this->announce_at = now + this->options.announce / 2;
+  const auto announce = this->MakeAnnounce(now);
+  const auto turn = this->turns++;
   const auto& near = this->tree.neighbours();
-  if (near.empty()) return;
-  const auto& vm = near[this->next_neighbour++ % near.size()];
-  out.push_back(SendMessage{vm, this->MakeAnnounce(now)});
+  if (!near.empty()) {
+    out.push_back(SendMessage{near[turn % near.size()], announce});
+  }
+  const auto far = this->FarVm(turn);
+  if (!far.empty()) out.push_back(SendMessage{far, announce});
+}
+
+std::string ConfigNode::FarVm(std::size_t turn) const {
+  const auto& domains = this->tree.domains();
+  if (domains.size() < 2) return {};
+  // One domain after the other, and another VM of it each time round.
+  auto domain = domains.begin();
+  std::advance(domain, turn % domains.size());
+  if (domain->first == this->tree.domain()) return {};
+  const auto& vms = domain->second;
+  return vms[(turn / domains.size()) % vms.size()];
 }
 
 std::vector<std::string> ConfigNode::StartPeers() const {
