--- a/packages/policy/src/rule.cc
+++ b/packages/policy/src/rule.cc
@@ -2,7 +2,10 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <charconv>
+#include <iterator>
+#include <map>
 #include <optional>
 #include <set>
 #include <string_view>
@@ -10,6 +13,13 @@
 namespace gypsumtrack::policy {
 namespace {
 
+constexpr double kHighestRate = 1e6;
+constexpr std::string_view kMethods[] = {"GET",   "HEAD",   "POST",   "PUT",
+                                         "PATCH", "DELETE", "OPTIONS"};
+/// Fields that say nothing on an open rule, which isn't limited.
+constexpr std::string_view kAllowOnly[] = {"org", "rate", "burst", "bulk",
+                                           "share"};
+
 struct Token {
   std::string_view text;
   std::size_t column = 0;
@@ -50,10 +60,29 @@
   return std::nullopt;
 }
 
+bool IsNameCharacter(char c) {
+  return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+         (c >= '0' && c <= '9') || c == '-' || c == '_' || c == '.' ||
+         c == ':' || c == '/';
+}
+
+bool IsName(std::string_view text) {
+  return std::all_of(text.begin(), text.end(), IsNameCharacter);
+}
+
+bool IsMethod(std::string_view text) {
+  return text == "*" || std::find(std::begin(kMethods), std::end(kMethods),
+                                  text) != std::end(kMethods);
+}
+
 /// Sets one field; returns what was expected if the value doesn't fit.
 std::string SetField(Rule& rule, std::string_view name,
                      std::string_view value) {
   if (value.empty()) return fmt::format("a value after {}=", name);
+  const bool is_name = name == "org" || name == "service" || name == "model";
+  if (is_name && !IsName(value)) {
+    return "a name of letters, digits and - _ . : /";
+  }
   if (name == "org") {
     rule.id.organisation = base::Organisation(std::string(value));
   } else if (name == "service") {
@@ -68,7 +97,9 @@
     }
     const auto rate =
         ParseNumber<double>(value.substr(0, value.size() - kUnit.size()));
-    if (!rate || !(*rate > 0)) return "a rate above zero, such as 40/s";
+    if (!rate || !(*rate > 0) || *rate > kHighestRate) {
+      return "a rate above zero and up to 1000000/s, such as 40/s";
+    }
     rule.rate_per_second = *rate;
   } else if (name == "burst") {
     const auto burst = ParseNumber<std::uint32_t>(value);
@@ -87,7 +118,13 @@
     if (colon == std::string_view::npos || value.substr(colon + 1, 1) != "/") {
       return "a route such as POST:/confirm";
     }
-    rule.id.route = {std::string(value.substr(0, colon)),
+    const auto method = value.substr(0, colon);
+    if (!IsMethod(method)) {
+      return "a route whose method is * or one of GET, HEAD, POST, PUT, PATCH, "
+             "DELETE, OPTIONS";
+    }
+    // Any method is the empty one.
+    rule.id.route = {method == "*" ? "" : std::string(method),
                      std::string(value.substr(colon + 1))};
   } else if (name == "isolated") {
     const auto mode = kIsolatedModeNames.Parse(value);
@@ -111,6 +148,11 @@
   return {};
 }
 
+bool IsAllowOnly(std::string_view name) {
+  return std::find(std::begin(kAllowOnly), std::end(kAllowOnly), name) !=
+         std::end(kAllowOnly);
+}
+
 base::Error ErrorAt(std::size_t line, std::size_t column,
                     std::string_view expected) {
   return {base::Errc::kInvalid,
@@ -141,6 +183,10 @@
     if (!seen.insert(name).second) {
       return ErrorAt(number, word.column, fmt::format("{} only once", name));
     }
+    if (rule.id.kind == RuleKind::kOpen && IsAllowOnly(name)) {
+      return ErrorAt(number, word.column,
+                     fmt::format("no {} on an open rule", name));
+    }
     const auto expected = SetField(rule, name, word.text.substr(equals + 1));
     if (!expected.empty()) return ErrorAt(number, word.column, expected);
   }
@@ -153,7 +199,7 @@
 
 base::Outcome<RuleSet> ParseRules(const std::string& text) {
   RuleSet rules;
-  std::set<RuleIdentity> seen;
+  std::map<RuleIdentity, std::size_t> seen;
   std::string_view rest = text;
   for (std::size_t number = 1; !rest.empty(); ++number) {
     const auto stop = rest.find('\n');
@@ -163,8 +209,12 @@
     if (trimmed.empty() || trimmed.front() == '#') continue;
     auto rule = ParseLine(line, number);
     if (!rule.ok()) return rule.error();
-    if (!seen.insert(rule->id).second) {
-      return ErrorAt(number, 1, "no second rule for the same caller and route");
+    const auto [first, added] = seen.emplace(rule->id, number);
+    if (!added) {
+      return ErrorAt(number, 1,
+                     fmt::format("no second rule for the same caller and route "
+                                 "as line {}",
+                                 first->second));
     }
     rules.push_back(std::move(*rule));
   }
@@ -187,7 +237,8 @@
     if (rule.share != 1) add("share", rule.share);
   }
   if (!id.route.path_prefix.empty()) {
-    add("route", fmt::format("{}:{}", id.route.method, id.route.path_prefix));
+    const std::string method = id.route.method.empty() ? "*" : id.route.method;
+    add("route", fmt::format("{}:{}", method, id.route.path_prefix));
   }
   if (!rule.idempotent) add("idempotent", "no");
   if (rule.isolated != IsolatedMode::kServe) {
