--- /dev/null
+++ b/packages/gateway/src/isolated_admission.cc
@@ -0,0 +1,30 @@
+#include "gypsumtrack/gateway/isolated_admission.h"
+
+#include <utility>
+
+namespace gypsumtrack::gateway {
+namespace {
+
+constexpr base::Duration kRetryAfter = std::chrono::seconds(5);
+
+boost::asio::awaitable<Admission> Refuse(base::Instant now) {
+  Admission refused;
+  refused.verdict = AdmissionVerdict::kIsolated;
+  refused.retry_at = now + kRetryAfter;
+  co_return refused;
+}
+
+}  // namespace
+
+AdmitHook RefuseIsolated(std::function<bool()> isolated, base::Clock clock,
+                         AdmitHook next) {
+  return [isolated = std::move(isolated), clock = std::move(clock),
+          next = std::move(next)](const policy::Rule& rule,
+                                  base::Instant deadline) {
+    const bool refuses = rule.isolated == policy::IsolatedMode::kRefuse;
+    if (refuses && isolated()) return Refuse(clock.now());
+    return next(rule, deadline);
+  };
+}
+
+}  // namespace gypsumtrack::gateway
--- a/packages/testing/test/config_sim_test.cc
+++ b/packages/testing/test/config_sim_test.cc
@@ -85,6 +85,9 @@
   options.loss = 30;
   options.duplicates = 20;
   options.lost_answers = 100;
+  // Often enough that starting VMs read snapshots and dropped rows are missed.
+  options.node.snapshot_every = 10;
+  options.node.kept_rows = 5;
   return options;
 }
 
@@ -465,6 +468,52 @@
   }
 }
 
+TEST_CASE("a starting VM reads the snapshot and the rows after it") {
+  ConfigSim sim(Faulty(1));
+  ScheduleChanges(sim, StartOf(sim), 40);
+  sim.RunUntil(sim.now() + seconds(40));
+  CHECK(sim.table().log.size() == 40);
+  REQUIRE(sim.table().snapshot);
+  CHECK(sim.table().snapshot->revision >= 30);
+  CHECK(sim.table().dropped_to >= 25);
+  sim.Restart(5);
+  sim.RunUntil(sim.now() + seconds(5));
+  CHECK(sim.node(5).in_force() == 40);
+  CHECK(sim.node(5).log().state() == sim.node(0).log().state());
+}
+
+TEST_CASE("a domain knows that it is cut off") {
+  ConfigSim sim({});
+  sim.RunUntil(sim.now() + seconds(5));
+  const auto cut = [&](bool on) {
+    sim.CutDomains(0, 1, on);
+    sim.CutDomains(1, 2, on);
+    sim.CutFromTable(1, on);
+    sim.RunUntil(sim.now() + seconds(8));
+  };
+  const auto isolated = [&](std::uint32_t domain) {
+    int count = 0;
+    for (std::size_t vm = 0; vm < sim.size(); ++vm) {
+      if (sim.DomainOf(vm) != domain) continue;
+      if (sim.node(vm).IsIsolated(sim.now())) ++count;
+    }
+    return count;
+  };
+  CHECK(isolated(1) == 0);
+  cut(true);
+  CHECK(isolated(1) == 4);
+  CHECK(isolated(0) == 0);
+  SECTION("but not while it hears another domain") {
+    sim.CutDomains(1, 2, false);
+    sim.RunUntil(sim.now() + seconds(8));
+    CHECK(isolated(1) == 0);
+  }
+  SECTION("and that the cut has healed") {
+    cut(false);
+    CHECK(isolated(1) == 0);
+  }
+}
+
 TEST_CASE("an operator learns where a change and a withdrawal are in force") {
   ConfigSim sim({});
   const auto start = StartOf(sim);
