--- a/packages/gateway/src/config_routes.cc
+++ b/packages/gateway/src/config_routes.cc
@@ -267,8 +267,19 @@
   co_return reply;
 }
 
-/// The hash of the key that the operator names by label, key or hash; empty if
-/// no key has that label.
+/// The hash of the key with that label; null if there is none.
+boost::asio::awaitable<Json::Value> QueryLabel(ConfigService& config,
+                                               const std::string& label) {
+  return QueryLog(config, [label](const policy::ConfigLog& log) {
+    for (const auto& [hash, entry] : log.state().keys) {
+      if (entry.grant.label == label) return Json::Value(hash);
+    }
+    return Json::Value();
+  });
+}
+
+/// The hash of the key that the operator names by label or by the key itself;
+/// empty if no key has that label.
 boost::asio::awaitable<std::string> FindHash(const Runtime& runtime,
                                              ConfigService& config,
                                              const Json::Value& body) {
@@ -277,14 +288,8 @@
     co_return base::HmacSha256Hex(runtime.settings.fleet_secret, key);
   }
   const auto label = TextOf(body, "label");
-  const auto found =
-      co_await QueryLog(config, [label](const policy::ConfigLog& log) {
-        for (const auto& [hash, entry] : log.state().keys) {
-          if (entry.grant.label == label) return Json::Value(hash);
-        }
-        return Json::Value("");
-      });
-  co_return found.asString();
+  const auto found = co_await QueryLabel(config, label);
+  co_return found.isNull() ? std::string() : found.asString();
 }
 
 AdminReply ShowWithdrawal(const policy::WithdrawAnswer& answer) {
@@ -305,6 +310,21 @@
   return reply;
 }
 
+// Outside the coroutine: GCC 12 may free temporaries of one twice.
+void MakeWithdrawal(policy::Proposal& proposal, const std::string& hash) {
+  policy::KeyWithdrawal withdrawal;
+  withdrawal.hashes.push_back(hash);
+  proposal.body = std::move(withdrawal);
+  // The table may be away for long: the withdrawal waits for it.
+  proposal.deadline = base::kNever;
+}
+
+AdminReply UnknownLabel() {
+  return MakeAdminError(
+      {base::Errc::kNotFound,
+       "no key has this label here; withdraw it by the key itself"});
+}
+
 Reply WithdrawKey(const Runtime& runtime, ConfigService& config,
                   AdminRequest request) {
   auto proposal = MakeProposal(runtime, request.body);
@@ -317,13 +337,9 @@
   }
   const auto hash = co_await FindHash(runtime, config, request.body);
   if (hash.empty()) {
-    co_return MakeAdminError(
-        {base::Errc::kNotFound,
-         "no key has this label here; withdraw it by the key itself"});
+    co_return UnknownLabel();
   }
-  // The table may be away for long: the withdrawal waits for it.
-  proposal.deadline = base::kNever;
-  proposal.body = policy::KeyWithdrawal{{hash}};
+  MakeWithdrawal(proposal, hash);
   const auto answer = co_await Withdraw(config, std::move(proposal));
   co_return ShowWithdrawal(answer);
 }
--- a/packages/testing/include/gypsumtrack/testing/config_sim.h
+++ b/packages/testing/include/gypsumtrack/testing/config_sim.h
@@ -78,7 +78,7 @@
   void CutDomains(std::uint32_t a, std::uint32_t b, bool cut);
   void CutFromTable(std::uint32_t domain, bool cut);
   void SetTableDown(bool down);
-  void Submit(std::size_t vm, policy::Proposal proposal);
+  void Submit(std::size_t vm, const policy::Proposal& proposal);
   void Withdraw(std::size_t vm, const std::string& round,
                 const std::string& hash);
   void AskFleet(std::size_t vm, const std::string& round);
--- a/packages/testing/src/config_sim.cc
+++ b/packages/testing/src/config_sim.cc
@@ -108,7 +108,7 @@
   this->changed_at = this->time;
 }
 
-void ConfigSim::Submit(std::size_t vm, policy::Proposal proposal) {
+void ConfigSim::Submit(std::size_t vm, const policy::Proposal& proposal) {
   this->Deliver(vm, this->vms[vm].id.incarnation, [this, vm, proposal] {
     return this->vms[vm].node->Submit(this->time, proposal);
   });
