--- a/packages/policy/include/gypsumtrack/policy/config_node.h
+++ b/packages/policy/include/gypsumtrack/policy/config_node.h
@@ -32,6 +32,8 @@
   /// Children of a VM in its domain's tree.
   std::uint32_t fan_out = 4;
   base::Duration announce = std::chrono::milliseconds(1000);
+  /// Time between two announcements to other domains while the table answers.
+  base::Duration announce_far = std::chrono::milliseconds(5000);
   /// How long a starting VM waits for the withdrawals that its peers know.
   base::Duration start_wait = std::chrono::milliseconds(1000);
   base::Duration start_resend = std::chrono::milliseconds(250);
@@ -116,6 +118,7 @@
   void Fetch(base::Instant now, const std::string& from, ConfigActions& out);
   void TellAnnounce(base::Instant now, ConfigActions& out);
   Announce MakeAnnounce(base::Instant now) const;
+  std::string FarVm(std::size_t turn) const;
   std::vector<std::string> StartPeers() const;
   bool StartedWhole(base::Instant now) const;
 
@@ -147,7 +150,9 @@
 
   base::Instant announce_at{};
   base::Instant announced_as_of{};
-  std::size_t next_neighbour = 0;
+  base::Instant announce_far_at{};
+  /// Counts the questions to others while nothing comes from above.
+  std::size_t turns = 0;
   std::optional<base::Instant> outside_at;
   std::map<std::string, base::Instant> fetched_at;
   /// Operation ids of the node's own proposals, and the rounds they end.
--- a/packages/testing/tool/bench.h
+++ b/packages/testing/tool/bench.h
@@ -10,6 +10,10 @@
 /// Prints waits under several ways of routing. Returns the exit status.
 int BenchRouting(const std::vector<std::string>& args);
 
+/// Prints what configuration costs and how soon it is in force. Returns the
+/// exit status.
+int BenchConfig(const std::vector<std::string>& args);
+
 /// Prints how batch does beside online. Returns the exit status.
 int BenchBatch(const std::vector<std::string>& args);
 
