--- /dev/null
+++ b/packages/policy/test/token_bucket_test.cc
@@ -0,0 +1,82 @@
+#include "gypsumtrack/policy/token_bucket.h"
+
+#include <rapidcheck/catch.h>
+
+#include <catch2/catch.hpp>
+#include <thread>
+#include <vector>
+
+namespace gypsumtrack::policy {
+namespace {
+
+using base::Duration;
+using base::Instant;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST_CASE("a bucket of 4 requests a second and a burst of 8") {
+  TokenBucket bucket({4 * kRequest, 8 * kRequest}, Instant{});
+  CHECK_FALSE(bucket.TryTake(kRequest, Instant{}));
+  SECTION("has one token after a quarter of a second") {
+    CHECK_FALSE(bucket.TryTake(kRequest, Instant(Duration(249'999))));
+    const auto at = bucket.AvailableAt(kRequest, Instant(Duration(249'999)));
+    CHECK(at >= Instant(milliseconds(250)));
+    CHECK(at <= Instant(milliseconds(251)));
+    CHECK(bucket.TryTake(kRequest, Instant(milliseconds(250))));
+  }
+  SECTION("fills up to its burst and no further") {
+    CHECK(bucket.Take(20 * kRequest, Instant(seconds(3600))) == 8 * kRequest);
+  }
+  SECTION("loses what a smaller burst can't hold") {
+    bucket.SetQuota({0, 3 * kRequest}, Instant(seconds(2)));
+    CHECK(bucket.Tokens(Instant(seconds(9))) == 3 * kRequest);
+    CHECK(bucket.AvailableAt(4 * kRequest, Instant(seconds(9))) ==
+          base::kNever);
+  }
+}
+
+TEST_CASE("a bucket makes and loses no token by the steps it is read in") {
+  rc::prop("tokens after many steps equal those after one", [] {
+    const auto rate = *rc::gen::inRange<std::int64_t>(1, 500'000'000);
+    const auto steps = *rc::gen::container<std::vector<std::int64_t>>(
+        rc::gen::inRange<std::int64_t>(0, 3'000'000));
+    const Quota quota{rate, 1'000'000 * kRequest};
+    TokenBucket many(quota, Instant{});
+    const TokenBucket one(quota, Instant{});
+    Instant now{};
+    for (const auto step : steps) {
+      now += Duration(step);
+      many.Add(0, now);
+    }
+    RC_ASSERT(many.Tokens(now) == one.Tokens(now));
+  });
+}
+
+TEST_CASE("a slice is shared by threads") {
+  TokenSlice slice;
+  const auto expires = Instant(seconds(10));
+  CHECK(slice.Add(1000, expires) == 1000);
+  SECTION("each token is taken once") {
+    std::atomic<std::uint32_t> taken = 0;
+    std::vector<std::thread> threads;
+    for (int i = 0; i < 4; ++i) {
+      threads.emplace_back([&] {
+        while (slice.TryTake(Instant(seconds(1)))) ++taken;
+      });
+    }
+    for (auto& thread : threads) thread.join();
+    CHECK(taken == 1000);
+    CHECK(slice.tokens() == 0);
+  }
+  SECTION("nothing is admitted after the expiry") {
+    CHECK_FALSE(slice.TryTake(expires));
+    CHECK(slice.Take(5000) == 1000);
+  }
+  SECTION("an older expiry doesn't shorten it") {
+    slice.Add(1, Instant(seconds(5)));
+    CHECK(slice.expires() == expires);
+  }
+}
+
+}  // namespace
+}  // namespace gypsumtrack::policy
