--- a/packages/testing/include/gypsumtrack/testing/virtual_fleet.h
+++ b/packages/testing/include/gypsumtrack/testing/virtual_fleet.h
@@ -170,6 +170,7 @@
   bool store_down = false;
   std::set<std::string> cut;
   std::set<std::string> cut_from_table;
+  VirtualTime changing_until{};
   std::uint64_t incarnations = 0;
   base::Revision revision = 0;
   std::map<policy::LimitKey, policy::Limit> limits;
--- a/packages/testing/src/virtual_fleet.cc
+++ b/packages/testing/src/virtual_fleet.cc
@@ -48,6 +48,7 @@
                                                 vm.place);
   vm.was_alive = false;
   vm.changed_at = this->time;
+  this->changing_until = this->time + 2 * this->options.view_lag;
   if (this->revision > 0) {
     this->Carry(index, vm.node->OnRules(this->revision, this->limits,
                                         this->LocalTime(index)));
@@ -164,6 +165,7 @@
   vm.node.reset();
   vm.was_alive = true;
   vm.changed_at = this->time;
+  this->changing_until = this->time + 2 * this->options.view_lag;
 }
 
 void VirtualFleet::Restart(std::size_t index) {
@@ -179,11 +181,13 @@
 
 void VirtualFleet::CutDomain(const std::string& domain, bool from_table) {
   this->cut.insert(domain);
+  this->changing_until = this->time + 2 * this->options.view_lag;
   if (from_table) this->cut_from_table.insert(domain);
 }
 
 void VirtualFleet::HealDomains() {
   this->cut.clear();
+  this->changing_until = this->time + 2 * this->options.view_lag;
   this->cut_from_table.clear();
   // The daemon fetches the rules again once it reaches the table.
   for (std::size_t i = 0; i < this->vms.size(); ++i) {
@@ -227,7 +231,10 @@
 }
 
 void VirtualFleet::RefreshViews() {
-  for (std::size_t i = 0; i < this->vms.size(); ++i) this->Refresh(i);
+  // Views change only for a while after a VM or a link has.
+  if (this->time < this->changing_until) {
+    for (std::size_t i = 0; i < this->vms.size(); ++i) this->Refresh(i);
+  }
   this->At(this->time + kViewInterval, [this] { this->RefreshViews(); });
 }
 
