--- a/packages/policy/include/gypsumtrack/policy/limit_home.h
+++ b/packages/policy/include/gypsumtrack/policy/limit_home.h
@@ -71,7 +71,8 @@
   Quota OwnShare() const;
   Quota Borrowed() const;
   bool Idle(base::Instant now) const;
-  base::Instant NextWake() const;
+  /// When `Tick` may have something to do before its usual time.
+  base::Instant wake() const { return this->wake_at; }  // NOLINT
 
  private:
   struct InLoan {
@@ -79,6 +80,7 @@
     base::FailureDomain domain;
     Loan loan;
     base::Instant refused_until{};
+    std::uint32_t asked = 0;
     bool pool = false;
   };
   struct EarlyReport {
@@ -99,16 +101,20 @@
   void Send(const Borrower& to, const Quota& added, std::int64_t tokens,
             base::Duration retry_after, base::Instant now,
             LimitActions& actions);
+  Quota LendableToHomes(base::Instant now) const;
   bool RecallStocks(base::Instant now, LimitActions& actions);
   void RefuseWaiting(base::Instant now, LimitActions& actions);
   base::Duration RetryAfter(base::Instant now) const;
-  std::int64_t Demand() const;
+  void MeasureDemand(base::Instant now);
+  /// Requests of the own domain, in micro-requests a second.
+  std::int64_t Demand() const { return this->demand; }
 
   // limit_home_borrow.cc: borrowing from other domains.
   bool AskOthers(std::uint32_t wanted, base::Instant now,
                  LimitActions& actions);
   bool AskOther(const base::FailureDomain& domain, const LimitPeer& lender,
                 std::uint32_t wanted, base::Instant now, LimitActions& actions);
+  LoanReport Wants() const;
   std::optional<LimitPeer> LenderIn(const base::FailureDomain& domain) const;
   void ReturnIdle(base::Instant now, LimitActions& actions);
   void RenewPool(base::Instant now, LimitActions& actions);
@@ -158,8 +164,12 @@
   /// Reports that came before the row was read for the first time.
   std::map<Borrower, EarlyReport> early;
   base::Instant active_at{};
+  /// Micro-requests that VMs of the domain used or were refused.
+  std::int64_t asked = 0;
+  base::Instant measured_at{};
+  std::int64_t demand = 0;
   bool overdrawn = false;
-  bool refill_wait = false;
+  base::Instant wake_at = base::kNever;
 };
 
 }  // namespace gypsumtrack::policy
--- a/packages/policy/include/gypsumtrack/policy/limit_loan.h
+++ b/packages/policy/include/gypsumtrack/policy/limit_loan.h
@@ -4,6 +4,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <vector>
 
 #include "gypsumtrack/policy/limit_messages.h"
 
@@ -24,8 +25,8 @@
 
   // Commands.
 
-  /// The next report; the caller adds what it wants.
-  LoanReport Report(const LimitKey& key, LoanRole role, base::Instant now);
+  /// Fills in what the borrower holds; `wants` has the rest.
+  LoanReport Report(LoanReport wants, base::Instant now);
   /// None if the grant was taken before, answers no recent report, or lapsed on
   /// its way.
   std::optional<Taken> Take(const LoanGrant& grant, base::Instant now);
@@ -41,7 +42,7 @@
 
   const Quota& held() const { return this->holding; }     // NOLINT
   base::Instant expires() const { return this->lapses; }  // NOLINT
-  /// When the last report left, if no grant has answered it.
+  /// When the first report left that asks for an answer and has none.
   std::optional<base::Instant> UnansweredSince() const;
   base::Instant reported_at() const { return this->last_report; }  // NOLINT
 
@@ -49,6 +50,7 @@
   struct Sent {
     std::uint64_t number;
     base::Instant at;
+    bool asks;
   };
 
   std::uint64_t number = 0;
@@ -61,6 +63,9 @@
   base::Instant last_report{};
 };
 
+/// Whether the lender is to answer at all. Thread-safe.
+bool AsksForAnswer(const LoanReport& report);
+
 /// Who borrows.
 struct Borrower {
   base::VmId vm;
@@ -72,19 +77,26 @@
 /// The lender's side: what is out, with whom, until when. Not thread-safe.
 class LoanLedger {
  public:
+  struct PendingGrant {
+    std::uint64_t sequence = 0;
+    Quota added;
+    std::int64_t tokens = 0;
+  };
   struct Entry {
     std::string address;
     std::uint64_t last_number = 0;
+    std::uint64_t answered = 0;
     /// Grants of this entry's life have this sequence or a higher one.
     std::uint64_t first_sequence = 0;
     Quota held;
-    /// The grant that may not have arrived yet; sequence 0 is none.
-    LoanGrant pending;
+    /// Grants that may not have arrived yet, oldest first.
+    std::vector<PendingGrant> pending;
     base::Instant expires{};
     base::Instant heard{};
     base::Instant recalled{};
     /// Set by the first report that acknowledges a grant of this life.
     std::optional<std::int64_t> returned;
+    /// Requests that no grant on its way covers.
     std::uint32_t waiting = 0;
     std::uint32_t stock = 0;
     bool pool = false;
@@ -102,8 +114,8 @@
   std::optional<std::int64_t> OnReport(const LimitPeer& from,
                                        const LoanReport& report,
                                        base::Instant now);
-  /// The message that lends `added` with `tokens`, or sends the pending grant
-  /// again if there is one. Precondition: the borrower has an entry.
+  /// The message that lends `added` with `tokens`; tokens are lost if it is.
+  /// Precondition: the borrower has an entry.
   LoanGrant Grant(const Borrower& to, const LimitKey& key, const Quota& added,
                   std::int64_t tokens, base::Duration ttl, base::Instant now);
   /// Drops entries whose loans have lapsed for certain.
--- a/packages/policy/include/gypsumtrack/policy/limit_node.h
+++ b/packages/policy/include/gypsumtrack/policy/limit_node.h
@@ -40,7 +40,7 @@
 /// Not thread-safe; `Slice` hands out objects that are.
 class LimitNode {
  public:
-  LimitNode(const LimitSettings& settings, LimitPeer self, base::Place place);
+  LimitNode(const LimitSettings& settings, LimitPeer self, const base::Place& place);
   LimitNode(const LimitNode&) = delete;
   LimitNode& operator=(const LimitNode&) = delete;
 
@@ -111,6 +111,7 @@
   /// Keys whose home this VM should become; looked at a few at a time.
   std::vector<LimitKey> to_claim;
   base::Instant claimed_at{};
+  base::Instant viewed_at{};
 };
 
 }  // namespace gypsumtrack::policy
--- a/packages/policy/include/gypsumtrack/policy/limit_slices.h
+++ b/packages/policy/include/gypsumtrack/policy/limit_slices.h
@@ -53,7 +53,7 @@
 
   /// Tokens for threads to take; stays the same object while its lender does.
   std::shared_ptr<TokenSlice> Slice(const base::VmId& lender) const;
-  std::uint32_t TokensHeld() const;
+  std::uint32_t TokensHeld(base::Instant now) const;
   bool Idle(base::Instant now) const;
   base::Instant NextWake() const;
   base::Instant retry_at() const { return this->refuse_until; }  // NOLINT
@@ -66,6 +66,8 @@
     std::shared_ptr<TokenSlice> slice = std::make_shared<TokenSlice>();
     std::uint32_t known_tokens = 0;
     bool report_due = false;
+    /// Requests that the last report named.
+    std::uint32_t asked = 0;
     base::Instant refused_until{};
   };
 
--- a/packages/policy/src/limit_home.cc
+++ b/packages/policy/src/limit_home.cc
@@ -1,6 +1,7 @@
 #include "gypsumtrack/policy/limit_home.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "gypsumtrack/base/hash.h"
@@ -15,6 +16,8 @@
 constexpr auto kLongestRetry = std::chrono::milliseconds(500);
 constexpr auto kRecentDemand = std::chrono::seconds(4);
 constexpr auto kIdleAfter = std::chrono::seconds(60);
+constexpr auto kDemandStep = std::chrono::seconds(1);
+constexpr auto kDemandWindow = std::chrono::seconds(40);
 
 std::uint64_t FirstSequence(base::Instant now) {
   return static_cast<std::uint64_t>(
@@ -153,19 +156,19 @@
   this->Rebalance(now);
   this->bucket.Add(*returned, now);
   const Borrower borrower{from.vm, report.role};
+  if (report.role == LoanRole::kServe) this->asked -= *returned;
+  this->Serve(now, actions);
   auto* entry = this->loans.Find(borrower);
-  if (entry->pending.sequence != 0) {
-    // Resends the pending grant; more follows once it is acknowledged.
-    this->Send(borrower, {}, 0, {}, now, actions);
-  } else if (report.waiting == 0 && report.held.capacity > 0 &&
-             (report.stock > 0 || report.role == LoanRole::kHome)) {
-    // Renews what is held.
-    if (!report.pool) this->Send(borrower, {}, 0, {}, now, actions);
+  if (entry != nullptr && entry->pool) {
+    this->ServePool(borrower, now, actions);
   }
-  this->Serve(now, actions);
   entry = this->loans.Find(borrower);
-  if (entry != nullptr && entry->pool && entry->pending.sequence == 0) {
-    this->ServePool(borrower, now, actions);
+  // A VM whose requests must wait is told that it has been heard.
+  const bool answer_due =
+      entry != nullptr && entry->answered < entry->last_number &&
+      (report.waiting == 0 || report.role == LoanRole::kServe);
+  if (answer_due && AsksForAnswer(report)) {
+    this->Send(borrower, {}, 0, {}, now, actions);
   }
   this->ReturnIdle(now, actions);
 }
@@ -179,6 +182,7 @@
                        ? base::Duration{}
                        : this->Ttl(to.role, entry->pool, added, now);
   auto grant = this->loans.Grant(to, this->key, added, tokens, ttl, now);
+  if (to.role == LoanRole::kServe) this->asked += tokens;
   grant.retry_after = retry_after;
   grant.demand = this->Demand();
   actions.sends.push_back({{to.vm, entry->address}, std::move(grant)});
@@ -186,7 +190,7 @@
 }
 
 void LimitHome::Serve(base::Instant now, LimitActions& actions) {
-  this->refill_wait = false;
+  this->wake_at = base::kNever;
   if (!this->Usable(now)) return;
   const auto unmet = this->ServeWaiting(now, actions);
   if (unmet == 0) {
@@ -195,7 +199,7 @@
   }
   const auto soon = this->bucket.AvailableAt(unmet * kRequest, now);
   if (soon != base::kNever && soon <= now + kRefillWait) {
-    this->refill_wait = true;
+    this->wake_at = this->bucket.AvailableAt(kRequest, now);
     return;
   }
   const bool recalled = this->RecallStocks(now, actions);
@@ -209,13 +213,14 @@
   std::uint32_t unmet = 0;
   std::vector<Borrower> waiting;
   for (const auto& [borrower, entry] : this->loans.entries()) {
-    if (entry.waiting > 0 && entry.pending.sequence == 0) {
-      waiting.push_back(borrower);
-    }
+    if (entry.waiting > 0) waiting.push_back(borrower);
   }
   for (const auto& borrower : waiting) {
     auto* entry = this->loans.Find(borrower);
-    const auto whole = this->bucket.Tokens(now) / kRequest;
+    auto whole = this->bucket.Tokens(now) / kRequest;
+    if (borrower.role == LoanRole::kHome) {
+      whole = std::min(whole, this->LendableToHomes(now).capacity / kRequest);
+    }
     const auto given = std::min<std::int64_t>(entry->waiting, whole);
     if (given > 0) {
       const auto tokens = this->bucket.Take(given * kRequest, now);
@@ -234,9 +239,7 @@
   std::vector<Borrower> wanting;
   for (const auto& [borrower, entry] : this->loans.entries()) {
     const auto held = Outstanding(entry).capacity / kRequest;
-    if (entry.stock > held && entry.pending.sequence == 0) {
-      wanting.push_back(borrower);
-    }
+    if (entry.stock > held) wanting.push_back(borrower);
   }
   for (const auto& borrower : wanting) {
     auto* entry = this->loans.Find(borrower);
@@ -252,6 +255,16 @@
   }
 }
 
+/// What was borrowed goes back to its lender, not on to others, but for the one
+/// home that pools the limit.
+Quota LimitHome::LendableToHomes(base::Instant now) const {
+  if (this->IsPoolMain(now)) return this->bucket.quota();
+  auto own = this->OwnShare();
+  own.rate = WithClockSlack(own.rate);
+  own -= this->loans.OutToHomes();
+  return Min(this->bucket.quota(), AtLeastZero(own));
+}
+
 /// Lends a domain that precedes this one all that lies here.
 void LimitHome::ServePool(const Borrower& borrower, base::Instant now,
                           LimitActions& actions) {
@@ -262,9 +275,7 @@
     }
   }
   this->Rebalance(now);
-  const auto own = this->OwnShare();
-  Quota all = this->bucket.quota();
-  all = Min(all, {WithClockSlack(own.rate), own.capacity});
+  auto all = this->LendableToHomes(now);
   all.capacity = all.capacity / kRequest * kRequest;
   const auto tokens = this->bucket.Take(all.capacity, now);
   this->Send(borrower, all, tokens, {}, now, actions);
@@ -296,7 +307,10 @@
   const auto retry = this->RetryAfter(now);
   std::vector<Borrower> waiting;
   for (auto& [borrower, entry] : this->loans.entries()) {
-    if (entry.waiting == 0 || entry.pending.sequence != 0) continue;
+    if (entry.waiting == 0) continue;
+    if (borrower.role == LoanRole::kServe) {
+      this->asked += entry.waiting * kRequest;
+    }
     entry.waiting = 0;
     waiting.push_back(borrower);
   }
@@ -310,21 +324,30 @@
   for (const auto& [vm, in] : this->in_loans) {
     if (in.refused_until > now) at = std::min(at, in.refused_until);
   }
-  const auto wait = at == base::kNever ? base::Duration(kLongestRetry)
-                                       : base::Duration(at - now);
+  if (at == base::kNever) return kLongestRetry;
+  const base::Duration wait = at - now;
   return std::clamp<base::Duration>(wait, kShortestRetry, kLongestRetry);
 }
 
-std::int64_t LimitHome::Demand() const {
-  std::int64_t sum = 0;
-  for (const auto& [borrower, entry] : this->loans.entries()) {
-    if (borrower.role == LoanRole::kServe) sum += entry.demand;
-  }
-  return sum;
+void LimitHome::MeasureDemand(base::Instant now) {
+  const auto elapsed = now - this->measured_at;
+  if (elapsed < kDemandStep) return;
+  const auto seconds = std::chrono::duration<double>(elapsed).count();
+  const auto rate = static_cast<double>(this->asked) / seconds;
+  const auto weight = std::min(
+      1.0, seconds / std::chrono::duration<double>(kDemandWindow).count());
+  const auto before = static_cast<double>(this->demand);
+  this->demand = std::max<std::int64_t>(
+      0, std::llround(before + weight * (rate - before)));
+  this->asked = 0;
+  this->measured_at = now;
 }
 
 std::int64_t LimitHome::TokensLeft(base::Instant now) const {
-  return this->bucket.Tokens(now);
+  const auto total =
+      this->OwnShare() + this->UsableInLoans(now) - this->loans.Out();
+  const auto most = std::max<std::int64_t>(total.capacity, 0);
+  return std::min(this->bucket.Tokens(now), most);
 }
 
 std::optional<LimitPeer> LimitHome::KnownHome() const {
@@ -339,11 +362,6 @@
          now >= this->active_at + kIdleAfter;
 }
 
-base::Instant LimitHome::NextWake() const {
-  if (!this->refill_wait) return base::kNever;
-  return this->bucket.AvailableAt(kRequest, base::Instant{});
-}
-
 void LimitHome::Tick(base::Instant now, LimitActions& actions) {
   if (!this->limit) return;
   if (!this->claimed) {
@@ -361,6 +379,7 @@
   this->Adjust(now, actions);
   if (!this->Usable(now)) return;
   this->Rebalance(now);
+  this->MeasureDemand(now);
   this->RenewPool(now, actions);
   this->MoveTowardsDemand(now, actions);
   this->Serve(now, actions);
--- a/packages/policy/src/limit_home_borrow.cc
+++ b/packages/policy/src/limit_home_borrow.cc
@@ -29,6 +29,14 @@
   return RendezvousHome(this->key, live->second);
 }
 
+LoanReport LimitHome::Wants() const {
+  LoanReport wants;
+  wants.key = this->key;
+  wants.role = LoanRole::kHome;
+  wants.demand = this->Demand();
+  return wants;
+}
+
 /// Asks other domains for tokens; true if an answer may still come.
 bool LimitHome::AskOthers(std::uint32_t wanted, base::Instant now,
                           LimitActions& actions) {
@@ -57,20 +65,23 @@
   in.lender = lender;
   in.domain = domain;
   if (now < in.refused_until) return false;
+  // A domain that has lent its whole share has nothing left.
+  if (in.pool && in.loan.held().rate > 0) return false;
   const auto since = in.loan.UnansweredSince();
-  if (since &&
-      now < in.loan.reported_at() + this->context.settings.foreign_gap) {
-    return now < *since + kAnswerWait;
-  }
-  if (in.loan.reported_at() != base::Instant{} &&
-      now < in.loan.reported_at() + this->context.settings.report_gap) {
+  const auto reported = in.loan.reported_at();
+  const auto& settings = this->context.settings;
+  if (reported != base::Instant{} && now < reported + settings.report_gap) {
+    this->wake_at = std::min(this->wake_at, reported + settings.report_gap);
     return true;
   }
-  auto report = in.loan.Report(this->key, LoanRole::kHome, now);
-  report.waiting = wanted;
-  report.demand = this->Demand();
-  report.pool = in.pool;
-  actions.sends.push_back({lender, std::move(report)});
+  if (since && wanted <= in.asked && now < reported + settings.foreign_gap) {
+    return now < *since + kAnswerWait;
+  }
+  in.asked = wanted;
+  auto wants = this->Wants();
+  wants.waiting = wanted;
+  wants.pool = in.pool;
+  actions.sends.push_back({lender, in.loan.Report(std::move(wants), now)});
   return !since || now < *since + kAnswerWait;
 }
 
@@ -83,6 +94,8 @@
   const auto taken = in.loan.Take(grant, now);
   if (!taken) return;
   this->news[in.domain] = {grant.demand, now};
+  in.asked -=
+      std::min(in.asked, static_cast<std::uint32_t>(taken->tokens / kRequest));
   if (grant.retry_after.count() > 0) {
     in.refused_until = now + grant.retry_after;
   }
@@ -126,9 +139,7 @@
     const auto taken = this->bucket.Take(tokens, now);
     in.loan.Return(spare, std::min(taken, spare.capacity));
     this->Rebalance(now);
-    auto report = in.loan.Report(this->key, LoanRole::kHome, now);
-    report.demand = this->Demand();
-    actions.sends.push_back({in.lender, std::move(report)});
+    actions.sends.push_back({in.lender, in.loan.Report(this->Wants(), now)});
   }
 }
 
@@ -180,10 +191,9 @@
     const auto due =
         in.loan.reported_at() + this->context.settings.pool_renewal;
     if (in.loan.reported_at() != base::Instant{} && now < due) continue;
-    auto report = in.loan.Report(this->key, LoanRole::kHome, now);
-    report.pool = true;
-    report.demand = this->Demand();
-    actions.sends.push_back({*lender, std::move(report)});
+    auto wants = this->Wants();
+    wants.pool = true;
+    actions.sends.push_back({*lender, in.loan.Report(std::move(wants), now)});
   }
 }
 
--- a/packages/policy/src/limit_loan.cc
+++ b/packages/policy/src/limit_loan.cc
@@ -12,18 +12,19 @@
 
 }  // namespace
 
-LoanReport Loan::Report(const LimitKey& key, LoanRole role, base::Instant now) {
-  ++this->number;
-  this->sent.push_back({this->number, now});
-  if (this->sent.size() > kReportsKept) this->sent.pop_front();
-  this->last_report = now;
-  LoanReport report;
-  report.key = key;
-  report.role = role;
-  report.number = this->number;
+bool AsksForAnswer(const LoanReport& report) {
+  return report.waiting > 0 || report.stock > 0 || report.pool ||
+         !IsZero(report.held);
+}
+
+LoanReport Loan::Report(LoanReport report, base::Instant now) {
+  report.number = ++this->number;
   report.taken = this->taken;
   report.held = this->holding;
   report.returned = this->returned;
+  this->sent.push_back({this->number, now, AsksForAnswer(report)});
+  if (this->sent.size() > kReportsKept) this->sent.pop_front();
+  this->last_report = now;
   return report;
 }
 
@@ -62,17 +63,18 @@
 void Loan::Keep(const Quota& rest) { this->holding = rest; }
 
 std::optional<base::Instant> Loan::UnansweredSince() const {
-  if (this->answered >= this->number) return std::nullopt;
   const auto first = std::find_if(
-      this->sent.begin(), this->sent.end(),
-      [&](const Sent& report) { return report.number > this->answered; });
+      this->sent.begin(), this->sent.end(), [&](const Sent& report) {
+        return report.asks && report.number > this->answered;
+      });
   if (first == this->sent.end()) return std::nullopt;
   return first->at;
 }
 
 Quota Outstanding(const LoanLedger::Entry& entry) {
-  if (entry.pending.sequence == 0) return entry.held;
-  return entry.held + entry.pending.added;
+  auto sum = entry.held;
+  for (const auto& grant : entry.pending) sum += grant.added;
+  return sum;
 }
 
 std::optional<std::int64_t> LoanLedger::OnReport(const LimitPeer& from,
@@ -87,16 +89,19 @@
   entry.address = from.address;
   entry.heard = now;
   entry.expires = std::max(entry.expires, now + kEntryKept);
-  entry.waiting = report.waiting;
   entry.stock = report.stock;
   entry.pool = report.pool;
   entry.demand = report.demand;
   // What an entry doesn't know of can't be used any more: its loans were
   // counted as out until they had lapsed.
   if (report.taken >= entry.first_sequence) entry.held = report.held;
-  if (entry.pending.sequence != 0 && report.taken >= entry.pending.sequence) {
-    entry.pending = {};
-  }
+  std::erase_if(entry.pending, [&](const PendingGrant& grant) {
+    return grant.sequence <= report.taken;
+  });
+  std::int64_t on_their_way = 0;
+  for (const auto& grant : entry.pending) on_their_way += grant.tokens;
+  entry.waiting = static_cast<std::uint32_t>(
+      std::max<std::int64_t>(0, report.waiting - on_their_way / kRequest));
   if (report.taken < entry.first_sequence) return 0;
   const auto before = entry.returned.value_or(report.returned);
   entry.returned = report.returned;
@@ -107,19 +112,17 @@
                             const Quota& added, std::int64_t tokens,
                             base::Duration ttl, base::Instant now) {
   auto& entry = this->all.at(to);
-  LoanGrant grant = entry.pending;
-  if (grant.sequence == 0) {
-    grant.added = added;
-    grant.tokens = tokens;
-    grant.sequence = this->sequence;
-    if (!IsZero(added)) {
-      grant.sequence = ++this->sequence;
-      entry.pending = grant;
-    }
+  LoanGrant grant;
+  grant.added = added;
+  grant.tokens = tokens;
+  grant.sequence = ++this->sequence;
+  if (!IsZero(added)) {
+    entry.pending.push_back({grant.sequence, added, tokens});
   }
   grant.key = key;
   grant.role = to.role;
   grant.number = entry.last_number;
+  entry.answered = entry.last_number;
   grant.ttl = ttl;
   entry.expires = std::max(entry.expires, now + WithClockSlack(ttl));
   return grant;
--- a/packages/policy/src/limit_node.cc
+++ b/packages/policy/src/limit_node.cc
@@ -9,6 +9,8 @@
 
 constexpr auto kTick = std::chrono::milliseconds(20);
 constexpr auto kHintKept = std::chrono::seconds(20);
+/// A VM that has just started doesn't know its peers yet.
+constexpr auto kViewSettles = std::chrono::seconds(3);
 constexpr auto kClaimGap = std::chrono::milliseconds(100);
 
 void Append(LimitActions& all, LimitActions more) {
@@ -24,7 +26,7 @@
 }  // namespace
 
 LimitNode::LimitNode(const LimitSettings& settings, LimitPeer self,
-                     base::Place place)
+                     const base::Place& place)
     : settings(settings),
       table(settings, self.vm),
       lease(settings, self, place.domain, this->table),
@@ -70,6 +72,8 @@
 /// Becomes home ahead of the first request, so that it needn't wait.
 void LimitNode::ClaimOwnHomes(base::Instant now, LimitActions& actions) {
   if (this->to_claim.empty() || !this->lease.Valid(now)) return;
+  if (this->viewed_at == base::Instant{}) return;
+  if (now < this->viewed_at + kViewSettles) return;
   if (now < this->claimed_at + kClaimGap) return;
   this->claimed_at = now;
   const auto key = std::move(this->to_claim.back());
@@ -164,6 +168,7 @@
 
 LimitActions LimitNode::OnFleetView(const FleetView& view, base::Instant now) {
   this->platform_reachable = view.platform_reachable;
+  if (this->viewed_at == base::Instant{}) this->viewed_at = now;
   auto& live = this->context.live;
   live.clear();
   live[this->context.domain].push_back(this->context.self);
@@ -266,6 +271,9 @@
   for (const auto& [key, slice] : this->slices) {
     wake = std::min(wake, slice.NextWake());
   }
+  for (const auto& [key, home] : this->homes) {
+    wake = std::min(wake, home->wake());
+  }
   return std::max(wake, now + this->settings.report_gap);
 }
 
@@ -298,7 +306,7 @@
   report.limit = limit->second.quota;
   const auto slice = this->slices.find(key);
   if (slice != this->slices.end()) {
-    report.slice_tokens = slice->second.TokensHeld();
+    report.slice_tokens = slice->second.TokensHeld(now);
   }
   const auto home = this->homes.find(key);
   if (home == this->homes.end()) return report;
--- a/packages/policy/src/limit_slices.cc
+++ b/packages/policy/src/limit_slices.cc
@@ -89,11 +89,14 @@
     source.loan.Keep({0, source.known_tokens * kRequest});
   }
   source.report_due = false;
-  auto report = source.loan.Report(this->key, LoanRole::kServe, now);
-  report.waiting = static_cast<std::uint32_t>(this->waiting.size());
-  report.stock = give_back ? 0 : stock;
-  report.demand = this->rate_seen;
-  actions.sends.push_back({source.peer, std::move(report)});
+  source.asked = static_cast<std::uint32_t>(this->waiting.size());
+  LoanReport wants;
+  wants.key = this->key;
+  wants.waiting = static_cast<std::uint32_t>(this->waiting.size());
+  wants.stock = give_back ? 0 : stock;
+  wants.demand = this->rate_seen;
+  actions.sends.push_back(
+      {source.peer, source.loan.Report(std::move(wants), now)});
 }
 
 void LimitSlices::AskSource(const LimitPeer& peer, base::Instant now,
@@ -217,7 +220,9 @@
   const bool fill = stock > 0 && low && !unanswered &&
                     now >= source.refused_until &&
                     since >= this->settings.foreign_gap;
-  if (spent || renewal || retry || fill) {
+  const bool more_waiting =
+      this->waiting.size() > source.asked && now >= source.refused_until;
+  if (spent || renewal || retry || fill || more_waiting) {
     this->ReportTo(source, !is_home && this->waiting.empty(), now, actions);
   }
 }
@@ -248,16 +253,16 @@
   return found == this->sources.end() ? nullptr : found->second.slice;
 }
 
-std::uint32_t LimitSlices::TokensHeld() const {
+std::uint32_t LimitSlices::TokensHeld(base::Instant now) const {
   std::uint32_t tokens = 0;
   for (const auto& [vm, source] : this->sources) {
-    tokens += source.slice->tokens();
+    if (now < source.slice->expires()) tokens += source.slice->tokens();
   }
   return tokens;
 }
 
 bool LimitSlices::Idle(base::Instant now) const {
-  return this->waiting.empty() && this->TokensHeld() == 0 &&
+  return this->waiting.empty() && this->TokensHeld(now) == 0 &&
          now >= this->active_at + kIdleAfter;
 }
 
@@ -265,10 +270,13 @@
   auto wake = base::kNever;
   if (!this->waiting.empty()) wake = this->waiting.front().deadline;
   for (const auto& [vm, source] : this->sources) {
-    if (source.report_due) {
-      wake =
-          std::min(wake, source.loan.reported_at() + this->settings.report_gap);
-    }
+    const bool low = 2 * source.known_tokens <= this->StockWanted();
+    const bool more_waiting = this->waiting.size() > source.asked;
+    const bool spent =
+        source.report_due && low && !source.loan.UnansweredSince();
+    if (!spent && !more_waiting) continue;
+    wake =
+        std::min(wake, source.loan.reported_at() + this->settings.report_gap);
   }
   return wake;
 }
--- a/packages/testing/include/gypsumtrack/testing/virtual_fleet.h
+++ b/packages/testing/include/gypsumtrack/testing/virtual_fleet.h
@@ -98,6 +98,9 @@
   void CutDomain(const std::string& domain, bool from_table);
   void HealDomains();
   void SetStoreDown(bool down) { this->store_down = down; }
+  void SetAnswersLost(std::uint32_t per_thousand) {
+    this->options.answers_lost = per_thousand;
+  }
 
   // Queries.
 
@@ -146,7 +149,7 @@
   bool SeesAlive(const Vm& other) const;
   /// Runs on a VM unless it has crashed since; later if it is paused.
   void OnVm(std::size_t vm, std::uint64_t incarnation, Action action);
-  void Carry(std::size_t vm, policy::LimitActions actions);
+  void Carry(std::size_t vm, const policy::LimitActions& actions);
   void SendMessage(std::size_t from, const policy::LimitSend& send);
   void CarryCommit(std::size_t vm, const policy::LimitCommit& commit);
   void CarryScan(std::size_t vm, const policy::LimitScan& scan);
--- a/packages/testing/src/virtual_fleet.cc
+++ b/packages/testing/src/virtual_fleet.cc
@@ -32,6 +32,7 @@
     }
   }
   for (std::size_t i = 0; i < this->vms.size(); ++i) this->Start(i);
+  for (auto& vm : this->vms) vm.was_alive = true;
   for (std::size_t i = 0; i < this->vms.size(); ++i) this->Refresh(i);
   this->At(kViewInterval, [this] { this->RefreshViews(); });
 }
@@ -144,7 +145,7 @@
     if (verdict != policy::LimitVerdict::kWaiting) {
       this->Decide(index, id, verdict);
     }
-    this->Carry(index, std::move(actions));
+    this->Carry(index, actions);
   });
 }
 
@@ -176,7 +177,16 @@
 }
 
 void VirtualFleet::Pause(std::size_t index, VirtualTime until) {
-  this->vms[index].paused_until = until;
+  auto& vm = this->vms[index];
+  vm.paused_until = std::max(vm.paused_until, until);
+  vm.was_alive = true;
+  vm.changed_at = this->time;
+  this->changing_until = this->time + 2 * this->options.view_lag;
+  this->At(vm.paused_until, [this, index] {
+    this->vms[index].was_alive = false;
+    this->vms[index].changed_at = this->time;
+    this->changing_until = this->time + 2 * this->options.view_lag;
+  });
 }
 
 void VirtualFleet::CutDomain(const std::string& domain, bool from_table) {
@@ -200,7 +210,7 @@
 }
 
 bool VirtualFleet::SeesAlive(const Vm& other) const {
-  const bool alive = other.node != nullptr;
+  const bool alive = other.node != nullptr && this->time >= other.paused_until;
   const bool settled = this->time >= other.changed_at + this->options.view_lag;
   return settled ? alive : other.was_alive;
 }
@@ -238,7 +248,8 @@
   this->At(this->time + kViewInterval, [this] { this->RefreshViews(); });
 }
 
-void VirtualFleet::Carry(std::size_t index, policy::LimitActions actions) {
+void VirtualFleet::Carry(std::size_t index,
+                         const policy::LimitActions& actions) {
   for (const auto& answer : actions.answers) {
     this->Decide(index, answer.request_id, answer.verdict);
   }
@@ -279,7 +290,7 @@
   const auto incarnation = vm.self.vm.incarnation;
   ++this->counts.writes;
   const auto reply = [this, index, incarnation, id = commit.id](
-                         base::Status status, base::Duration after) {
+                         const base::Status& status, base::Duration after) {
     this->At(this->time + after, [this, index, incarnation, id, status] {
       this->OnVm(index, incarnation, [this, index, id, status] {
         this->Carry(index, this->vms[index].node->OnCommitReply(
@@ -306,7 +317,7 @@
   const auto incarnation = vm.self.vm.incarnation;
   ++this->counts.reads;
   const auto reply = [this, index, incarnation, id = scan.id](
-                         base::Outcome<base::ScanReply> rows,
+                         const base::Outcome<base::ScanReply>& rows,
                          base::Duration after) {
     this->At(this->time + after, [this, index, incarnation, id, rows] {
       this->OnVm(index, incarnation, [this, index, id, rows] {
--- a/packages/testing/tool/bench_limits.cc
+++ b/packages/testing/tool/bench_limits.cc
@@ -137,11 +137,6 @@
   return arrivals;
 }
 
-struct Tally {
-  std::uint64_t within = 0;
-  std::int64_t missed = 0;
-};
-
 /// Admissions of each organisation from the warm-up on.
 using Counts = std::vector<std::int64_t>;
 
