--- a/packages/testing/tool/bench.h
+++ b/packages/testing/tool/bench.h
@@ -10,6 +10,9 @@
 /// Prints waits under several ways of routing. Returns the exit status.
 int BenchRouting(const std::vector<std::string>& args);
 
+/// Prints how fleet-wide limits do. Returns the exit status.
+int BenchLimits(const std::vector<std::string>& args);
+
 /// Prints what configuration costs and how soon it is in force. Returns the
 /// exit status.
 int BenchConfig(const std::vector<std::string>& args);
