--- a/packages/gateway/src/daemon.cc
+++ b/packages/gateway/src/daemon.cc
@@ -13,21 +13,21 @@
 #include <utility>
 #include <vector>
 
-#include "gypsumtrack/base/hash.h"
 #include "gypsumtrack/base/log.h"
 #include "gypsumtrack/gateway/admin_service.h"
 #include "gypsumtrack/gateway/batch_service.h"
 #include "gypsumtrack/gateway/config_service.h"
 #include "gypsumtrack/gateway/fleet_routes.h"
 #include "gypsumtrack/gateway/http_server.h"
+#include "gypsumtrack/gateway/isolated_admission.h"
 #include "gypsumtrack/gateway/item_sender.h"
+#include "gypsumtrack/gateway/membership_service.h"
 #include "gypsumtrack/gateway/online_service.h"
 #include "gypsumtrack/gateway/rcu_cell.h"
 #include "gypsumtrack/gateway/report_service.h"
 #include "gypsumtrack/peer/peer_transport.h"
 #include "gypsumtrack/platform/http_platform.h"
 #include "gypsumtrack/telemetry/metrics.h"
-#include "listed_fleet.h"
 
 namespace gypsumtrack::gateway {
 namespace {
@@ -36,7 +36,10 @@
 
 constexpr base::Logger kLog{"daemon"};
 
-std::uint64_t NewIncarnation() { return base::Hash64(base::RandomHex(8)) | 1U; }
+/// Rises from start to start of a VM's daemon.
+std::uint64_t NewIncarnation(const base::Clock& clock) {
+  return static_cast<std::uint64_t>(clock.wall().time_since_epoch().count());
+}
 
 constexpr unsigned kOk = 200;
 constexpr unsigned kUnavailable = 503;
@@ -84,7 +87,7 @@
   Runtime runtime;
   telemetry::Registry metrics;
   std::unique_ptr<peer::PeerTransport> transport;
-  std::unique_ptr<ListedFleet> fleet;
+  std::unique_ptr<MembershipService> fleet;
   std::unique_ptr<ConfigService> config;
   std::unique_ptr<OnlineService> online;
   std::unique_ptr<ItemSender> items;
@@ -101,8 +104,8 @@
     : context(static_cast<int>(settings.threads)),
       work(asio::make_work_guard(this->context)),
       drain_timer(this->context) {
-  this->runtime.self = {settings.vm_name, NewIncarnation()};
   this->runtime.clock = base::SystemClock();
+  this->runtime.self = {settings.vm_name, NewIncarnation(this->runtime.clock)};
   this->runtime.control = asio::make_strand(this->context);
   this->runtime.pool = this->context.get_executor();
   this->runtime.platform =
@@ -134,12 +137,18 @@
 }
 
 void Daemon::State::MakeServices() {
-  this->fleet = std::make_unique<ListedFleet>(this->runtime);
+  this->fleet = std::make_unique<MembershipService>(this->runtime);
   const auto view = [this] { return this->fleet->View(); };
   this->config = std::make_unique<ConfigService>(this->runtime, view);
   const auto access = [this] { return this->config->Access(); };
-  this->online = std::make_unique<OnlineService>(
-      this->runtime, OnlineHooks{access, view, AdmitAll});
+  OnlineHooks online_hooks;
+  online_hooks.access = access;
+  online_hooks.fleet = view;
+  online_hooks.admit =
+      RefuseIsolated([this] { return this->config->InForce().isolated; },
+                     this->runtime.clock, AdmitAll);
+  this->online =
+      std::make_unique<OnlineService>(this->runtime, std::move(online_hooks));
   this->items = std::make_unique<ItemSender>(this->runtime, view);
   BatchHooks batch_hooks;
   batch_hooks.run_item = [this](ItemCall call) {
@@ -222,6 +231,7 @@
 void Daemon::State::Shutdown() {
   if (this->leaving.exchange(true)) return;
   kLog.Info("Leaving.");
+  this->fleet->Leave();
   asio::post(this->context, [this] { this->DrainServers(); });
 }
 
