--- a/packages/testing/tool/bench.h
+++ b/packages/testing/tool/bench.h
@@ -20,6 +20,9 @@
 /// Prints how batch does beside online. Returns the exit status.
 int BenchBatch(const std::vector<std::string>& args);
 
+/// Prints slopes of memory and processor time. Returns the exit status.
+int BenchCapacity(const std::vector<std::string>& args);
+
 }  // namespace gypsumtrack::bench
 
 #endif  // GYPSUMTRACK_TESTING_TOOL_BENCH_H_
--- a/packages/testing/tool/bench_main.cc
+++ b/packages/testing/tool/bench_main.cc
@@ -25,6 +25,8 @@
      gypsumtrack::bench::BenchConfig},
     {"batch", "throughput beside online, harm to online, shares, recovery",
      gypsumtrack::bench::BenchBatch},
+    {"capacity", "slopes of memory and processor time",
+     gypsumtrack::bench::BenchCapacity},
 };
 
 int PrintUsage() {
