--- a/packages/policy/src/batch_slots.cc
+++ b/packages/policy/src/batch_slots.cc
@@ -81,7 +81,8 @@
     const auto told = state.last.own_online + state.last.peer_online;
     const auto surplus =
         state.reported_online > told ? state.reported_online - told : 0;
-    return told + surplus / 2;
+    const auto half = surplus / 2;
+    return told + half;
   }
   const double peak = state.peaks.empty() ? 0 : state.peaks.front().online;
   return std::ceil(peak * (1 + this->options.burst_room));
--- /dev/null
+++ b/packages/policy/test/batch_slots_test.cc
@@ -0,0 +1,84 @@
+#include "gypsumtrack/policy/batch_slots.h"
+
+#include <fmt/format.h>
+
+#include <catch2/catch.hpp>
+
+namespace gypsumtrack::policy {
+namespace {
+
+constexpr std::uint32_t kSlots = 32;
+
+/// The view of VM `self` among four of one domain with `endpoints` endpoints.
+FleetView View(int self, int endpoints) {
+  FleetView view;
+  view.self = {fmt::format("vm{}", self), 1};
+  view.place.domain.text = "delta-cairo";
+  for (int i = 0; i < 4; ++i) {
+    if (i == self) continue;
+    PeerVm peer;
+    peer.id = {fmt::format("vm{}", i), 1};
+    peer.place = view.place;
+    peer.state = PeerState::kLive;
+    view.peers.push_back(peer);
+  }
+  for (int i = 0; i < endpoints; ++i) {
+    Endpoint endpoint;
+    endpoint.id.text = fmt::format("e{}", i);
+    endpoint.place = view.place;
+    endpoint.slots = kSlots;
+    view.endpoints.push_back(endpoint);
+  }
+  return view;
+}
+
+LoadSample Online(std::uint32_t own, std::uint32_t peers) {
+  LoadSample sample;
+  sample.endpoint.text = "e0";
+  sample.own_online = own;
+  sample.peer_online = peers;
+  sample.peers_known = true;
+  return sample;
+}
+
+}  // namespace
+
+TEST_CASE("Each endpoint's batch slots belong to one VM") {
+  for (int endpoint = 0; endpoint < 12; ++endpoint) {
+    int owners = 0;
+    for (int vm = 0; vm < 4; ++vm) {
+      BatchSlots slots(SlotOptions{});
+      slots.SetFleet(View(vm, 12));
+      owners += slots.Owns(base::EndpointId(fmt::format("e{}", endpoint)));
+    }
+    CHECK(owners == 1);
+  }
+}
+
+TEST_CASE("Batch takes what online leaves") {
+  auto view = View(0, 1);
+  view.peers.clear();
+  BatchSlots slots(SlotOptions{});
+  slots.SetFleet(view);
+  const base::Instant now(std::chrono::seconds(100));
+  slots.Observe(now, Online(1, 3));
+  const auto calm = slots.Capacity(now).at(0).slots;
+  CHECK(calm < kSlots - 4);
+  CHECK(calm > kSlots / 2);
+  SECTION("less at once when online requests come") {
+    slots.Observe(now, Online(2, 18));
+    CHECK(slots.Capacity(now).at(0).slots <= kSlots - 20);
+  }
+  SECTION("nothing when online fills the endpoint") {
+    slots.Observe(now, Online(10, 22));
+    CHECK(slots.Capacity(now).at(0).slots == 0);
+  }
+  SECTION("nothing when the endpoint no longer reports") {
+    auto sample = Online(0, 0);
+    sample.reported_at = now - std::chrono::seconds(10);
+    slots.Observe(now, sample);
+    CHECK(slots.Capacity(now).at(0).slots == 0);
+  }
+}
+
+}  // namespace gypsumtrack::policy
