--- a/packages/testing/src/shared_fleet.cc
+++ b/packages/testing/src/shared_fleet.cc
@@ -32,7 +32,7 @@
 }  // namespace
 
 SharedFleet::SharedFleet(SharedFleetOptions fleet_options)
-    : options(std::move(fleet_options)),
+    : options(fleet_options),
       random(this->options.seed),
       organisations({{"cairo-federation", 4},
                      {"alex-league", 4},
