--- a/packages/gateway/src/online_service.cc
+++ b/packages/gateway/src/online_service.cc
@@ -1,9 +1,7 @@
 #include "gypsumtrack/gateway/online_service.h"
 
 #include <boost/beast/core/string.hpp>
-#include <boost/json.hpp>
 #include <memory>
-#include <set>
 #include <tuple>
 #include <utility>
 
@@ -12,12 +10,12 @@
 #include "gypsumtrack/base/hash.h"
 #include "gypsumtrack/gateway/error_reply.h"
 #include "gypsumtrack/gateway/idempotency_store.h"
+#include "online_replies.h"
 
 namespace gypsumtrack::gateway {
 namespace {
 
 namespace asio = boost::asio;
-namespace json = boost::json;
 
 constexpr std::string_view kServicePrefix = "/s/";
 /// Prompts that share this many bytes are sent where the prefix is cached.
@@ -47,77 +45,6 @@
   std::string body;
 };
 
-ErrorReply Unauthorized() {
-  return {401, "unauthorized", "The request carries no valid key."};
-}
-
-ErrorReply BodyReply(const base::Error& error) {
-  if (error.Is(base::Errc::kTimeout)) {
-    return {408, "request_timeout", "The body came too slowly."};
-  }
-  return {413, "body_refused", error.message};
-}
-
-ErrorReply GrantReply(const base::Error& error) {
-  if (error.Is(base::Errc::kUnauthorized)) return Unauthorized();
-  if (error.Is(base::Errc::kForbidden)) {
-    return {403, "forbidden", error.message};
-  }
-  return {503, "not_ready", error.message, policy::RunState::kNotRun, 1};
-}
-
-/// Precondition: the verdict is a refusal.
-ErrorReply AdmissionReply(const Admission& admission, base::Instant now) {
-  ErrorReply reply;
-  reply.retry_after_seconds = RetryAfterSeconds(now, admission.retry_at);
-  reply.status = 503;
-  switch (admission.verdict) {
-    case AdmissionVerdict::kOverRate:
-      reply.status = 429;
-      reply.code = "over_rate";
-      reply.message = "The organisation is over its rate.";
-      return reply;
-    case AdmissionVerdict::kIsolated:
-      reply.code = "isolated";
-      reply.message = "This failure domain is cut off and the rule refuses.";
-      return reply;
-    default:
-      reply.code = "not_ready";
-      reply.message = "This VM holds no share of the rate yet.";
-      return reply;
-  }
-}
-
-/// What callers are told when no whole answer came.
-ErrorReply FailureReply(const DispatchResult& result, base::Instant now) {
-  switch (result.end) {
-    case DispatchEnd::kNotPermitted: {
-      auto reply = Unauthorized();
-      reply.run = result.run;
-      return reply;
-    }
-    case DispatchEnd::kOverload:
-      return {503, "overload", "The endpoints have no room for the request.",
-              result.run, RetryAfterSeconds(now, result.retry_at)};
-    case DispatchEnd::kNoEndpoint:
-      return {503, "no_endpoint", "No endpoint can take the request now.",
-              result.run, 1};
-    default:
-      break;
-  }
-  switch (result.last.end) {
-    case CallEnd::kDeadline:
-      return {504, "deadline", "The request's deadline passed.", result.run};
-    case CallEnd::kRefused:
-    case CallEnd::kConnect:
-      return {503, "endpoint_unavailable", "No endpoint took the request.",
-              result.run, 1};
-    default:
-      return {502, "endpoint_failed", "The endpoint gave no whole answer.",
-              result.run};
-  }
-}
-
 /// The head of a whole answer that this gateway writes itself.
 ResponseHead AnswerHead(std::string content_type) {
   ResponseHead head;
@@ -133,23 +60,6 @@
   return head;
 }
 
-/// The models that the organisation may call.
-std::string ModelList(const policy::AccessSnapshot& access,
-                      const base::Organisation& organisation) {
-  std::set<std::string> names;
-  for (const auto& rule : access.rules()) {
-    const bool theirs = rule.id.kind == policy::RuleKind::kOpen ||
-                        rule.id.organisation == organisation;
-    if (theirs && !rule.id.model.empty()) names.insert(rule.id.model.text);
-  }
-  json::array data;
-  for (const auto& name : names) {
-    data.push_back(json::object{{"id", name}, {"object", "model"}});
-  }
-  const json::object list{{"object", "list"}, {"data", std::move(data)}};
-  return json::serialize(list) + "\n";
-}
-
 StoredAnswer ToStored(const EndpointResult& result) {
   StoredAnswer answer;
   answer.status = result.head.status;
