--- a/packages/gateway/include/gypsumtrack/gateway/online_service.h
+++ b/packages/gateway/include/gypsumtrack/gateway/online_service.h
@@ -9,6 +9,7 @@
 #include "gypsumtrack/gateway/http_server.h"
 #include "gypsumtrack/gateway/runtime.h"
 #include "gypsumtrack/policy/access.h"
+#include "gypsumtrack/telemetry/service_level.h"
 
 /// What callers may ask online: completions, models and plain services.
 namespace gypsumtrack::gateway {
@@ -16,11 +17,22 @@
 using AccessHook =
     std::function<std::shared_ptr<const policy::AccessSnapshot>()>;
 
+/// How a request ended, for service levels.
+struct RequestOutcome {
+  base::Organisation organisation;
+  base::Service service;
+  telemetry::ServiceEvent event = telemetry::ServiceEvent::kServed;
+  /// From the request's admission to the answer's first byte.
+  base::Duration first_byte{};
+};
+
 struct OnlineHooks {
   /// Null until the first configuration is in force.
   AccessHook access;
   FleetViewHook fleet;
   AdmitHook admit;
+  /// May be empty. Not called for open routes, nor for callers who went away.
+  std::function<void(const RequestOutcome&)> record;
 };
 
 class OnlineService {
--- a/packages/gateway/src/daemon.cc
+++ b/packages/gateway/src/daemon.cc
@@ -17,6 +17,7 @@
 #include "gypsumtrack/gateway/admin_service.h"
 #include "gypsumtrack/gateway/batch_service.h"
 #include "gypsumtrack/gateway/config_service.h"
+#include "gypsumtrack/gateway/daemon_metrics.h"
 #include "gypsumtrack/gateway/fleet_routes.h"
 #include "gypsumtrack/gateway/http_server.h"
 #include "gypsumtrack/gateway/isolated_admission.h"
@@ -27,7 +28,6 @@
 #include "gypsumtrack/gateway/report_service.h"
 #include "gypsumtrack/peer/peer_transport.h"
 #include "gypsumtrack/platform/http_platform.h"
-#include "gypsumtrack/telemetry/metrics.h"
 
 namespace gypsumtrack::gateway {
 namespace {
@@ -85,7 +85,7 @@
   asio::executor_work_guard<asio::io_context::executor_type> work;
   asio::steady_timer drain_timer;
   Runtime runtime;
-  telemetry::Registry metrics;
+  DaemonMetrics metrics;
   std::unique_ptr<peer::PeerTransport> transport;
   std::unique_ptr<MembershipService> fleet;
   std::unique_ptr<ConfigService> config;
@@ -159,6 +159,9 @@
   this->batch =
       std::make_unique<BatchService>(this->runtime, std::move(batch_hooks));
   this->report = std::make_unique<ReportService>(this->runtime, view);
+  this->metrics.AddConfig(*this->config);
+  this->metrics.AddFleet(view);
+  this->metrics.AddTransport(*this->transport);
 }
 
 void Daemon::State::MakeServers() {
@@ -198,7 +201,7 @@
                     ready ? "ready\n" : "not ready\n");
   });
   router.Add("GET", "/metrics", [this](Exchange& exchange) {
-    return SendText(exchange, kOk, this->metrics.FormatPrometheus());
+    return SendText(exchange, kOk, this->metrics.Format());
   });
 }
 
--- a/packages/gateway/src/online_service.cc
+++ b/packages/gateway/src/online_service.cc
@@ -1,5 +1,6 @@
 #include "gypsumtrack/gateway/online_service.h"
 
+#include <algorithm>
 #include <boost/beast/core/string.hpp>
 #include <memory>
 #include <tuple>
@@ -107,6 +108,35 @@
   return "data: " + std::string(data) + "\n\n";
 }
 
+telemetry::ServiceEvent EventOf(AdmissionVerdict verdict) {
+  switch (verdict) {
+    case AdmissionVerdict::kAdmitted:
+      return telemetry::ServiceEvent::kServed;
+    case AdmissionVerdict::kOverRate:
+      return telemetry::ServiceEvent::kRefusedOverRate;
+    case AdmissionVerdict::kIsolated:
+      return telemetry::ServiceEvent::kRefusedIsolated;
+    case AdmissionVerdict::kNotReady:
+      return telemetry::ServiceEvent::kRefusedNoShare;
+  }
+  return telemetry::ServiceEvent::kFailed;
+}
+
+telemetry::ServiceEvent EventOf(const DispatchResult& result) {
+  constexpr unsigned kFirstServerError = 500;
+  if (result.end == DispatchEnd::kNotPermitted) {
+    return telemetry::ServiceEvent::kRefusedCaller;
+  }
+  if (result.end == DispatchEnd::kAnswered) {
+    return result.last.head.status < kFirstServerError
+               ? telemetry::ServiceEvent::kServed
+               : telemetry::ServiceEvent::kFailed;
+  }
+  return result.run == policy::RunState::kNotRun
+             ? telemetry::ServiceEvent::kRefusedOverload
+             : telemetry::ServiceEvent::kFailed;
+}
+
 }  // namespace
 
 class OnlineService::State {
@@ -131,6 +161,10 @@
                                  const AccessQuestion& question) const;
   std::string KeyHash(const RequestHead& request) const;
   bool StillGranted(const Grant& grant) const;
+  void Record(const Grant& grant, telemetry::ServiceEvent event,
+              base::Duration first_byte) const;
+  void RecordEnd(const Grant& grant, const DispatchResult& result,
+                 base::Duration first_byte) const;
   DispatchRequest MakeDispatch(Exchange& exchange, const Grant& grant) const;
   asio::awaitable<base::Status> Forward(Exchange& exchange,
                                         Generation& generation,
@@ -223,11 +257,27 @@
   if (admission.verdict == AdmissionVerdict::kAdmitted) {
     co_return std::move(*grant);
   }
+  this->Record(*grant, EventOf(admission.verdict), {});
   auto reply = AdmissionReply(admission, this->runtime.clock.now());
   co_await SendError(exchange, std::move(reply));
   co_return std::nullopt;
 }
 
+void OnlineService::State::Record(const Grant& grant,
+                                  telemetry::ServiceEvent event,
+                                  base::Duration first_byte) const {
+  if (!this->hooks.record || grant.open) return;
+  this->hooks.record(
+      {grant.organisation, grant.rule.id.service, event, first_byte});
+}
+
+void OnlineService::State::RecordEnd(const Grant& grant,
+                                     const DispatchResult& result,
+                                     base::Duration first_byte) const {
+  if (result.last.end == CallEnd::kCancelled) return;
+  this->Record(grant, EventOf(result), first_byte);
+}
+
 DispatchRequest OnlineService::State::MakeDispatch(Exchange& exchange,
                                                    const Grant& grant) const {
   DispatchRequest request;
@@ -274,6 +324,8 @@
   question.path = exchange.request().path;
   const auto grant = co_await this->Admit(exchange, std::move(question));
   if (!grant) co_return;
+  const auto admitted_at = this->runtime.clock.now();
+  auto first_byte_at = base::kNever;
   Generation generation(std::move(*parsed), exchange.request_id());
   auto request = this->MakeDispatch(exchange, *grant);
   request.affinity_key =
@@ -288,12 +340,17 @@
     call.body = generation.AttemptBody();
     call.request_id = exchange.request_id();
     call.on_part = [&](const ResponseHead&, std::string_view part) {
+      if (first_byte_at == base::kNever) {
+        first_byte_at = this->runtime.clock.now();
+      }
       return this->Forward(exchange, generation, part);
     };
     call.is_whole = [&] { return generation.whole(); };
     return call;
   };
   const auto result = co_await this->sender.Dispatch(std::move(request));
+  const auto begun_at = std::min(first_byte_at, this->runtime.clock.now());
+  this->RecordEnd(*grant, result, begun_at - admitted_at);
   co_await this->FinishGeneration(exchange, generation, result);
 }
 
@@ -378,7 +435,9 @@
     call.request_id = exchange.request_id();
     return call;
   };
+  const auto admitted_at = this->runtime.clock.now();
   auto result = co_await this->sender.Dispatch(std::move(request));
+  this->RecordEnd(grant, result, this->runtime.clock.now() - admitted_at);
   co_return result;
 }
 
