--- a/packages/policy/include/gypsumtrack/policy/limit_node.h
+++ b/packages/policy/include/gypsumtrack/policy/limit_node.h
@@ -40,7 +40,8 @@
 /// Not thread-safe; `Slice` hands out objects that are.
 class LimitNode {
  public:
-  LimitNode(const LimitSettings& settings, LimitPeer self, const base::Place& place);
+  LimitNode(const LimitSettings& settings, LimitPeer self,
+            const base::Place& place);
   LimitNode(const LimitNode&) = delete;
   LimitNode& operator=(const LimitNode&) = delete;
 
@@ -74,6 +75,8 @@
   /// The tokens that threads may take by themselves; null if there are none
   /// yet. Changes when the limit's home does.
   std::shared_ptr<TokenSlice> Slice(const LimitKey& key) const;
+  /// All that `Slice` would give now.
+  std::map<LimitKey, std::shared_ptr<TokenSlice>> Slices() const;
   /// When a refused caller of the key may come back.
   base::Instant RetryAt(const LimitKey& key, base::Instant now) const;
   std::optional<LimitReport> Report(const LimitKey& key,
--- a/packages/policy/src/limit_node.cc
+++ b/packages/policy/src/limit_node.cc
@@ -284,6 +284,14 @@
   return home ? slice->second.Slice(home->vm) : nullptr;
 }
 
+std::map<LimitKey, std::shared_ptr<TokenSlice>> LimitNode::Slices() const {
+  std::map<LimitKey, std::shared_ptr<TokenSlice>> all;
+  for (const auto& [key, slices_of_key] : this->slices) {
+    if (auto slice = this->Slice(key)) all.emplace(key, std::move(slice));
+  }
+  return all;
+}
+
 base::Instant LimitNode::RetryAt(const LimitKey& key, base::Instant now) const {
   const auto slice = this->slices.find(key);
   const auto soonest = now + this->settings.foreign_gap;
