--- a/packages/gateway/src/daemon.cc
+++ b/packages/gateway/src/daemon.cc
@@ -22,6 +22,7 @@
 #include "gypsumtrack/gateway/http_server.h"
 #include "gypsumtrack/gateway/isolated_admission.h"
 #include "gypsumtrack/gateway/item_sender.h"
+#include "gypsumtrack/gateway/limits_service.h"
 #include "gypsumtrack/gateway/membership_service.h"
 #include "gypsumtrack/gateway/online_service.h"
 #include "gypsumtrack/gateway/rcu_cell.h"
@@ -52,11 +53,6 @@
   (void)co_await exchange.Send(std::move(head), std::move(text));
 }
 
-/// Lets all requests through until the fleet's limits are wired in.
-asio::awaitable<Admission> AdmitAll(const policy::Rule&, base::Instant) {
-  co_return Admission{};
-}
-
 }  // namespace
 
 class Daemon::State {
@@ -89,6 +85,7 @@
   std::unique_ptr<peer::PeerTransport> transport;
   std::unique_ptr<MembershipService> fleet;
   std::unique_ptr<ConfigService> config;
+  std::unique_ptr<LimitsService> limits;
   std::unique_ptr<OnlineService> online;
   std::unique_ptr<ItemSender> items;
   std::unique_ptr<BatchService> batch;
@@ -141,6 +138,8 @@
   const auto view = [this] { return this->fleet->View(); };
   this->config = std::make_unique<ConfigService>(this->runtime, view);
   const auto access = [this] { return this->config->Access(); };
+  this->limits =
+      std::make_unique<LimitsService>(this->runtime, LimitsHooks{access, view});
   OnlineHooks online_hooks;
   online_hooks.access = access;
   online_hooks.fleet = view;
@@ -182,6 +181,7 @@
   Router operator_routes;
   AddConfigRoutes(operator_routes, this->runtime, *this->config);
   this->report->Register(operator_routes);
+  this->limits->Register(operator_routes);
   AddFleetRoutes(operator_routes, this->runtime,
                  [this] { return this->fleet->View(); });
   this->AddHealthRoutes(operator_routes);
@@ -217,6 +217,7 @@
   }
   this->fleet->Start();
   this->config->Start();
+  this->limits->Start();
   this->batch->Start();
   kLog.Info("Serving callers on {} and operators on {}.", this->CallerAddress(),
             this->AdminAddress());
@@ -257,7 +258,7 @@
 
 void Daemon::State::StopServices() {
   this->drain_timer.cancel();
-  this->batch->Stop([this] { this->Finish(); });
+  this->batch->Stop([this] { this->limits->Stop([this] { this->Finish(); }); });
 }
 
 void Daemon::State::Finish() {
