--- a/packages/gateway/src/daemon.cc
+++ b/packages/gateway/src/daemon.cc
@@ -145,7 +145,7 @@
   online_hooks.fleet = view;
   online_hooks.admit =
       RefuseIsolated([this] { return this->config->InForce().isolated; },
-                     this->runtime.clock, AdmitAll);
+                     this->runtime.clock, this->limits->Admit());
   this->online =
       std::make_unique<OnlineService>(this->runtime, std::move(online_hooks));
   this->items = std::make_unique<ItemSender>(this->runtime, view);
