Survive a request without a route

A daemon ended with 'munmap_chunk(): invalid pointer' after a request to a path without a route: GCC 12 frees the strings of an aggregate written into a co_await expression twice. ErrorReply now has a constructor.

--- a/packages/gateway/include/gypsumtrack/gateway/error_reply.h
+++ b/packages/gateway/include/gypsumtrack/gateway/error_reply.h
@@ -4,6 +4,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <cstdint>
 #include <string>
+#include <utility>
 
 #include "gypsumtrack/gateway/http_server.h"
 #include "gypsumtrack/policy/run_state.h"
@@ -23,6 +24,18 @@
   policy::RunState run = policy::RunState::kNotRun;
   /// Seconds after which a resend may succeed; 0 if waiting doesn't help.
   std::uint32_t retry_after_seconds = 0;
+
+  /// Not an aggregate: GCC 12 frees the strings of an aggregate that is written
+  /// into a co_await expression a second time.
+  ErrorReply(unsigned http_status, std::string stable_code,
+             std::string sentence,
+             policy::RunState run_state = policy::RunState::kNotRun,
+             std::uint32_t retry_after = 0)
+      : status(http_status),
+        code(std::move(stable_code)),
+        message(std::move(sentence)),
+        run(run_state),
+        retry_after_seconds(retry_after) {}
 };
 
 struct RenderedReply {
--- a/packages/gateway/test/admin_service_test.cc
+++ b/packages/gateway/test/admin_service_test.cc
@@ -50,6 +50,12 @@
     runtime.settings.admin_token = "";
     CHECK(call("Authorization: Bearer \r\n", "{}").status == 401);
   }
+  SECTION("a path without a route is refused, and the server goes on") {
+    for (int i = 0; i < 10; ++i) {
+      TestCaller caller(server.address());
+      CHECK(caller.Call("GET", "/admin/nothing", good, "").status == 404);
+    }
+  }
   SECTION("a malformed body is refused") {
     CHECK(call(good, "{").status == 400);
   }
