--- a/packages/testing/tool/bench.h
+++ b/packages/testing/tool/bench.h
@@ -23,6 +23,10 @@
 /// Prints slopes of memory and processor time. Returns the exit status.
 int BenchCapacity(const std::vector<std::string>& args);
 
+/// Prints what membership costs and how soon it detects. Returns the exit
+/// status.
+int BenchMembership(const std::vector<std::string>& args);
+
 }  // namespace gypsumtrack::bench
 
 #endif  // GYPSUMTRACK_TESTING_TOOL_BENCH_H_
--- a/packages/testing/tool/bench_main.cc
+++ b/packages/testing/tool/bench_main.cc
@@ -27,6 +27,8 @@
      gypsumtrack::bench::BenchBatch},
     {"capacity", "slopes of memory and processor time",
      gypsumtrack::bench::BenchCapacity},
+    {"membership", "traffic and detection times of membership",
+     gypsumtrack::bench::BenchMembership},
 };
 
 int PrintUsage() {
