--- a/packages/policy/include/gypsumtrack/policy/router.h
+++ b/packages/policy/include/gypsumtrack/policy/router.h
@@ -27,7 +27,7 @@
   /// Candidates compared in each of own domain, own region and beyond.
   std::uint32_t choices = 6;
   /// Service times after which a report of others' load says little.
-  double report_memory = 1;
+  double report_memory = 0.1;
   base::Duration first_service_time = std::chrono::milliseconds(200);
   std::uint32_t failures_to_eject = 3;
   base::Duration ejection = std::chrono::seconds(10);
@@ -138,7 +138,7 @@
   Candidate Affine(const std::vector<const Endpoint*>& tier,
                    std::string_view key, base::Instant now) const;
   Candidate MakeCandidate(const Endpoint& endpoint, base::Instant now) const;
-  double Others(const EndpointState& state, base::Instant now) const;
+  double Others(const EndpointState* state, base::Instant now) const;
   base::Duration Distance(const Endpoint& endpoint,
                           const base::Place& own) const;
 
--- a/packages/policy/src/router.cc
+++ b/packages/policy/src/router.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <tuple>
 #include <unordered_set>
 
 #include "gypsumtrack/base/hash.h"
@@ -26,6 +27,19 @@
   return std::find(ids.begin(), ids.end(), id) != ids.end();
 }
 
+/// An endpoint's place in the order of being considered.
+struct Draw {
+  std::uint32_t outstanding = 0;
+  base::Instant sent_at{};
+  std::uint64_t chance = 0;
+  const Endpoint* endpoint = nullptr;
+
+  bool operator<(const Draw& other) const {
+    return std::tie(this->outstanding, this->sent_at, this->chance) <
+           std::tie(other.outstanding, other.sent_at, other.chance);
+  }
+};
+
 std::size_t TierOf(const Endpoint& endpoint, const base::Place& own) {
   if (endpoint.place.domain == own.domain) return 0;
   return endpoint.place.region == own.region ? 1 : 2;
@@ -111,16 +125,16 @@
   return found == this->states.end() ? nullptr : &found->second;
 }
 
-double EndpointRouter::Others(const EndpointState& state,
+double EndpointRouter::Others(const EndpointState* state,
                               base::Instant now) const {
   const double mean =
       this->others_count == 0 ? 0 : this->others_sum / this->others_count;
-  if (!state.reported) return mean;
+  if (state == nullptr || !state->reported) return mean;
   const auto memory = Scale(this->mean_time, this->options.report_memory);
-  const auto age = now - state.reported_at;
+  const auto age = now - state->reported_at;
   const double weight = std::exp(-static_cast<double>(age.count()) /
                                  static_cast<double>(memory.count() + 1));
-  const double above = (state.others - mean) * std::min(1.0, weight);
+  const double above = (state->others - mean) * std::min(1.0, weight);
   // Less than a request is noise, and would undo the even order of equals.
   return std::abs(above) < 1 ? mean : mean + above;
 }
@@ -128,10 +142,11 @@
 double EndpointRouter::Load(const base::EndpointId& endpoint,
                             base::Instant now) const {
   const auto* state = this->Find(endpoint);
-  if (state == nullptr) return 0;
   double load = 0;
-  if (this->options.use_own_outstanding) load += state->outstanding;
-  if (this->options.use_reports) load += this->Others(*state, now);
+  if (state != nullptr && this->options.use_own_outstanding) {
+    load += state->outstanding;
+  }
+  if (this->options.use_reports) load += this->Others(state, now);
   return load;
 }
 
@@ -190,19 +205,30 @@
 EndpointRouter::Candidate EndpointRouter::Sample(
     const std::vector<const Endpoint*>& tier, std::uint64_t seed,
     base::Instant now) const {
-  Candidate best;
-  const std::size_t count =
-      std::min<std::size_t>(this->options.choices, tier.size());
-  std::vector<std::size_t> drawn;
-  for (std::uint64_t i = 0; drawn.size() < count; ++i) {
-    const auto word =
-        base::Hash64({reinterpret_cast<const char*>(&i), sizeof i}, seed);
-    std::size_t index = word % tier.size();
-    while (std::find(drawn.begin(), drawn.end(), index) != drawn.end()) {
-      index = (index + 1) % tier.size();
+  // Least used and longest unused by this VM first: even without reports,
+  // arrivals then come evenly. Chance decides among those never used.
+  std::vector<Draw> draws;
+  draws.reserve(tier.size());
+  for (const auto* endpoint : tier) {
+    const auto* state = this->Find(endpoint->id);
+    Draw draw;
+    draw.endpoint = endpoint;
+    if (state != nullptr && this->options.use_own_outstanding) {
+      draw.outstanding = state->outstanding;
+      draw.sent_at = state->sent_at;
+    }
+    if (draw.sent_at == base::Instant()) {
+      draw.chance = base::Hash64(endpoint->id.text, seed);
     }
-    drawn.push_back(index);
-    const auto candidate = this->MakeCandidate(*tier[index], now);
+    draws.push_back(draw);
+  }
+  const auto count = std::min<std::size_t>(this->options.choices, draws.size());
+  std::partial_sort(draws.begin(),
+                    draws.begin() + static_cast<std::ptrdiff_t>(count),
+                    draws.end());
+  Candidate best;
+  for (std::size_t i = 0; i < count; ++i) {
+    const auto candidate = this->MakeCandidate(*draws[i].endpoint, now);
     if (candidate.IsBetterThan(best)) best = candidate;
   }
   return best;
