--- a/packages/gateway/include/gypsumtrack/gateway/error_reply.h
+++ b/packages/gateway/include/gypsumtrack/gateway/error_reply.h
@@ -27,6 +27,7 @@
 
   /// Not an aggregate: GCC 12 frees the strings of an aggregate that is written
   /// into a co_await expression a second time.
+  ErrorReply() = default;
   ErrorReply(unsigned http_status, std::string stable_code,
              std::string sentence,
              policy::RunState run_state = policy::RunState::kNotRun,
