--- a/packages/policy/include/gypsumtrack/policy/batch_node.h
+++ b/packages/policy/include/gypsumtrack/policy/batch_node.h
@@ -191,7 +191,7 @@
   std::uint32_t FreeSlots() const;
   std::uint32_t Startable() const;
 
-  // batch_node_lease.cc: leases, results and the index.
+  // batch_node_lease.cc: leases and the index.
   void RefreshIndex(base::Instant now);
   void OnIndexPage(base::ScanReply page);
   void LeaseMore(base::Instant now);
@@ -214,6 +214,8 @@
   bool Holds(const std::string& key, std::uint64_t token);
   void OnLoaded(base::Instant now, const std::string& key,
                 const std::string& input, const ItemResults& known);
+
+  // batch_node_commit.cc: intents, results and hand-backs.
   void WriteIntent(base::Instant now, HeldChunk& chunk);
   void CommitChunk(base::Instant now, HeldChunk& chunk);
   void HandBack(base::Instant now, HeldChunk& chunk);
--- a/packages/policy/src/batch_node.cc
+++ b/packages/policy/src/batch_node.cc
@@ -9,6 +9,8 @@
 /// Pause of an endpoint after its first failure; doubles with each in a row.
 constexpr base::Duration kFirstPause = std::chrono::milliseconds(100);
 constexpr std::uint32_t kMaxDoublings = 6;
+/// Ended jobs remembered. Forgetting one is safe: its commits conflict.
+constexpr std::size_t kMaxRemembered = 20'000;
 
 }  // namespace
 
@@ -161,6 +163,7 @@
 }
 
 void BatchNode::OnCancelled(base::Instant now, const std::string& uid) {
+  if (this->cancelled.size() >= kMaxRemembered) this->cancelled.clear();
   if (!this->cancelled.insert(uid).second) return;
   this->jobs.Remove(uid);
   std::vector<std::string> keys;
