--- a/packages/testing/tool/bench_config.cc
+++ b/packages/testing/tool/bench_config.cc
@@ -171,7 +171,7 @@
               std::get_if<policy::KeyWithdrawal>(&proposal.body)) {
         sim.Withdraw(vm, proposal.operation_id, withdrawn->hashes.front());
       } else {
-        sim.Submit(vm, std::move(proposal));
+        sim.Submit(vm, proposal);
       }
     });
     ++number;
