Wait for the first tokens of a limit; let batch see online load; operators' batch routes

Cause: with the limits wired in, the first request of an organisation on a VM was refused as over its rate (429 on one of three VMs): its home needs a commit at the table, and the request waited 60 ms. A VM that was never lent a token of a limit now waits up to 1 s. A cancel passed an owning closure inside co_await. Batch had no view of online load (BatchHooks::observe was empty) and took all slots but a twentieth.

--- a/packages/gateway/include/gypsumtrack/gateway/batch_service.h
+++ b/packages/gateway/include/gypsumtrack/gateway/batch_service.h
@@ -23,6 +23,8 @@
 
   /// Adds the routes under /v1/batches. Before the server starts.
   void Register(Router& router);
+  /// Adds the operators' routes under /admin/batches. Before the server starts.
+  void RegisterAdmin(Router& router);
   /// Begins to run items. Thread-safe, as is Stop.
   void Start();
   /// Hands back what is held, then calls `done` once.
--- a/packages/gateway/include/gypsumtrack/gateway/dispatcher.h
+++ b/packages/gateway/include/gypsumtrack/gateway/dispatcher.h
@@ -8,6 +8,7 @@
 
 #include "gypsumtrack/gateway/endpoint_client.h"
 #include "gypsumtrack/gateway/runtime.h"
+#include "gypsumtrack/policy/batch_slots.h"
 #include "gypsumtrack/policy/fleet_view.h"
 
 /// Sends requests to the endpoints of a service: choice, retries, feedback.
@@ -59,6 +60,10 @@
   /// Runs on the awaiting coroutine's strand. Thread-safe.
   boost::asio::awaitable<DispatchResult> Dispatch(DispatchRequest request);
 
+  /// Endpoints' load as this daemon knows it, for batch beside online.
+  /// Thread-safe.
+  std::vector<policy::LoadSample> Loads() const;
+
   /// Asks endpoints for their load until Stop. Precondition: called once.
   void StartReports();
   /// Ends the reports. Thread-safe.
--- a/packages/gateway/include/gypsumtrack/gateway/fleet_routes.h
+++ b/packages/gateway/include/gypsumtrack/gateway/fleet_routes.h
@@ -15,7 +15,7 @@
 /// server starts. Precondition: `runtime` outlives the router.
 void AddFleetRoutes(
     Router& router, const Runtime& runtime,
-    std::function<std::shared_ptr<const policy::FleetView>()> view);
+    const std::function<std::shared_ptr<const policy::FleetView>()>& view);
 
 }  // namespace gypsumtrack::gateway
 
--- a/packages/gateway/src/batch_service.cc
+++ b/packages/gateway/src/batch_service.cc
@@ -9,6 +9,8 @@
 #include <map>
 #include <utility>
 
+#include "batch_admin.h"
+#include "batch_progress.h"
 #include "batch_reply.h"
 #include "gypsumtrack/base/hash.h"
 #include "gypsumtrack/base/log.h"
@@ -362,26 +364,11 @@
 
 awaitable<void> BatchService::State::Show(Exchange& exchange,
                                           policy::BatchJob job) {
-  JobProgress progress;
-  progress.job = std::move(job);
-  base::TableScan scan;
-  scan.prefix = policy::ResultPrefix(progress.job.uid);
-  scan.limit = kPageRows;
-  for (bool more = true; more;) {
-    const auto page = co_await ScanTable(this->runtime->platform, scan,
-                                         this->StoreDeadline());
-    if (!page.ok()) co_return co_await this->Refuse(exchange, page.error());
-    for (const auto& row : page->rows) {
-      const auto result = policy::DecodeResult(row.value);
-      if (!result.ok()) continue;
-      progress.completed += result->completed;
-      progress.failed += result->failed;
-      progress.unknown += result->unknown;
-    }
-    more = page->more;
-    if (more) scan.after = page->rows.back().key;
-  }
-  const auto details = JobDetails(progress, this->runtime->clock.wall());
+  const auto progress =
+      co_await CollectProgress(*this->runtime, std::move(job));
+  if (!progress.ok())
+    co_return co_await this->Refuse(exchange, progress.error());
+  const auto details = JobDetails(*progress, this->runtime->clock.wall());
   (void)co_await exchange.Send(JsonHead(200),
                                boost::json::serialize(details) + "\n");
 }
@@ -415,7 +402,8 @@
   auto page =
       co_await ScanTable(this->runtime->platform, scan, this->StoreDeadline());
   if (!page.ok()) co_return co_await this->Refuse(exchange, page.error());
-  ResponseHead head{200, {{"Content-Type", "application/jsonl"}}};
+  auto head = JsonHead(200);
+  head.headers.front().value = "application/jsonl";
   const auto begun = co_await exchange.BeginStream(std::move(head));
   if (!begun.ok()) co_return;
   while (true) {
@@ -458,8 +446,10 @@
 awaitable<void> BatchService::State::Cancel(Exchange& exchange,
                                             policy::BatchJob job) {
   if (job.state != policy::JobState::kFinished) {
-    const auto status = co_await AwaitHandler<base::Status>(
-        [this, job](auto handler) { this->runner.Cancel(job, handler); });
+    auto cancel = [this, job](auto handler) {
+      this->runner.Cancel(job, std::move(handler));
+    };
+    const auto status = co_await AwaitHandler<base::Status>(std::move(cancel));
     if (!status.ok() && !status.error().Is(base::Errc::kConflict)) {
       co_return co_await this->Refuse(exchange, status.error(),
                                       policy::RunState::kUnknown);
@@ -488,6 +478,13 @@
   });
 }
 
+void BatchService::RegisterAdmin(Router& router) {
+  AddBatchRoutes(router, *this->state->runtime,
+                 [state = this->state](policy::BatchJob job, auto handler) {
+                   state->runner.Cancel(std::move(job), std::move(handler));
+                 });
+}
+
 void BatchService::Start() { this->state->runner.Start(); }
 
 void BatchService::Stop(std::function<void()> done) {
--- a/packages/gateway/src/daemon.cc
+++ b/packages/gateway/src/daemon.cc
@@ -155,6 +155,7 @@
   };
   batch_hooks.access = access;
   batch_hooks.fleet = view;
+  batch_hooks.observe = [this] { return this->online->dispatcher().Loads(); };
   this->batch =
       std::make_unique<BatchService>(this->runtime, std::move(batch_hooks));
   this->report = std::make_unique<ReportService>(this->runtime, view);
@@ -182,6 +183,7 @@
   AddConfigRoutes(operator_routes, this->runtime, *this->config);
   this->report->Register(operator_routes);
   this->limits->Register(operator_routes);
+  this->batch->RegisterAdmin(operator_routes);
   AddFleetRoutes(operator_routes, this->runtime,
                  [this] { return this->fleet->View(); });
   this->AddHealthRoutes(operator_routes);
@@ -229,7 +231,9 @@
 }
 
 bool Daemon::State::Ready() const {
-  return !this->leaving && this->config->ready();
+  if (this->leaving || !this->config->ready()) return false;
+  const auto view = this->fleet->View();
+  return view->platform_reachable || !view->peers.empty();
 }
 
 void Daemon::State::Shutdown() {
--- a/packages/gateway/src/dispatch_state.cc
+++ b/packages/gateway/src/dispatch_state.cc
@@ -30,6 +30,11 @@
   if (view == this->last_view) return;
   this->last_view = view;
   this->router.OnView(*view);
+  std::set<base::EndpointId> listed;
+  for (const auto& endpoint : view->endpoints) listed.insert(endpoint.id);
+  std::erase_if(this->loads, [&](const auto& entry) {
+    return entry.second.own_online == 0 && listed.count(entry.first) == 0;
+  });
 }
 
 const policy::Endpoint* DispatchState::Choose(
@@ -52,6 +57,7 @@
   const auto* endpoint = this->Choose(*view, request, avoid, now);
   if (endpoint == nullptr) return std::nullopt;
   this->router.OnSent(endpoint->id, now);
+  ++this->loads[endpoint->id].own_online;
   return *endpoint;
 }
 
@@ -60,12 +66,31 @@
                         base::Instant now) {
   const std::lock_guard lock(this->mutex);
   this->router.OnEnded(endpoint, Blame(result), took, now);
+  const auto load = this->loads.find(endpoint);
+  if (load != this->loads.end() && load->second.own_online > 0) {
+    --load->second.own_online;
+  }
   if (result.leaving) this->router.OnLeaving(endpoint);
 }
 
 void DispatchState::Report(const policy::LoadReport& report) {
   const std::lock_guard lock(this->mutex);
   this->router.OnReport(report);
+  auto& load = this->loads[report.endpoint];
+  load.reported_running = report.requests - report.waiting;
+  load.reported_waiting = report.waiting;
+  load.reported_at = report.as_of;
+}
+
+std::vector<policy::LoadSample> DispatchState::Loads() {
+  const std::lock_guard lock(this->mutex);
+  std::vector<policy::LoadSample> samples;
+  samples.reserve(this->loads.size());
+  for (const auto& [endpoint, load] : this->loads) {
+    samples.push_back(load);
+    samples.back().endpoint = endpoint;
+  }
+  return samples;
 }
 
 void DispatchState::CountRequest() {
--- a/packages/gateway/src/dispatch_state.h
+++ b/packages/gateway/src/dispatch_state.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "gypsumtrack/gateway/dispatcher.h"
+#include "gypsumtrack/policy/batch_slots.h"
 #include "gypsumtrack/policy/fair_queue.h"
 #include "gypsumtrack/policy/retry.h"
 #include "gypsumtrack/policy/router.h"
@@ -44,6 +45,8 @@
   void End(const base::EndpointId& endpoint, const EndpointResult& result,
            base::Duration took, base::Instant now);
   void Report(const policy::LoadReport& report);
+  /// One for each endpoint that was sent to or reported.
+  std::vector<policy::LoadSample> Loads();
   void CountRequest();
   bool TakeRetry(const policy::FailedAttempt& attempt, base::Instant now);
 
@@ -72,6 +75,7 @@
   policy::RetryOptions retry_options;
   policy::RetryBudget budget;
   policy::EndpointRouter router;
+  std::map<base::EndpointId, policy::LoadSample> loads;
   std::map<PoolKey, policy::FairQueue> queues;
   /// Put out of a queue for another organisation.
   std::set<std::uint64_t> evicted;
--- a/packages/gateway/src/dispatcher.cc
+++ b/packages/gateway/src/dispatcher.cc
@@ -45,7 +45,8 @@
     return static_cast<std::uint32_t>(value->as_int64());
   };
   policy::LoadReport out;
-  out.requests = number("running") + number("waiting");
+  out.waiting = number("waiting");
+  out.requests = number("running") + out.waiting;
   out.as_of = received - std::chrono::milliseconds(number("age_ms"));
   return out;
 }
@@ -101,6 +102,8 @@
     co_return out;
   }
 
+  std::vector<policy::LoadSample> Loads() { return this->decisions.Loads(); }
+
   void StartReports() {
     asio::co_spawn(
         asio::make_strand(this->runtime.pool),
@@ -230,6 +233,10 @@
   return this->state->Dispatch(std::move(request));
 }
 
+std::vector<policy::LoadSample> Dispatcher::Loads() const {
+  return this->state->Loads();
+}
+
 void Dispatcher::StartReports() { this->state->StartReports(); }
 
 void Dispatcher::Stop() { this->state->Stop(); }
--- a/packages/gateway/src/fleet_routes.cc
+++ b/packages/gateway/src/fleet_routes.cc
@@ -64,7 +64,8 @@
 
 }  // namespace
 
-void AddFleetRoutes(Router& router, const Runtime& runtime, ViewHook view) {
+void AddFleetRoutes(Router& router, const Runtime& runtime,
+                    const ViewHook& view) {
   AddShow(router, runtime, "/admin/vms", view, ShowVms);
   AddShow(router, runtime, "/admin/endpoints", view, ShowEndpoints);
 }
--- a/packages/gateway/src/limits_service.cc
+++ b/packages/gateway/src/limits_service.cc
@@ -25,6 +25,8 @@
 constexpr base::Logger kLog{"limits"};
 constexpr const char* kMessages = "limits.messages";
 constexpr const char* kDescribe = "limits.describe";
+/// Longest wait for the first tokens of a limit that is new to this VM.
+constexpr base::Duration kFirstWait = std::chrono::seconds(1);
 constexpr base::Duration kTableWait = std::chrono::seconds(2);
 constexpr base::Duration kGatherWait = std::chrono::seconds(2);
 constexpr base::Duration kLeaveWait = std::chrono::seconds(1);
@@ -105,7 +107,7 @@
                    const AdmitDone& done);
   void OnMessages(const base::VmId& from, const Json::Value& params);
   void Carry(policy::LimitActions actions);
-  void SendMessages(std::vector<policy::LimitSend> sends);
+  void SendMessages(const std::vector<policy::LimitSend>& sends);
   void Commit(policy::LimitCommit commit);
   void Scan(policy::LimitScan scan);
   Json::Value OwnReport(const std::string& organisation) const;
@@ -148,12 +150,12 @@
       kDescribe, [weak](const base::VmId&, const Json::Value& params,
                         const peer::ReplyHandler& reply) {
         const auto self = weak.lock();
-        if (!self || !params.isString()) {
+        if (!self || !params.isObject() || !params["organisation"].isString()) {
           reply(base::Error(base::Errc::kInvalid, "not an organisation"));
           return;
         }
         self->OnControl([params, reply](const State& state) {
-          reply(state.OwnReport(params.asString()));
+          reply(state.OwnReport(params["organisation"].asString()));
         });
       });
 }
@@ -235,8 +237,13 @@
     slice->second.admitted->fetch_add(1, std::memory_order_relaxed);
     co_return Admission{};
   }
-  const auto patience = now + this->runtime.settings.borrow_wait;
-  const auto until = std::min(deadline, patience);
+  // Until the first tokens have come, "none yet" doesn't mean "over the rate".
+  const bool lent_before = slice != snapshot->end() &&
+                           slice->second.tokens->expires() != base::Instant{};
+  const auto wait =
+      lent_before ? this->runtime.settings.borrow_wait
+                  : std::max(this->runtime.settings.borrow_wait, kFirstWait);
+  const auto until = std::min(deadline, now + wait);
   const std::function<void(const AdmitDone&)> start =
       [self = this->shared_from_this(), key, until](const AdmitDone& done) {
         self->OnControl([key, until, done](State& state) {
@@ -278,7 +285,7 @@
 }
 
 void LimitsService::State::Carry(policy::LimitActions actions) {
-  this->SendMessages(std::move(actions.sends));
+  this->SendMessages(actions.sends);
   for (auto& commit : actions.commits) this->Commit(std::move(commit));
   for (auto& scan : actions.scans) this->Scan(std::move(scan));
   for (const auto& answer : actions.answers) {
@@ -294,7 +301,8 @@
   }
 }
 
-void LimitsService::State::SendMessages(std::vector<policy::LimitSend> sends) {
+void LimitsService::State::SendMessages(
+    const std::vector<policy::LimitSend>& sends) {
   std::map<std::string, Json::Value> by_address;
   for (const auto& send : sends) {
     auto& messages = by_address[send.to.address];
@@ -355,9 +363,11 @@
   auto& vms = reply.body["vms"];
   vms[this->runtime.self.name] = co_await AwaitHandler<Json::Value>(start);
   const auto fleet = this->hooks.fleet();
-  const auto answers = co_await GatherPeers(this->runtime, *fleet, kDescribe,
-                                            Json::Value(organisation),
-                                            this->Now() + kGatherWait);
+  Json::Value params;
+  params["organisation"] = organisation;
+  const auto answers =
+      co_await GatherPeers(this->runtime, *fleet, kDescribe, std::move(params),
+                           this->Now() + kGatherWait);
   reply.body["silent_vms"] = Json::Value(Json::arrayValue);
   for (const auto& answer : answers) {
     const auto& name = answer.peer.id.name;
--- a/packages/gateway/src/report_service.cc
+++ b/packages/gateway/src/report_service.cc
@@ -136,7 +136,7 @@
 
 void ReportService::Register(Router& router) {
   AddAdminRoute(router, this->runtime, "GET", "/admin/report/counts",
-                [this](AdminRequest) { return this->FleetCounts(); });
+                [this](const AdminRequest&) { return this->FleetCounts(); });
 }
 
 }  // namespace gypsumtrack::gateway
--- a/packages/gypsumctl/src/fleet_commands.cc
+++ b/packages/gypsumctl/src/fleet_commands.cc
@@ -24,14 +24,23 @@
   return escaped;
 }
 
-/// Prints what the daemon answers to a GET of `path`; "{}" in it stands for the
-/// argument.
+/// The path with each "{}" replaced by the next argument.
+std::string FillIn(std::string path, const Arguments& given) {
+  for (const auto& argument : given) {
+    const auto at = path.find("{}");
+    if (at == std::string::npos) break;
+    path.replace(at, 2, Escape(argument));
+  }
+  return path;
+}
+
+/// Prints what the daemon answers to a GET of `path`; a "{}" in it stands for
+/// an argument.
 Command MakeShow(std::vector<std::string> words, Arguments arguments,
                  const char* help, const std::string& path) {
   const auto run = [path](const Invocation& invocation, const Client& client,
                           const Arguments& given) {
-    const auto argument = given.empty() ? "" : Escape(given[0]);
-    const auto answer = Get(client, fmt::format(fmt::runtime(path), argument));
+    const auto answer = Get(client, FillIn(path, given));
     if (!answer.ok()) return Fail(answer.error());
     Print(invocation, *answer);
     return ExitCode::kDone;
@@ -41,8 +50,8 @@
 
 ExitCode CancelBatch(const Invocation& invocation, const Client& client,
                      const Arguments& arguments) {
-  const auto target =
-      fmt::format("/admin/batches/{}/cancel", Escape(arguments[0]));
+  const auto target = fmt::format("/admin/batches/{}/{}/cancel",
+                                  Escape(arguments[0]), Escape(arguments[1]));
   const auto answer = Post(client, target, Json::Value(Json::objectValue));
   if (!answer.ok()) return Fail(answer.error());
   Print(invocation, *answer);
@@ -63,9 +72,13 @@
                "/admin/limits/{}"),
       MakeShow({"batches", "list"}, {}, "print the batch jobs",
                "/admin/batches"),
-      MakeShow({"batches", "show"}, {"ID"}, "print a batch job",
-               "/admin/batches/{}"),
-      {{"batches", "cancel"}, {"ID"}, "stop a batch job", {}, CancelBatch},
+      MakeShow({"batches", "show"}, {"ORG", "ID"}, "print a batch job",
+               "/admin/batches/{}/{}"),
+      {{"batches", "cancel"},
+       {"ORG", "ID"},
+       "stop a batch job",
+       {},
+       CancelBatch},
   };
 }
 
--- a/packages/policy/include/gypsumtrack/policy/batch_state.h
+++ b/packages/policy/include/gypsumtrack/policy/batch_state.h
@@ -124,6 +124,8 @@
 inline constexpr std::string_view kStagingPrefix = "batch/staging/";
 inline constexpr std::string_view kKeepPrefix = "batch/keep/";
 
+/// Before the job rows of all organisations.
+std::string JobPrefix();
 std::string JobPrefix(const base::Organisation& organisation);
 std::string JobRowKey(const base::Organisation& organisation,
                       const base::JobId& id);
--- a/packages/policy/include/gypsumtrack/policy/router.h
+++ b/packages/policy/include/gypsumtrack/policy/router.h
@@ -44,6 +44,8 @@
   base::Instant as_of{};
   /// Requests that ran or waited, this VM's own included.
   std::uint32_t requests = 0;
+  /// Of these, those that waited.
+  std::uint32_t waiting = 0;
 };
 
 struct RouteRequest {
--- a/packages/policy/src/batch_state.cc
+++ b/packages/policy/src/batch_state.cc
@@ -223,8 +223,10 @@
   });
 }
 
+std::string JobPrefix() { return "batch/job/"; }
+
 std::string JobPrefix(const base::Organisation& organisation) {
-  return fmt::format("batch/job/{}/", organisation.text);
+  return fmt::format("{}{}/", JobPrefix(), organisation.text);
 }
 
 std::string JobRowKey(const base::Organisation& organisation,
--- a/support/demo.sh
+++ b/support/demo.sh
@@ -103,8 +103,9 @@
 done
 
 say "Confirm a loan online, through the second VM."
-answer=$(show curl -s -i -H "$auth" -d '{"loan":12}' \
-  http://127.0.0.12:8080/s/clockdesk/confirm)
+show curl -s -i -H "$auth" -d '{"loan":12}' \
+  http://127.0.0.12:8080/s/clockdesk/confirm >"$work/answer"
+answer=$(cat "$work/answer")
 echo "$answer"
 grep -q '^Gypsumtrack-Run: ran' <<<"$answer" || fail "the loan was not confirmed"
 
@@ -126,6 +127,9 @@
 
 say "Who is there, and how are service levels?"
 show $bin/gypsumctl vms || fail "no answer about the VMs"
+show $bin/gypsumctl limits cairo-federation || fail "no answer about limits"
+show $bin/gypsumctl batches show cairo-federation draw-1 ||
+  fail "no answer about the job"
 show $bin/gypsumctl report burn || fail "a daemon did not report"
 
 if [ $keep = yes ]; then
