Start a limit that nobody has used yet with its burst

A share as first divided that was never lent out is marked so in its row; its first home starts full. Moves, raises and claims clear the mark.

--- a/packages/gateway/src/batch_service.cc
+++ b/packages/gateway/src/batch_service.cc
@@ -479,10 +479,11 @@
 }
 
 void BatchService::RegisterAdmin(Router& router) {
-  AddBatchRoutes(router, *this->state->runtime,
-                 [state = this->state](policy::BatchJob job, auto handler) {
-                   state->runner.Cancel(std::move(job), std::move(handler));
-                 });
+  AddBatchRoutes(
+      router, *this->state->runtime,
+      [state = this->state](const policy::BatchJob& job, auto handler) {
+        state->runner.Cancel(job, std::move(handler));
+      });
 }
 
 void BatchService::Start() { this->state->runner.Start(); }
--- a/packages/peer/src/limits_codec.cc
+++ b/packages/peer/src/limits_codec.cc
@@ -38,9 +38,9 @@
   }
 }
 
-class Writer {
+class ArrayWriter {
  public:
-  explicit Writer(std::size_t kind) : json(Json::arrayValue) {
+  explicit ArrayWriter(std::size_t kind) : json(Json::arrayValue) {
     this->json.append(static_cast<Json::UInt64>(kind));
   }
 
@@ -74,9 +74,9 @@
   Json::Value json;
 };
 
-class Reader {
+class ArrayReader {
  public:
-  explicit Reader(const Json::Value& array) : json(array) {}
+  explicit ArrayReader(const Json::Value& array) : json(array) {}
 
   template <typename... Values>
   void operator()(Values&... values) {
@@ -150,7 +150,7 @@
   } else {
     if (kind != Kind) return DecodeKind<Kind + 1>(kind, json);
     std::variant_alternative_t<Kind, LimitMessage> message;
-    Reader reader(json);
+    ArrayReader reader(json);
     Visit(reader, message);
     if (!reader.Done()) return std::nullopt;
     return message;
@@ -160,7 +160,7 @@
 }  // namespace
 
 Json::Value EncodeLimitMessage(const LimitMessage& message) {
-  Writer writer(message.index());
+  ArrayWriter writer(message.index());
   std::visit([&](const auto& one) { Visit(writer, one); }, message);
   return writer.Take();
 }
--- a/packages/policy/include/gypsumtrack/policy/limit_home.h
+++ b/packages/policy/include/gypsumtrack/policy/limit_home.h
@@ -131,6 +131,7 @@
   void Adjust(base::Instant now, LimitActions& actions);
   void MoveTowardsDemand(base::Instant now, LimitActions& actions);
   bool Write(ShareRow next, base::Instant now, LimitActions& actions);
+  void FillUnspent(base::Instant now, LimitActions& actions);
   void AnswerEarly(base::Instant now, LimitActions& actions);
   void TellOtherHomes(LimitActions& actions) const;
 
--- a/packages/policy/include/gypsumtrack/policy/limit_messages.h
+++ b/packages/policy/include/gypsumtrack/policy/limit_messages.h
@@ -231,6 +231,8 @@
   /// Switches for tests that show what a mechanism is for.
   bool honour_expiry = true;
   bool wait_after_takeover = true;
+  /// A limit that nobody has used yet starts with its whole burst.
+  bool fill_unspent = true;
   bool need_vouch = true;
   bool donor_first = true;
 };
--- a/packages/policy/include/gypsumtrack/policy/limit_share.h
+++ b/packages/policy/include/gypsumtrack/policy/limit_share.h
@@ -20,6 +20,8 @@
   base::Revision revision = 0;
   /// The VM that lends the share out; an empty name if there is none yet.
   LimitPeer home;
+  /// As first divided, and never lent out: its burst is unspent.
+  bool unspent = false;
 
   bool operator==(const DomainShare&) const = default;
 };
--- a/packages/policy/src/limit_home_row.cc
+++ b/packages/policy/src/limit_home_row.cc
@@ -100,17 +100,20 @@
     own = &next.domains.back();
   }
   own->home = this->context.self;
+  const bool unspent = own->unspent;
+  own->unspent = false;
   const auto row_key = ShareRowKey(this->key);
   commit.conditions.push_back({row_key, this->row_version});
   commit.conditions.push_back(*lease);
   commit.writes.push_back({row_key, FormatShareRow(next)});
   this->writing = this->context.table.Commit(
       std::move(commit),
-      [this, next, had_home](bool committed, base::Instant, base::Instant at,
-                             LimitActions& more) {
+      [this, next, had_home, unspent](bool committed, base::Instant,
+                                      base::Instant at, LimitActions& more) {
         this->writing = false;
         if (committed) {
           this->OnClaimed(next, had_home, at, more);
+          if (unspent) this->FillUnspent(at, more);
         } else {
           this->ReadRow(at, more);
         }
@@ -135,6 +138,14 @@
   this->AnswerEarly(now, actions);
 }
 
+/// A limit that nobody has used yet starts with its burst: its first caller
+/// isn't refused.
+void LimitHome::FillUnspent(base::Instant now, LimitActions& actions) {
+  if (!this->context.settings.fill_unspent) return;
+  this->bucket.Add(this->bucket.quota().capacity, now);
+  this->Serve(now, actions);
+}
+
 void LimitHome::AnswerEarly(base::Instant now, LimitActions& actions) {
   const auto reports = std::exchange(this->early, {});
   for (const auto& [borrower, early] : reports) {
--- a/packages/policy/src/limit_share.cc
+++ b/packages/policy/src/limit_share.cc
@@ -48,7 +48,9 @@
         sum.capacity > 0
             ? Scale(free.capacity, share.share.capacity, sum.capacity)
             : free.capacity / count;
-    share.share += {rate, capacity / kRequest * kRequest};
+    const Quota more{rate, capacity / kRequest * kRequest};
+    if (!IsZero(more)) share.unspent = false;
+    share.share += more;
   }
   const auto settled =
       std::all_of(row.domains.begin(), row.domains.end(),
@@ -70,10 +72,11 @@
   for (const auto& share : row.domains) {
     const auto& home = share.home;
     text += fmt::format(
-        "{} {} {} {} {} {} {} {} {}\n", share.domain.text, share.share.rate,
+        "{} {} {} {} {} {} {} {} {} {}\n", share.domain.text, share.share.rate,
         share.share.capacity, share.basis.rate, share.basis.capacity,
         share.revision, home.vm.name.empty() ? kNoHome : home.vm.name,
-        home.vm.incarnation, home.address.empty() ? kNoHome : home.address);
+        home.vm.incarnation, home.address.empty() ? kNoHome : home.address,
+        share.unspent ? 1 : 0);
   }
   return text;
 }
@@ -88,7 +91,7 @@
   auto& home = share.home;
   while (in >> share.domain.text >> share.share.rate >> share.share.capacity >>
          share.basis.rate >> share.basis.capacity >> share.revision >>
-         home.vm.name >> home.vm.incarnation >> home.address) {
+         home.vm.name >> home.vm.incarnation >> home.address >> share.unspent) {
     if (home.vm.name == kNoHome) home = {};
     row.domains.push_back(share);
   }
@@ -137,6 +140,7 @@
     share.share.rate = Scale(limit.rate, share.share.capacity, limit.capacity);
     share.basis = limit;
     share.revision = revision;
+    share.unspent = true;
     row.domains.push_back(std::move(share));
     ++position;
   }
@@ -194,6 +198,7 @@
 
 ShareRow MoveShare(ShareRow row, const base::FailureDomain& from,
                    const base::FailureDomain& to, const Quota& part) {
+  for (const auto& domain : {from, to}) FindShare(row, domain)->unspent = false;
   FindShare(row, from)->share -= part;
   FindShare(row, to)->share += part;
   return row;
--- a/packages/testing/test/limits_fleet_test.cc
+++ b/packages/testing/test/limits_fleet_test.cc
@@ -335,6 +335,38 @@
   return story.WithinLimitUntil(seconds(18));
 }
 
+/// How many of a small organisation's first requests, one a domain, pass.
+std::size_t FirstRequestsAdmitted(const policy::LimitSettings& settings) {
+  VirtualFleetOptions options;
+  options.domains = {{"a1", "a", 2}, {"a2", "a", 2}, {"b1", "b", 2}};
+  options.store_region = "a";
+  options.settings = settings;
+  // As long as a daemon waits for the first tokens of a limit.
+  options.patience = seconds(1);
+  VirtualFleet fleet(options);
+  std::size_t admitted = 0;
+  fleet.on_outcome = [&](const VirtualOutcome& outcome) {
+    if (outcome.verdict == policy::LimitVerdict::kAdmitted) ++admitted;
+  };
+  const LimitKey key("quiet:00000001");
+  fleet.SetRules(1, {{key, {{kRequest / 10, 3 * kRequest}}}});
+  for (const std::size_t vm : {0U, 2U, 4U}) {
+    fleet.At(seconds(6), [&fleet, vm, key] { fleet.Request(vm, key); });
+    fleet.At(seconds(7), [&fleet, vm, key] { fleet.Request(vm, key); });
+  }
+  fleet.RunUntil(seconds(9));
+  return admitted;
+}
+
+TEST_CASE("a quiet organisation has its burst from the start, and no more") {
+  CHECK(FirstRequestsAdmitted(FastSettings()) == 3);
+  SECTION("which fails if each share starts empty") {
+    auto without = FastSettings();
+    without.fill_unspent = false;
+    CHECK(FirstRequestsAdmitted(without) < 3);
+  }
+}
+
 TEST_CASE("each mechanism is needed") {
   const auto settings = FastSettings();
   SECTION("loans that lapse at the borrower") {
--- a/packages/testing/tool/bench_capacity.cc
+++ b/packages/testing/tool/bench_capacity.cc
@@ -149,7 +149,8 @@
 
 std::unique_ptr<policy::LimitNode> MakeLimits(std::uint64_t count) {
   auto node = std::make_unique<policy::LimitNode>(
-      policy::LimitSettings{}, policy::LimitPeer{"vm-1", 1}, PlaceOf(0));
+      policy::LimitSettings{}, policy::LimitPeer{{"vm-1", 1}, "10.0.0.1:8082"},
+      PlaceOf(0));
   std::map<policy::LimitKey, policy::Limit> limits;
   for (std::uint64_t n = 0; n < count; ++n) {
     limits[policy::LimitKey(fmt::format("organisation-{:05}", n))] = {
