--- a/packages/policy/src/router.cc
+++ b/packages/policy/src/router.cc
@@ -175,11 +175,14 @@
 bool EndpointRouter::MayTake(const Endpoint& endpoint,
                              const RouteRequest& request) const {
   if (endpoint.leaving || endpoint.service != request.service) return false;
-  const auto* state = this->Find(endpoint.id);
-  if (state != nullptr && state->said_leaving) return false;
-  if (request.model.empty()) return true;
   const auto& models = endpoint.models;
-  return std::find(models.begin(), models.end(), request.model) != models.end();
+  const bool serves =
+      request.model.empty() ||
+      std::find(models.begin(), models.end(), request.model) != models.end();
+  // The look-up of the state last: most endpoints serve another model.
+  if (!serves) return false;
+  const auto* state = this->Find(endpoint.id);
+  return state == nullptr || !state->said_leaving;
 }
 
 std::vector<const Endpoint*> EndpointRouter::Eligible(
