Take an endpoint out of use once it says that it leaves

Cause: endpoints that leave now say so in all their answers (Server-Leaving: 1), and a request sent to one later than drainMs after that breaks DRAIN, whether the store can be reached or not. Only entries of the store were followed.

Change: the head of an answer of any status, read before its body, takes that incarnation of the endpoint out of use at this daemon, for online requests and batch items alike. It stays out when its entry lapses and comes back; another incarnation is used. Streams in progress go on.

--- a/packages/gateway/include/gypsumtrack/gateway/serving/wire.h
+++ b/packages/gateway/include/gypsumtrack/gateway/serving/wire.h
@@ -56,6 +56,8 @@
   /// Whether the response carries the seal that endpoints add. A response
   /// without the seal doesn't come from an endpoint.
   bool has_seal = false;
+  /// The endpoint reports that it shuts down soon and must get no new requests.
+  bool leaving = false;
   /// The load that the endpoint reports.
   std::optional<policy::EndpointReport> report;
 };
--- a/packages/gateway/src/serving/send_to_endpoint.cc
+++ b/packages/gateway/src/serving/send_to_endpoint.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "gypsumtrack/base/event_log.h"
+
 namespace gypsumtrack::gateway {
 namespace {
 
@@ -29,6 +31,23 @@
   return policy::AttemptResult::kUnknown;
 }
 
+/// Records what the head of a response reports about its endpoint.
+void RecordReports(ServingContext& context,
+                   const policy::EndpointEntry& endpoint,
+                   const ResponseMetadata& response) {
+  const auto now = context.clock.now();
+  if (response.report) {
+    context.endpoints.OnReport(endpoint.id, *response.report, now);
+  }
+  if (!response.leaving) return;
+  const bool is_new =
+      context.endpoints.OnLeaving(endpoint.id, endpoint.incarnation, now);
+  if (!is_new) return;
+  base::LogEvent("endpoint_leaving", {{"endpoint", endpoint.id.text},
+                                      {"incarnation", endpoint.incarnation},
+                                      {"source", "response"}});
+}
+
 }  // namespace
 
 boost::asio::awaitable<EndpointResult> SendToEndpoint(
@@ -36,12 +55,10 @@
     policy::WorkKind kind, EndpointCall call) {
   context.metrics.attempts.Add();
   context.endpoints.OnAttemptStarted(endpoint.id, kind);
-  // The head of a stream arrives long before its end, so the load that it
-  // reports is recorded at once.
-  call.on_head = [&context, id = endpoint.id](const ResponseHead& head) {
-    const auto response = context.wire.read_response(head);
-    if (!response.report) return;
-    context.endpoints.OnReport(id, *response.report, context.clock.now());
+  // The head of a stream arrives long before its end, so what it reports is
+  // recorded at once.
+  call.on_head = [&context, &endpoint](const ResponseHead& head) {
+    RecordReports(context, endpoint, context.wire.read_response(head));
   };
   auto result = co_await context.client.Call(std::move(call));
   const auto now = context.clock.now();
--- a/packages/policy/include/gypsumtrack/policy/serving/endpoint_registry.h
+++ b/packages/policy/include/gypsumtrack/policy/serving/endpoint_registry.h
@@ -171,6 +171,12 @@
   void OnReport(const base::EndpointId& id, const EndpointReport& report,
                 base::Instant now);
 
+  /// Records that this incarnation of the endpoint has reported that it shuts
+  /// down soon. It gets no new requests from then on, even if its entry is
+  /// removed and listed again. Returns false if that was known already.
+  bool OnLeaving(const base::EndpointId& id, std::uint64_t incarnation,
+                 base::Instant now);
+
   // Queries.
 
   /// Chooses the endpoint at which an online request is expected to start
@@ -202,8 +208,8 @@
   /// Returns the known load of all daemons at an endpoint, or zero for an
   /// unknown endpoint.
   EndpointLoad Load(const base::EndpointId& id, base::Instant now) const;
-  /// Returns whether this incarnation of the endpoint is known and not
-  /// draining.
+  /// Returns whether this incarnation of the endpoint is known and neither
+  /// draining nor leaving.
   bool AcceptsRequests(const base::EndpointId& id,
                        std::uint64_t incarnation) const;
   /// Returns the number of online requests as a fraction of the service's
@@ -230,6 +236,12 @@
     /// Total load of this daemon when the report was received.
     std::uint32_t own_at_report = 0;
   };
+  /// An incarnation of an endpoint that has reported that it shuts down.
+  struct Leaving {
+    std::uint64_t incarnation = 0;
+    /// When the incarnation has certainly ended.
+    base::Instant forgotten_at{};
+  };
   struct PeerLoads {
     EndpointLoads loads;
     base::Instant received_at{};
@@ -254,6 +266,8 @@
   void SubtractLoads(const EndpointLoads& loads);
   void RemoveUnresponsivePeers(base::Instant now);
   EndpointLoad LoadOf(const State& state, base::Instant now) const;
+  /// Whether the endpoint accepts new requests.
+  bool Accepts(const State& state) const;
   /// Whether the endpoint may serve the request, regardless of failures and
   /// load.
   bool Matches(const State& state, const EndpointQuery& query) const;
@@ -270,6 +284,7 @@
 
   EndpointRegistryOptions options;
   std::map<base::EndpointId, State> states;
+  std::map<base::EndpointId, Leaving> leaving;
   /// Keyed by VM name.
   std::map<std::string, PeerLoads> peers;
 };
--- a/packages/policy/src/serving/endpoint_registry.cc
+++ b/packages/policy/src/serving/endpoint_registry.cc
@@ -16,6 +16,9 @@
 /// endpoint to be avoided. A single bad response may be caused by a caller's
 /// connection or a late packet.
 constexpr std::uint32_t kBadResponsesToAvoid = 2;
+/// Time after its report that an incarnation of an endpoint ends in any case:
+/// some serve for many seconds after they were told to drain.
+constexpr base::Duration kLeavingRetention = std::chrono::minutes(10);
 
 }  // namespace
 
@@ -59,6 +62,9 @@
     if (state.expires_at <= now) removed.push_back(id);
   }
   for (const auto& id : removed) this->states.erase(id);
+  std::erase_if(this->leaving, [&](const auto& each) {
+    return each.second.forgotten_at <= now;
+  });
   return removed;
 }
 
@@ -156,6 +162,22 @@
   state.own_at_report = state.own.total();
 }
 
+bool EndpointRegistry::OnLeaving(const base::EndpointId& id,
+                                 std::uint64_t incarnation, base::Instant now) {
+  const auto found = this->leaving.find(id);
+  const bool is_new =
+      found == this->leaving.end() || found->second.incarnation != incarnation;
+  this->leaving[id] = {incarnation, now + kLeavingRetention};
+  return is_new;
+}
+
+bool EndpointRegistry::Accepts(const State& state) const {
+  if (state.entry.draining) return false;
+  const auto found = this->leaving.find(state.entry.id);
+  return found == this->leaving.end() ||
+         found->second.incarnation != state.entry.incarnation;
+}
+
 EndpointLoad EndpointRegistry::LoadOf(const State& state,
                                       base::Instant now) const {
   EndpointLoad load = state.own;
@@ -178,7 +200,7 @@
 
 bool EndpointRegistry::Matches(const State& state,
                                const EndpointQuery& query) const {
-  return state.entry.service == query.service && !state.entry.draining &&
+  return state.entry.service == query.service && this->Accepts(state) &&
          !query.tried.contains(state.entry.id);
 }
 
@@ -293,7 +315,7 @@
                                                base::Instant now) const {
   std::uint32_t slots = 0;
   for (const auto& [id, state] : this->states) {
-    if (state.entry.service != service || state.entry.draining) continue;
+    if (state.entry.service != service || !this->Accepts(state)) continue;
     if (this->Avoided(state, now)) continue;
     const auto occupied = this->LoadOf(state, now).total() + reserved_slots;
     if (occupied < state.entry.slots) slots += state.entry.slots - occupied;
@@ -341,7 +363,7 @@
 bool EndpointRegistry::AcceptsRequests(const base::EndpointId& id,
                                        std::uint64_t incarnation) const {
   const auto found = this->states.find(id);
-  return found != this->states.end() && !found->second.entry.draining &&
+  return found != this->states.end() && this->Accepts(found->second) &&
          found->second.entry.incarnation == incarnation;
 }
 
@@ -350,7 +372,7 @@
   double slots = 0;
   double online = 0;
   for (const auto& [id, state] : this->states) {
-    if (state.entry.service != service || state.entry.draining) continue;
+    if (state.entry.service != service || !this->Accepts(state)) continue;
     slots += state.entry.slots;
     online += this->LoadOf(state, now).online;
   }
--- a/packages/policy/test/serving/endpoint_registry_test.cc
+++ b/packages/policy/test/serving/endpoint_registry_test.cc
@@ -269,6 +269,52 @@
   }
 }
 
+TEST_CASE("an endpoint that reports that it leaves gets no new requests") {
+  EndpointRegistry registry({});
+  const std::vector entries{MakeEndpoint("leaving", kOwnDomain),
+                            MakeEndpoint("far", kOtherRegion)};
+  registry.ReplaceEntries(entries, {}, kStart);
+  StartAttempts(registry, "leaving", 1);
+  CHECK(registry.OnLeaving(Id("leaving"), 1, kStart));
+  const auto now = kStart + seconds(1);
+  const auto far_alone = [&] {
+    return registry.ChooseOnline(MakeQuery(), now).endpoint.id == Id("far") &&
+           registry.ChooseBatch(MakeQuery(), 0, now).endpoint.id == Id("far") &&
+           registry.CountFreeSlots(kService, 0, now) == 8 &&
+           !registry.AcceptsRequests(Id("leaving"), 1);
+  };
+  CHECK(far_alone());
+  SECTION("a further report is nothing new") {
+    CHECK_FALSE(registry.OnLeaving(Id("leaving"), 1, now));
+  }
+  SECTION("also while its entry in the store still says that it is ready") {
+    registry.ReplaceEntries(entries, kStart, now);
+    CHECK(far_alone());
+  }
+  SECTION("also after its entry was removed and listed again") {
+    registry.ReplaceEntries({MakeEndpoint("far", kOtherRegion)}, {}, now);
+    registry.RemoveExpired(now);
+    registry.ReplaceEntries(entries, {}, now);
+    CHECK(far_alone());
+  }
+  SECTION("its requests in progress end as usual") {
+    registry.OnAttemptEnded(Id("leaving"), WorkKind::kOnline,
+                            AttemptResult::kSuccess, now);
+    CHECK(registry.Load(Id("leaving"), now).total() == 0);
+    CHECK(far_alone());
+  }
+  SECTION("the next incarnation is used again") {
+    auto restarted = MakeEndpoint("leaving", kOwnDomain);
+    restarted.incarnation = 2;
+    registry.ReplaceEntries({restarted}, {}, now);
+    CHECK(registry.AcceptsRequests(Id("leaving"), 2));
+    SECTION("whatever a late response of the one before reports") {
+      registry.OnLeaving(Id("leaving"), 1, now);
+      CHECK(registry.AcceptsRequests(Id("leaving"), 2));
+    }
+  }
+}
+
 TEST_CASE("batch items use idle slots and yield to online requests") {
   EndpointRegistry registry({});
   registry.ReplaceEntries({MakeEndpoint("a", kOwnDomain)}, {}, kStart);
--- a/packages/testing/include/gypsumtrack/testing/site_standin.h
+++ b/packages/testing/include/gypsumtrack/testing/site_standin.h
@@ -97,6 +97,8 @@
   void SetFaults(const EngineFaults& faults);
   /// Sets the pause before each event; none by default.
   void SetEventPause(base::Duration pause);
+  /// Sets whether all its responses report that it leaves.
+  void SetLeaving(bool is_leaving);
   /// The requests that it ran, in order.
   std::vector<EngineRun> runs() const;  // NOLINT
 
@@ -106,6 +108,9 @@
  private:
   /// Handles one HTTP request.
   boost::asio::awaitable<void> Serve(gateway::Exchange& exchange);
+  /// Returns the headers of every response.
+  std::vector<gateway::Header> CommonHeaders(
+      const std::string& request_id) const;
   /// Streams the events after `run.after_event`, with the given faults.
   boost::asio::awaitable<void> Stream(gateway::Exchange& exchange,
                                       EngineRun run, bool breaks_between_events,
@@ -116,6 +121,7 @@
   mutable std::mutex mutex;
   EngineFaults faults;
   base::Duration event_pause{0};
+  bool leaving = false;
   std::vector<EngineRun> recorded_runs;
   std::unique_ptr<gateway::HttpServer> server;
 };
--- a/packages/testing/src/site_standin.cc
+++ b/packages/testing/src/site_standin.cc
@@ -312,6 +312,20 @@
   this->event_pause = pause;
 }
 
+void EngineStandin::SetLeaving(bool is_leaving) {
+  const std::lock_guard lock(this->mutex);
+  this->leaving = is_leaving;
+}
+
+std::vector<gateway::Header> EngineStandin::CommonHeaders(
+    const std::string& request_id) const {
+  const std::lock_guard lock(this->mutex);
+  std::vector<gateway::Header> headers{
+      {"X-Gypsumtrack-Request-Id", request_id}};
+  if (this->leaving) headers.push_back({"Server-Leaving", "1"});
+  return headers;
+}
+
 std::vector<EngineRun> EngineStandin::runs() const {
   const std::lock_guard lock(this->mutex);
   return this->recorded_runs;
@@ -330,7 +344,7 @@
   run.deadline_millis = NumberHeader(request, "X-Gypsumtrack-Deadline-Ms");
   run.at = base::SystemClock().now();
   ResponseHead head;
-  head.headers.push_back({"X-Gypsumtrack-Request-Id", run.request_id});
+  head.headers = this->CommonHeaders(run.request_id);
   const auto expected = TextHeader(request, "X-Gypsumtrack-Expect-Instance");
   const auto consume_fault = [this](std::uint32_t EngineFaults::*fault) {
     const std::lock_guard lock(this->mutex);
@@ -370,8 +384,8 @@
                                             bool breaks_between_events,
                                             bool breaks_inside_event) {
   ResponseHead head;
+  head.headers = this->CommonHeaders(run.request_id);
   head.headers.push_back({"Content-Type", "text/event-stream"});
-  head.headers.push_back({"X-Gypsumtrack-Request-Id", run.request_id});
   head.headers.push_back(
       {"X-Gypsumtrack-Response-Seal", "seal-" + this->instance_id});
   head.headers.push_back({"X-Gypsumtrack-Server-Load", "1,0,8"});
