Read heartbeats by failure domain instead of all of them everywhere

Cause: each daemon wrote its heartbeat into one partition of the store, which carries out 200 transactions a second, and read the rows of all daemons each second. With 295 daemons a third of the heartbeats finds the partition's queue full, so that leases end and jobs stand still, and each daemon reads some 60 KB a second, growing with the square of the fleet.

Change: a daemon registers once in the partition of its failure domain; all follow these rows by feed. Its heartbeat row lies in the same partition and is read by the daemons of that domain, and by others only while none of that domain has reported for 2 s that it holds its lease (fleets of up to 32 daemons read all of them, as before). What a lost daemon leaves falls to the holders of its domain, or to all if it has none. Its rows are removed 5.7 s after its last heartbeat, by one daemon; one that lives registers anew. A job whose owner has just changed is left for 1.5 s, since owner and registration are read apart.

--- a/packages/gateway/include/gypsumtrack/gateway/serving/fleet_service.h
+++ b/packages/gateway/include/gypsumtrack/gateway/serving/fleet_service.h
@@ -5,23 +5,28 @@
 #include <boost/asio/awaitable.hpp>
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
 #include "gypsumtrack/base/row_store.h"
 #include "gypsumtrack/gateway/serving/serving_settings.h"
-#include "gypsumtrack/policy/serving/daemon_leases.h"
+#include "gypsumtrack/gateway/serving/table_follower.h"
+#include "gypsumtrack/policy/serving/fleet_leases.h"
 
-/// Membership of the fleet: writes this daemon's heartbeats to the store and
-/// reads those of the others.
+/// Membership of the fleet: registers this daemon in the store, writes its
+/// heartbeats there, follows the registrations of all daemons and reads the
+/// heartbeats of those that this one watches.
 namespace gypsumtrack::gateway {
 
-/// Another daemon, as described by its heartbeat row.
+/// Another daemon, as described by its registration.
 struct PeerDaemon {
   base::VmId vm;
   base::Location location;
   /// `ip:port` for UDP messages.
   std::string gossip_address;
+  /// Processor cores that it may use.
+  double cores = 1;
 };
 
 /// The leases of all daemons, each renewed by heartbeats. Not thread-safe; must
@@ -30,10 +35,9 @@
  public:
   using PeersHook = std::function<void(const std::vector<PeerDaemon>&)>;
 
-  /// `on_peers` is called after each read of the heartbeats with all peers
-  /// that hold a lease or lost it so recently that they may still serve
-  /// callers. `executor` must run on one thread. Precondition: `store` outlives
-  /// the service.
+  /// `on_peers` is called after each read of heartbeats with all registered
+  /// peers but those that certainly no longer serve callers. `executor` must
+  /// run on one thread. Precondition: `store` outlives the service.
   FleetService(const boost::asio::any_io_executor& executor, base::Clock clock,
                const base::RowStore& store, const ServingSettings& settings,
                base::VmId self, PeersHook on_peers);
@@ -46,42 +50,68 @@
   /// take over its jobs at once instead of after the lease has expired. Failure
   /// to remove the row is only logged.
   boost::asio::awaitable<void> Deregister();
+  /// Records that a daemon reported to this one that it holds its lease.
+  void OnHolderReport(const base::VmId& daemon);
 
   // Queries.
 
   /// Returns whether the daemon has certainly lost its lease.
   bool HasLostLease(const base::VmId& daemon) const;
-  /// Returns the daemons that hold a lease, including this one as long as
-  /// HoldsLease().
+  /// Returns the daemons that are known to hold a lease, including this one as
+  /// long as HoldsLease().
   std::vector<base::VmId> LeaseHolders() const;
+  /// Returns the lease holders that may take over the jobs of a daemon that has
+  /// lost its lease, or of none if its VM name is empty.
+  std::vector<base::VmId> Adopters(const base::VmId& lost) const;
   /// Returns whether this daemon may act as the holder of its lease.
   bool HoldsLease() const;
   /// Returns this daemon.
-  const base::VmId& self() const { return this->vm; }  // NOLINT
+  const base::VmId& self() const { return this->self_daemon.vm; }  // NOLINT
   /// Returns the peers passed to `on_peers` after the last read.
   const std::vector<PeerDaemon>& peers() const { return this->live_peers; }
 
  private:
+  /// A heartbeat row whose daemon may have ended without removing it.
+  struct RowAge {
+    std::uint64_t version = 0;
+    base::Instant unchanged_since{};
+  };
+
+  void FollowRegistrations();
+  void ApplyRegistration(const base::VersionedRow& row);
+  void PublishRegistrations();
   boost::asio::awaitable<void> WriteHeartbeats();
   boost::asio::awaitable<void> ReadHeartbeats();
+  boost::asio::awaitable<void> ReadDomain(base::FailureDomain domain);
+  void ApplyHeartbeats(const base::FailureDomain& domain,
+                       const std::vector<base::VersionedRow>& rows);
   boost::asio::awaitable<void> RemoveStaleRows(
-      const std::vector<base::VersionedRow>& rows);
-  void ApplyRows(const std::vector<base::VersionedRow>& rows);
+      std::vector<base::VersionedRow> rows);
+  boost::asio::awaitable<void> RemoveStaleRow(const base::VersionedRow& row);
+  /// Passes the peers that may serve to the hook.
+  void PublishPeers();
+  base::RowKey RegistrationKey() const;
+  base::RowKey HeartbeatKey() const;
+  /// Returns `holders` without this daemon unless it holds its lease.
+  std::vector<base::VmId> WithOwnLease(std::vector<base::VmId> holders) const;
 
   boost::asio::any_io_executor executor;
   base::Clock clock;
   const base::RowStore& store;
-  base::VmId vm;
-  std::string row_value;
+  PeerDaemon self_daemon;
   PeersHook on_peers;
-  policy::DaemonLeases leases;
+  policy::FleetLeases leases;
+  std::shared_ptr<TableFollower> follower;
+  /// All registered daemons, keyed by VM name.
+  std::map<std::string, PeerDaemon> registered;
   std::vector<PeerDaemon> live_peers;
+  std::size_t holder_count = 0;
+  /// The next heartbeat must write this daemon's registration as well.
+  bool registration_due = true;
   /// When the newest heartbeat that the store confirmed was sent.
   base::Instant heartbeat_sent_at{};
-  /// The newest version of each row and when that version was first read, keyed
-  /// by row key.
-  std::map<std::string, std::pair<std::uint64_t, base::Instant>>
-      unchanged_since;
+  /// Keyed by VM name.
+  std::map<std::string, RowAge> row_ages;
   bool deregistered = false;
 };
 
--- a/packages/gateway/include/gypsumtrack/gateway/serving/serving_settings.h
+++ b/packages/gateway/include/gypsumtrack/gateway/serving/serving_settings.h
@@ -23,6 +23,8 @@
   /// UDP listen address for gossip messages of other daemons, `ip:port`.
   std::string gossip_listen;
   std::string store_address;
+  /// Processor cores that this VM may use; may be a fraction.
+  double cpu_cores = 1;
   policy::FreshnessLimits freshness;
   /// How much may be admitted beyond an organisation's rate and burst in any
   /// time window: a fraction of what they allow plus a number of requests.
--- a/packages/gateway/include/gypsumtrack/gateway/serving/store_layout.h
+++ b/packages/gateway/include/gypsumtrack/gateway/serving/store_layout.h
@@ -19,7 +19,8 @@
 ///
 /// | table      | partition    | key           | written by                  |
 /// |------------|--------------|---------------|-----------------------------|
-/// | daemons    |              | VM            | that VM, every second       |
+/// | daemons    | domain       | VM            | that VM, when it starts     |
+/// | leases     | domain       | VM            | that VM, every second       |
 /// | job        | organisation | job           | the accepting daemon, once  |
 /// | owner      | organisation | job           | the daemon that runs the job|
 /// | backlog    | organisation | route, or job | the accepting daemon, owner |
@@ -32,6 +33,7 @@
 namespace gypsumtrack::gateway::layout {
 
 inline constexpr const char* kDaemonTable = "daemons";
+inline constexpr const char* kLeaseTable = "leases";
 inline constexpr const char* kJobTable = "job";
 inline constexpr const char* kOwnerTable = "owner";
 inline constexpr const char* kBacklogTable = "backlog";
@@ -39,13 +41,19 @@
 inline constexpr const char* kPartialTable = "partial";
 inline constexpr const char* kSubmissionTable = "submission";
 
-/// Serializes the heartbeat row of a daemon. The VM's name is the key of the
+/// Serializes the registration of a daemon. The VM's name is the key of the
 /// row, not part of the value.
 std::string SerializeDaemon(const PeerDaemon& daemon);
-/// Parses the heartbeat row of the VM. Errors: kInvalid.
+/// Parses the registration of the VM. Errors: kInvalid.
 base::Outcome<PeerDaemon> ParseDaemon(const std::string& vm_name,
                                       std::string_view value);
 
+/// Serializes the heartbeat row of a daemon.
+std::string SerializeLease(const base::VmId& daemon);
+/// Parses the heartbeat row of the VM. Errors: kInvalid.
+base::Outcome<base::VmId> ParseLease(const std::string& vm_name,
+                                     std::string_view value);
+
 /// An accepted job. The row never changes.
 struct JobRow {
   /// Name of the route that the job was submitted to.
--- a/packages/gateway/src/serving/fleet_service.cc
+++ b/packages/gateway/src/serving/fleet_service.cc
@@ -8,24 +8,25 @@
 #include "gypsumtrack/base/event_log.h"
 #include "gypsumtrack/gateway/serving/row_store_await.h"
 #include "gypsumtrack/gateway/serving/store_layout.h"
+#include "gypsumtrack/policy/serving/job_owners.h"
 
 namespace gypsumtrack::gateway {
 namespace {
 
 namespace asio = boost::asio;
 
-constexpr policy::DaemonLeaseOptions kLeaseOptions;
+constexpr policy::FleetLeasesOptions kFleetOptions;
+constexpr policy::DaemonLeaseOptions kLeaseOptions = kFleetOptions.leases;
 constexpr base::Duration kCallTimeout = std::chrono::milliseconds(1200);
 /// A daemon regards its own lease as held for less time than its peers do, so
 /// that it stops acting as its holder before they take over its jobs.
 constexpr base::Duration kOwnLeaseDuration = std::chrono::milliseconds(2200);
-/// A heartbeat row that hasn't changed for this long is removed, because its
-/// daemon is assumed to have ended without removing it.
-constexpr base::Duration kStaleRowAge = std::chrono::seconds(20);
-
-base::RowKey HeartbeatKey(const std::string& vm_name) {
-  return {layout::kDaemonTable, "", vm_name};
-}
+/// The rows of a daemon whose heartbeats have stopped for this long are
+/// removed: it serves no callers any more. One that lives registers anew.
+constexpr base::Duration kStaleRowAge =
+    kLeaseOptions.lease_duration + kLeaseOptions.serving_grace_period;
+/// Registrations rarely change, so the store may hold the feed for long.
+constexpr base::Duration kRegistrationPollTimeout = std::chrono::seconds(5);
 
 }  // namespace
 
@@ -37,13 +38,13 @@
     : executor(run_on),
       clock(std::move(system_clock)),
       store(row_store),
-      vm(std::move(self_id)),
-      row_value(layout::SerializeDaemon(
-          {this->vm, settings.location, settings.gossip_listen})),
+      self_daemon{std::move(self_id), settings.location, settings.gossip_listen,
+                  settings.cpu_cores},
       on_peers(std::move(hook)),
-      leases(kLeaseOptions) {}
+      leases(settings.location.domain, kFleetOptions) {}
 
 void FleetService::Start() {
+  this->FollowRegistrations();
   asio::co_spawn(
       this->executor, [this] { return this->WriteHeartbeats(); },
       asio::detached);
@@ -52,10 +53,77 @@
       asio::detached);
 }
 
+// Registrations.
+
+void FleetService::FollowRegistrations() {
+  TableFollowerOptions options;
+  options.table = layout::kDaemonTable;
+  options.all_partitions = true;
+  options.long_poll_timeout = kRegistrationPollTimeout;
+  TableFollowerHooks hooks;
+  hooks.on_snapshot = [this](const std::vector<base::VersionedRow>& rows,
+                             std::uint64_t /*as_of*/) {
+    this->registered.clear();
+    for (const auto& row : rows) this->ApplyRegistration(row);
+    this->PublishRegistrations();
+  };
+  hooks.on_changes = [this](const std::vector<base::VersionedRow>& rows) {
+    for (const auto& row : rows) this->ApplyRegistration(row);
+    this->PublishRegistrations();
+  };
+  this->follower =
+      std::make_shared<TableFollower>(this->executor, this->clock, this->store,
+                                      std::move(options), std::move(hooks));
+  this->follower->Start();
+}
+
+void FleetService::ApplyRegistration(const base::VersionedRow& row) {
+  if (row.removed) {
+    this->registered.erase(row.at.key);
+    return;
+  }
+  auto daemon = layout::ParseDaemon(row.at.key, row.value);
+  if (daemon.ok()) {
+    this->registered[row.at.key] = std::move(*daemon);
+    return;
+  }
+  base::LogEvent("daemon_unreadable",
+                 {{"vm", row.at.key}, {"row_version", row.version}});
+}
+
+void FleetService::PublishRegistrations() {
+  std::vector<policy::RegisteredDaemon> daemons;
+  for (const auto& [name, daemon] : this->registered) {
+    daemons.push_back({daemon.vm, daemon.location.domain});
+  }
+  this->leases.SetRegistered(daemons, this->clock.now());
+  // Peers remove the registration of a daemon that couldn't renew its lease.
+  const auto own = this->registered.find(this->self().name);
+  this->registration_due =
+      own == this->registered.end() || own->second.vm != this->self();
+}
+
+base::RowKey FleetService::RegistrationKey() const {
+  return {layout::kDaemonTable, this->self_daemon.location.domain.text,
+          this->self().name};
+}
+
+base::RowKey FleetService::HeartbeatKey() const {
+  return {layout::kLeaseTable, this->self_daemon.location.domain.text,
+          this->self().name};
+}
+
+// Heartbeats.
+
 asio::awaitable<void> FleetService::WriteHeartbeats() {
   while (!this->deregistered) {
     base::RowTransaction heartbeat;
-    heartbeat.puts.push_back({HeartbeatKey(this->vm.name), this->row_value});
+    heartbeat.puts.push_back(
+        {this->HeartbeatKey(), layout::SerializeLease(this->self())});
+    if (this->registration_due) {
+      heartbeat.puts.push_back({this->RegistrationKey(),
+                                layout::SerializeDaemon(this->self_daemon)});
+    }
     const auto sent_at = this->clock.now();
     const auto written = co_await Transact(this->store, std::move(heartbeat),
                                            sent_at + kCallTimeout);
@@ -68,75 +136,101 @@
 
 asio::awaitable<void> FleetService::ReadHeartbeats() {
   while (!this->deregistered) {
-    base::RowRange range;
-    range.table = layout::kDaemonTable;
-    const auto sent_at = this->clock.now();
-    auto page = co_await ReadAllRows(this->store, std::move(range),
-                                     sent_at + kCallTimeout);
-    if (page.ok()) {
-      this->ApplyRows(page->rows);
-      co_await this->RemoveStaleRows(page->rows);
+    const auto started_at = this->clock.now();
+    for (auto& domain : this->leases.DomainsToRead(started_at)) {
+      co_await this->ReadDomain(std::move(domain));
     }
-    const auto next_at = sent_at + kLeaseOptions.heartbeat_period;
+    this->PublishPeers();
+    const auto next_at = started_at + kLeaseOptions.heartbeat_period;
     const auto now = this->clock.now();
     if (now < next_at) co_await Pause(next_at - now);
   }
 }
 
-void FleetService::ApplyRows(const std::vector<base::VersionedRow>& rows) {
+asio::awaitable<void> FleetService::ReadDomain(base::FailureDomain domain) {
+  base::RowRange range;
+  range.table = layout::kLeaseTable;
+  range.partition = domain.text;
+  auto page = co_await ReadAllRows(this->store, std::move(range),
+                                   this->clock.now() + kCallTimeout);
+  if (!page.ok()) co_return;
+  this->ApplyHeartbeats(domain, page->rows);
+  co_await this->RemoveStaleRows(std::move(page->rows));
+}
+
+void FleetService::ApplyHeartbeats(
+    const base::FailureDomain& domain,
+    const std::vector<base::VersionedRow>& rows) {
   std::vector<policy::LeaseRow> lease_rows;
-  std::vector<PeerDaemon> peers;
   for (const auto& row : rows) {
-    auto daemon = layout::ParseDaemon(row.at.key, row.value);
-    if (!daemon.ok()) {
-      base::LogEvent("daemon_unreadable",
-                     {{"vm", row.at.key}, {"row_version", row.version}});
+    auto daemon = layout::ParseLease(row.at.key, row.value);
+    if (daemon.ok()) {
+      lease_rows.push_back({std::move(*daemon), row.version});
       continue;
     }
-    lease_rows.push_back({daemon->vm, row.version});
-    if (daemon->vm.name != this->vm.name) peers.push_back(std::move(*daemon));
+    base::LogEvent("daemon_unreadable",
+                   {{"vm", row.at.key}, {"row_version", row.version}});
+  }
+  this->leases.ObserveDomain(domain, lease_rows, this->clock.now());
+}
+
+void FleetService::PublishPeers() {
+  const auto now = this->clock.now();
+  this->live_peers.clear();
+  for (const auto& [name, daemon] : this->registered) {
+    const bool is_self = name == this->self().name;
+    if (!is_self && this->leases.MayServe(daemon.vm, now)) {
+      this->live_peers.push_back(daemon);
+    }
   }
-  const auto holders_before = this->leases.Holders().size();
-  this->leases.Observe(lease_rows, this->clock.now());
-  // A row doesn't prove that its daemon runs: the row of a killed daemon stays
-  // in the store for kStaleRowAge.
-  std::erase_if(
-      peers, [&](const auto& peer) { return !this->leases.MayServe(peer.vm); });
-  this->live_peers = std::move(peers);
-  const auto holders_after = this->leases.Holders().size();
-  if (holders_before != holders_after) {
+  const auto holders = this->leases.Holders(now).size();
+  if (holders != this->holder_count) {
     base::LogEvent("daemons_alive",
-                   {{"count", holders_after}, {"before", holders_before}});
+                   {{"count", holders}, {"before", this->holder_count}});
+    this->holder_count = holders;
   }
   this->on_peers(this->live_peers);
 }
 
 asio::awaitable<void> FleetService::RemoveStaleRows(
-    const std::vector<base::VersionedRow>& rows) {
+    std::vector<base::VersionedRow> rows) {
   const auto now = this->clock.now();
   for (const auto& row : rows) {
-    auto& [version, since] = this->unchanged_since[row.at.key];
-    if (version != row.version) {
-      version = row.version;
-      since = now;
-    }
-    if (now - since < kStaleRowAge || row.at.key == this->vm.name) continue;
-    base::RowTransaction removal;
-    removal.expectations.push_back({row.at, row.version});
-    removal.removals.push_back(row.at);
-    const auto removed =
-        co_await Transact(this->store, std::move(removal), now + kCallTimeout);
-    if (removed.ok() && removed->applied) {
-      base::LogEvent("daemon_row_removed", {{"vm", row.at.key}});
-    }
-    since = now;
+    auto& age = this->row_ages[row.at.key];
+    if (age.version != row.version) age = {row.version, now};
+    const bool is_stale = now - age.unchanged_since >= kStaleRowAge;
+    if (!is_stale || row.at.key == this->self().name) continue;
+    age.unchanged_since = now;
+    co_await this->RemoveStaleRow(row);
+  }
+}
+
+asio::awaitable<void> FleetService::RemoveStaleRow(
+    const base::VersionedRow& row) {
+  // Only one of those who see the stale row removes it.
+  const auto incarnation = layout::ParseLease(row.at.key, row.value);
+  const base::VmId lost =
+      incarnation.ok() ? *incarnation : base::VmId{row.at.key, 0};
+  const auto adopters = this->Adopters(lost);
+  if (!policy::RanksFirst(this->self(), row.at.key, adopters)) co_return;
+  base::RowTransaction removal;
+  removal.expectations.push_back({row.at, row.version});
+  removal.removals.push_back(row.at);
+  removal.removals.push_back(
+      {layout::kDaemonTable, row.at.partition, row.at.key});
+  const auto removed = co_await Transact(this->store, std::move(removal),
+                                         this->clock.now() + kCallTimeout);
+  if (removed.ok() && removed->applied) {
+    base::LogEvent("daemon_row_removed", {{"vm", row.at.key}});
   }
 }
 
 asio::awaitable<void> FleetService::Deregister() {
   this->deregistered = true;
+  this->follower->Stop();
   base::RowTransaction removal;
-  removal.removals.push_back(HeartbeatKey(this->vm.name));
+  removal.removals.push_back(this->HeartbeatKey());
+  removal.removals.push_back(this->RegistrationKey());
   const auto removed = co_await Transact(this->store, std::move(removal),
                                          this->clock.now() + kCallTimeout);
   if (!removed.ok()) {
@@ -144,15 +238,32 @@
   }
 }
 
+void FleetService::OnHolderReport(const base::VmId& daemon) {
+  this->leases.OnHolderReport(daemon, this->clock.now());
+}
+
+// Queries.
+
 bool FleetService::HasLostLease(const base::VmId& daemon) const {
-  return this->leases.HasLostLease(daemon);
+  return this->leases.HasLostLease(daemon, this->clock.now());
 }
 
 std::vector<base::VmId> FleetService::LeaseHolders() const {
-  auto holders = this->leases.Holders();
-  std::erase_if(holders,
-                [&](const auto& each) { return each.name == this->vm.name; });
-  if (this->HoldsLease()) holders.push_back(this->vm);
+  return this->WithOwnLease(this->leases.Holders(this->clock.now()));
+}
+
+std::vector<base::VmId> FleetService::Adopters(const base::VmId& lost) const {
+  auto adopters = this->leases.Adopters(lost, this->clock.now());
+  if (adopters.empty()) return adopters;
+  return this->WithOwnLease(std::move(adopters));
+}
+
+std::vector<base::VmId> FleetService::WithOwnLease(
+    std::vector<base::VmId> holders) const {
+  std::erase_if(holders, [&](const auto& each) {
+    return each.name == this->self().name;
+  });
+  if (this->HoldsLease()) holders.push_back(this->self());
   return holders;
 }
 
--- a/packages/gateway/src/serving/job_service.cc
+++ b/packages/gateway/src/serving/job_service.cc
@@ -507,7 +507,9 @@
     leases.is_lost = [this](const base::VmId& vm) {
       return this->fleet.HasLostLease(vm);
     };
-    leases.holders = this->fleet.LeaseHolders();
+    leases.adopters = [this](const base::VmId& vm) {
+      return this->fleet.Adopters(vm);
+    };
     return this->owners.OrphansToAdopt(leases, this->context.clock.now());
   }
 
--- a/packages/gateway/src/serving/store_layout.cc
+++ b/packages/gateway/src/serving/store_layout.cc
@@ -49,9 +49,22 @@
       {"domain", daemon.location.domain.text},
       {"region", daemon.location.region.text},
       {"gossip", daemon.gossip_address},
+      {"cores", daemon.cores},
   });
 }
 
+std::string SerializeLease(const base::VmId& daemon) {
+  return json::serialize(json::object{{"incarnation", daemon.incarnation}});
+}
+
+base::Outcome<base::VmId> ParseLease(const std::string& vm_name,
+                                     std::string_view value) {
+  const auto object = ParseObject(value);
+  const auto incarnation = NumberField(object, "incarnation");
+  if (!incarnation) return MalformedRow("lease");
+  return base::VmId{vm_name, *incarnation};
+}
+
 base::Outcome<PeerDaemon> ParseDaemon(const std::string& vm_name,
                                       std::string_view value) {
   const auto object = ParseObject(value);
@@ -66,6 +79,11 @@
   daemon.vm = {vm_name, *incarnation};
   daemon.location = {base::FailureDomain(*domain), base::Region(*region)};
   daemon.gossip_address = *gossip;
+  if (const auto* cores = object.if_contains("cores")) {
+    boost::system::error_code error;
+    const auto number = cores->to_number<double>(error);
+    if (!error && number > 0) daemon.cores = number;
+  }
   return daemon;
 }
 
--- a/packages/policy/include/gypsumtrack/policy/serving/job_owners.h
+++ b/packages/policy/include/gypsumtrack/policy/serving/job_owners.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <string>
 #include <vector>
 
 #include "gypsumtrack/base/enum_table.h"
@@ -53,10 +54,17 @@
 struct LeaseView {
   /// Whether that daemon has certainly lost its lease.
   std::function<bool(const base::VmId&)> is_lost;
-  /// Daemons that hold a lease.
-  std::vector<base::VmId> holders;
+  /// Returns the lease holders that may adopt a job of that daemon, or of none
+  /// if its VM name is empty.
+  std::function<std::vector<base::VmId>(const base::VmId&)> adopters;
 };
 
+/// Returns whether the daemon ranks first for `name` among `candidates` by
+/// rendezvous hashing, so that daemons that know the same candidates agree who
+/// acts. Thread-safe.
+bool RanksFirst(const base::VmId& daemon, const std::string& name,
+                const std::vector<base::VmId>& candidates);
+
 /// The owner rows of all open jobs and the jobs that this daemon runs. Not
 /// thread-safe; used on one thread.
 class JobOwners {
@@ -88,9 +96,10 @@
   // Queries.
 
   /// Jobs without a live owner that this daemon should take over. Each job is
-  /// assigned to the lease holder that ranks first for it, so that daemons
-  /// don't compete for it. Includes jobs whose row states this daemon as the
-  /// owner although it hasn't run them for a grace period.
+  /// assigned to the adopter that ranks first for it, so that daemons don't
+  /// compete for it. A row that has just changed is left for a grace period:
+  /// its owner may have started so recently that its lease isn't known yet, or
+  /// be this daemon, which is about to run the job.
   std::vector<OwnerRow> OrphansToAdopt(const LeaseView& leases,
                                        base::Instant now) const;
 
@@ -98,6 +107,8 @@
   struct CachedRow {
     base::VmId owner;
     std::uint64_t version = 0;
+    /// When the row was first seen; the minimum if it was part of the first
+    /// snapshot and may have been there for long.
     base::Instant seen_at{};
   };
 
@@ -106,6 +117,7 @@
 
   base::VmId self;
   std::map<JobKey, CachedRow> rows;
+  bool has_snapshot = false;
   /// Jobs that this daemon runs, with the versions of their owner rows.
   std::map<JobKey, std::uint64_t> owned_versions;
 };
--- a/packages/policy/src/serving/job_owners.cc
+++ b/packages/policy/src/serving/job_owners.cc
@@ -8,26 +8,24 @@
 namespace gypsumtrack::policy {
 namespace {
 
-/// A row may state this daemon as the owner of a job that it doesn't run yet,
-/// because the response to its own commit hasn't arrived. The job counts as an
-/// orphan only after this time.
-constexpr base::Duration kOwnRowGracePeriod = std::chrono::milliseconds(1500);
-
-/// Whether `self` has the highest rendezvous hashing score for the job among
-/// the lease holders.
-bool RanksFirst(const base::VmId& self, const JobKey& key,
-                const std::vector<base::VmId>& holders) {
+/// A row may state an owner that doesn't run the job yet, because the response
+/// to its commit hasn't arrived, or one whose registration hasn't been read
+/// yet. The job counts as an orphan only after this time.
+constexpr base::Duration kNewRowGracePeriod = std::chrono::milliseconds(1500);
+
+}  // namespace
+
+bool RanksFirst(const base::VmId& daemon, const std::string& name,
+                const std::vector<base::VmId>& candidates) {
   const auto score = [&](const base::VmId& vm) {
-    return base::RendezvousScore(key.job.text, vm.name);
+    return base::RendezvousScore(name, vm.name);
   };
   const auto best = std::max_element(
-      holders.begin(), holders.end(),
+      candidates.begin(), candidates.end(),
       [&](const auto& a, const auto& b) { return score(a) < score(b); });
-  return best != holders.end() && *best == self;
+  return best != candidates.end() && *best == daemon;
 }
 
-}  // namespace
-
 JobOwners::JobOwners(base::VmId self_id) : self(std::move(self_id)) {}
 
 void JobOwners::OnAcquired(const JobKey& key, std::uint64_t version,
@@ -55,12 +53,15 @@
     base::Instant now) {
   std::map<JobKey, CachedRow> next;
   for (const auto& row : snapshot) {
+    const bool is_old = !this->has_snapshot && row.owner != this->self;
+    const auto seen_at = is_old ? base::Instant::min() : now;
     const auto found = this->rows.find(row.key);
     const bool is_cached =
         found != this->rows.end() && found->second.version >= row.version;
     next[row.key] =
-        is_cached ? found->second : CachedRow{row.owner, row.version, now};
+        is_cached ? found->second : CachedRow{row.owner, row.version, seen_at};
   }
+  this->has_snapshot = true;
   // Rows newer than the snapshot aren't part of it and stay.
   for (const auto& [key, cached] : this->rows) {
     if (cached.version > as_of) next.try_emplace(key, cached);
@@ -101,11 +102,14 @@
   std::vector<OwnerRow> orphans;
   for (const auto& [key, cached] : this->rows) {
     if (this->owned_versions.contains(key)) continue;
-    bool adopt = false;
-    if (cached.owner == this->self) {
-      adopt = now - cached.seen_at > kOwnRowGracePeriod;
-    } else if (cached.owner.name.empty() || leases.is_lost(cached.owner)) {
-      adopt = RanksFirst(this->self, key, leases.holders);
+    const bool is_unowned = cached.owner.name.empty();
+    const bool is_settled = cached.seen_at == base::Instant::min() ||
+                            now - cached.seen_at > kNewRowGracePeriod;
+    if (!is_unowned && !is_settled) continue;
+    bool adopt = cached.owner == this->self;
+    if (!adopt && (is_unowned || leases.is_lost(cached.owner))) {
+      adopt =
+          RanksFirst(this->self, key.job.text, leases.adopters(cached.owner));
     }
     if (adopt) orphans.push_back({key, cached.owner, cached.version});
   }
--- a/packages/policy/test/serving/job_owners_test.cc
+++ b/packages/policy/test/serving/job_owners_test.cc
@@ -17,7 +17,10 @@
 }
 
 LeaseView AllLeasesHeld() {
-  return {[](const base::VmId&) { return false; }, {kSelf, kOther}};
+  return {[](const base::VmId&) { return false; },
+          [](const base::VmId&) {
+            return std::vector{kSelf, kOther};
+          }};
 }
 
 TEST_CASE("a daemon stops a job that it no longer owns") {
@@ -77,11 +80,23 @@
   SECTION("a daemon that isn't among the lease holders adopts none") {
     auto view = AllLeasesHeld();
     view.is_lost = [](const base::VmId&) { return true; };
-    view.holders = {kOther};
+    view.adopters = [](const base::VmId&) { return std::vector{kOther}; };
     CHECK(owners.OrphansToAdopt(view, kStart).empty());
   }
 }
 
+TEST_CASE("a job that changed its owner just now isn't adopted") {
+  JobOwners owners(kSelf);
+  owners.ApplySnapshot({}, 4, kStart);
+  owners.ApplyRow({MakeKey("a"), {"vm-3", 2}, 5}, kStart);
+  // The registration of the owner's new incarnation hasn't been read yet.
+  LeaseView view;
+  view.is_lost = [](const base::VmId&) { return true; };
+  view.adopters = [](const base::VmId&) { return std::vector{kSelf}; };
+  CHECK(owners.OrphansToAdopt(view, kStart + seconds(1)).empty());
+  CHECK(owners.OrphansToAdopt(view, kStart + seconds(2)).size() == 1);
+}
+
 TEST_CASE("a job is run even if the response to its acceptance was lost") {
   JobOwners owners(kSelf);
   owners.ApplyRow({MakeKey("a"), kSelf, 5}, kStart);
