Collect gossip in large failure domains

Cause: each daemon sent its message to each peer of its domain ten times a second, and each message from elsewhere was passed on to all of them: some 140,000 datagrams a second in a fleet of 295, growing with the square of a domain. In fleet_quota each message walked all peers twice, each peer that came or went all peers for each organisation, and shares were built anew in two maps three times a second.

Change: domains of more than 20 daemons send to the collector of the time slot, only what has changed, in full every fourth tick; it passes on to its domain and to the collectors elsewhere what it received within a tick. The daemons with the most cores take turns by the time of day. Messages say whether their sender holds its lease. fleet_quota counts its unresponsive and awaited peers, keeps one entry for a peer's demand and share, and takes twice as long for its rounds with more than 100 peers.

--- a/packages/gateway/include/gypsumtrack/gateway/serving/fleet_service.h
+++ b/packages/gateway/include/gypsumtrack/gateway/serving/fleet_service.h
@@ -66,7 +66,9 @@
   /// Returns whether this daemon may act as the holder of its lease.
   bool HoldsLease() const;
   /// Returns this daemon.
-  const base::VmId& self() const { return this->self_daemon.vm; }  // NOLINT
+  const base::VmId& self() const { return this->own.vm; }  // NOLINT
+  /// Returns this daemon as it registers itself.
+  const PeerDaemon& self_daemon() const { return this->own; }  // NOLINT
   /// Returns the peers passed to `on_peers` after the last read.
   const std::vector<PeerDaemon>& peers() const { return this->live_peers; }
 
@@ -98,7 +100,7 @@
   boost::asio::any_io_executor executor;
   base::Clock clock;
   const base::RowStore& store;
-  PeerDaemon self_daemon;
+  PeerDaemon own;
   PeersHook on_peers;
   policy::FleetLeases leases;
   std::shared_ptr<TableFollower> follower;
--- a/packages/gateway/include/gypsumtrack/gateway/serving/gossip_message.h
+++ b/packages/gateway/include/gypsumtrack/gateway/serving/gossip_message.h
@@ -2,10 +2,10 @@
 #define GYPSUMTRACK_GATEWAY_SERVING_GOSSIP_MESSAGE_H_
 
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "gypsumtrack/base/names.h"
@@ -33,16 +33,23 @@
   std::uint32_t sequence = 0;
   /// Another daemon forwarded the message; it must not be forwarded again.
   bool forwarded = false;
+  /// A recipient in the sender's failure domain must forward the message to the
+  /// other daemons there, because the sender doesn't send to each of them.
+  bool to_relay = false;
+  /// The relaying daemon must also send the message to the other domains.
+  bool to_other_domains = false;
+  /// The sender holds its lease in the store.
+  bool holds_lease = false;
   /// `admitted` contains all organisations of which the sender has admitted
   /// requests, not only those whose count has changed recently.
   bool is_full = false;
   /// Number of batch items of the sender's jobs that wait for a free slot.
   std::uint16_t waiting_items = 0;
   /// The sender's requests in progress, by the hash of the endpoint.
-  std::map<NameHash, policy::EndpointLoad> loads;
+  std::vector<std::pair<NameHash, policy::EndpointLoad>> loads;
   /// Number of requests that the sender has admitted since its start, by the
   /// hash of the organisation.
-  std::map<NameHash, std::uint32_t> admitted;
+  std::vector<std::pair<NameHash, std::uint32_t>> admitted;
 
   bool operator==(const GossipMessage&) const = default;
 };
--- a/packages/gateway/include/gypsumtrack/gateway/serving/gossip_service.h
+++ b/packages/gateway/include/gypsumtrack/gateway/serving/gossip_service.h
@@ -7,10 +7,12 @@
 #include <boost/asio/ip/udp.hpp>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "gypsumtrack/base/outcome.h"
+#include "gypsumtrack/base/time.h"
 #include "gypsumtrack/gateway/serving/fleet_service.h"
 #include "gypsumtrack/gateway/serving/gossip_message.h"
 #include "gypsumtrack/policy/serving/gossip_plan.h"
@@ -21,15 +23,26 @@
 
 /// Intervals of gossip.
 struct GossipOptions {
-  /// Interval between messages to peers in the same failure domain.
+  /// Shortest interval between messages.
   base::Duration tick = std::chrono::milliseconds(100);
   policy::GossipPlanOptions plan;
 };
 
+/// What a message is needed for.
+struct GossipDue {
+  /// A message must be sent although nothing has changed.
+  bool is_due = false;
+  /// The message reaches the daemons of all failure domains, so that it may be
+  /// a full one.
+  bool reaches_all = false;
+};
+
 /// Hooks of a GossipService, which calls them on its executor.
 struct GossipHooks {
-  /// Returns this daemon's current message; `sequence` is set by the service.
-  std::function<GossipMessage()> make_message;
+  /// Returns this daemon's current message, or none if it isn't due and nothing
+  /// has changed since the last one. `sequence` and the recipients are set by
+  /// the service.
+  std::function<std::optional<GossipMessage>(const GossipDue&)> make_message;
   /// Called for each message that is newer than all earlier ones of its sender.
   std::function<void(const GossipMessage&)> on_message;
 };
@@ -38,9 +51,9 @@
 /// the thread of its executor.
 class GossipService {
  public:
-  /// `executor` must run on one thread.
-  GossipService(const boost::asio::any_io_executor& executor, base::VmId self,
-                base::Location location, GossipOptions options,
+  /// `executor` must run on one thread. `self` describes this daemon.
+  GossipService(const boost::asio::any_io_executor& executor, base::Clock clock,
+                const PeerDaemon& self, GossipOptions options,
                 GossipHooks hooks);
 
   /// Binds the UDP socket to `listen`, an `ip:port`, and starts to send and
@@ -54,22 +67,38 @@
  private:
   boost::asio::awaitable<void> SendLoop();
   boost::asio::awaitable<void> ReceiveLoop();
-  /// Sends this daemon's message and the messages to forward.
-  void SendMessages(GossipMessage own);
-  void SendDatagrams(const std::vector<std::string>& datagrams,
-                     const std::vector<std::string>& recipients);
+  policy::GossipTick NextTick();
+  /// Returns this daemon's message of the tick, if there is one.
+  std::optional<GossipMessage> MakeMessage(const policy::GossipTick& tick);
+  /// Sends this daemon's message and the messages to forward to every peer of
+  /// the domain, and this daemon's message to the other domains.
+  boost::asio::awaitable<void> SendDirectly(policy::GossipTick tick);
+  /// Sends this daemon's message to the collector, and what this daemon has
+  /// collected to the peers of the domain and to the other domains.
+  boost::asio::awaitable<void> SendByCollector(policy::GossipTick tick);
+  /// Sends the messages to be forwarded to every peer of the domain.
+  boost::asio::awaitable<void> Forward();
+  /// Sends every datagram to every recipient, with pauses.
+  boost::asio::awaitable<void> SendDatagrams(
+      std::vector<std::string> datagrams, std::vector<std::string> recipients);
   void OnDatagram(std::string_view bytes);
   void OnMessage(GossipMessage message);
+  /// Keeps the message until it is forwarded at the next tick.
+  void Collect(GossipMessage message);
 
   boost::asio::any_io_executor executor;
-  base::Duration tick;
+  base::Clock clock;
+  base::VmId self;
+  base::Duration tick_period;
   GossipHooks hooks;
   boost::asio::ip::udp::socket socket;
   policy::GossipPlan plan;
   /// Keyed by VM name.
   std::map<std::string, boost::asio::ip::udp::endpoint> addresses;
-  /// Messages to forward within this failure domain at the next tick.
+  /// Messages to forward within this failure domain at the next tick, and those
+  /// of this domain to send to the other domains then.
   std::vector<GossipMessage> to_forward;
+  std::vector<GossipMessage> to_other_domains;
   /// Sequence number of the newest message of each sender.
   std::map<base::VmId, std::uint32_t> newest_sequences;
   std::uint32_t tick_count = 0;
--- a/packages/gateway/src/serving/fleet_service.cc
+++ b/packages/gateway/src/serving/fleet_service.cc
@@ -38,8 +38,8 @@
     : executor(run_on),
       clock(std::move(system_clock)),
       store(row_store),
-      self_daemon{std::move(self_id), settings.location, settings.gossip_listen,
-                  settings.cpu_cores},
+      own{std::move(self_id), settings.location, settings.gossip_listen,
+          settings.cpu_cores},
       on_peers(std::move(hook)),
       leases(settings.location.domain, kFleetOptions) {}
 
@@ -104,12 +104,12 @@
 }
 
 base::RowKey FleetService::RegistrationKey() const {
-  return {layout::kDaemonTable, this->self_daemon.location.domain.text,
+  return {layout::kDaemonTable, this->own.location.domain.text,
           this->self().name};
 }
 
 base::RowKey FleetService::HeartbeatKey() const {
-  return {layout::kLeaseTable, this->self_daemon.location.domain.text,
+  return {layout::kLeaseTable, this->own.location.domain.text,
           this->self().name};
 }
 
@@ -121,8 +121,8 @@
     heartbeat.puts.push_back(
         {this->HeartbeatKey(), layout::SerializeLease(this->self())});
     if (this->registration_due) {
-      heartbeat.puts.push_back({this->RegistrationKey(),
-                                layout::SerializeDaemon(this->self_daemon)});
+      heartbeat.puts.push_back(
+          {this->RegistrationKey(), layout::SerializeDaemon(this->own)});
     }
     const auto sent_at = this->clock.now();
     const auto written = co_await Transact(this->store, std::move(heartbeat),
--- a/packages/gateway/src/serving/gossip_message.cc
+++ b/packages/gateway/src/serving/gossip_message.cc
@@ -8,7 +8,7 @@
 namespace {
 
 /// First bytes of a datagram; identifies the version of the encoding.
-constexpr std::string_view kMagic = "GN2";
+constexpr std::string_view kMagic = "GN3";
 /// Encoded size of an entry of `loads` and of `admitted`.
 constexpr std::size_t kLoadBytes = 8;
 constexpr std::size_t kAdmittedBytes = 8;
@@ -63,14 +63,28 @@
 /// Flags of a message.
 constexpr std::uint8_t kForwardedFlag = 1;
 constexpr std::uint8_t kFullFlag = 2;
+constexpr std::uint8_t kRelayFlag = 4;
+constexpr std::uint8_t kOtherDomainsFlag = 8;
+constexpr std::uint8_t kHoldsLeaseFlag = 16;
 
 std::uint8_t FlagsOf(const GossipMessage& message) {
   std::uint8_t flags = 0;
   if (message.forwarded) flags |= kForwardedFlag;
   if (message.is_full) flags |= kFullFlag;
+  if (message.to_relay) flags |= kRelayFlag;
+  if (message.to_other_domains) flags |= kOtherDomainsFlag;
+  if (message.holds_lease) flags |= kHoldsLeaseFlag;
   return flags;
 }
 
+void ApplyFlags(std::uint8_t flags, GossipMessage& message) {
+  message.forwarded = (flags & kForwardedFlag) != 0;
+  message.is_full = (flags & kFullFlag) != 0;
+  message.to_relay = (flags & kRelayFlag) != 0;
+  message.to_other_domains = (flags & kOtherDomainsFlag) != 0;
+  message.holds_lease = (flags & kHoldsLeaseFlag) != 0;
+}
+
 std::string EncodeMessage(const GossipMessage& message) {
   constexpr auto kMaxMessageBytes = kMaxDatagramBytes - kMagic.size();
   std::string bytes;
@@ -114,19 +128,18 @@
   message.sender.name = std::string(reader.ReadBytes(name_size));
   message.sender.incarnation = reader.Read<std::uint64_t>();
   message.sequence = reader.Read<std::uint32_t>();
-  const auto flags = reader.Read<std::uint8_t>();
-  message.forwarded = (flags & kForwardedFlag) != 0;
-  message.is_full = (flags & kFullFlag) != 0;
+  ApplyFlags(reader.Read<std::uint8_t>(), message);
   message.waiting_items = reader.Read<std::uint16_t>();
   const auto admitted_count = reader.Read<std::uint16_t>();
   for (std::size_t i = 0; i < admitted_count && !reader.failed(); ++i) {
     const auto name_hash = reader.Read<NameHash>();
-    message.admitted[name_hash] = reader.Read<std::uint32_t>();
+    message.admitted.emplace_back(name_hash, reader.Read<std::uint32_t>());
   }
   const auto load_count = reader.Read<std::uint16_t>();
   for (std::size_t i = 0; i < load_count && !reader.failed(); ++i) {
     const auto name_hash = reader.Read<NameHash>();
-    auto& load = message.loads[name_hash];
+    auto& load =
+        message.loads.emplace_back(name_hash, policy::EndpointLoad{}).second;
     load.online = reader.Read<std::uint16_t>();
     load.batch = reader.Read<std::uint16_t>();
   }
--- a/packages/gateway/src/serving/gossip_service.cc
+++ b/packages/gateway/src/serving/gossip_service.cc
@@ -21,17 +21,29 @@
 
 /// Larger than kMaxDatagramBytes, so that no datagram of a daemon is truncated.
 constexpr std::size_t kReceiveBufferBytes = 2048;
+/// After this many datagrams in a row the sender pauses, so that they don't
+/// overflow the socket's buffer or the VM's link.
+constexpr int kMaxDatagramsInRow = 40;
+constexpr base::Duration kSendPause = std::chrono::milliseconds(2);
+
+std::vector<std::string> EncodeOne(GossipMessage message) {
+  return EncodeGossip({std::move(message)});
+}
 
 }  // namespace
 
 GossipService::GossipService(const asio::any_io_executor& run_on,
-                             base::VmId self, base::Location location,
+                             base::Clock system_clock,
+                             const PeerDaemon& own_daemon,
                              GossipOptions options, GossipHooks gossip_hooks)
     : executor(run_on),
-      tick(options.tick),
+      clock(std::move(system_clock)),
+      self(own_daemon.vm),
+      tick_period(options.tick),
       hooks(std::move(gossip_hooks)),
       socket(run_on),
-      plan(std::move(self), std::move(location), options.plan) {}
+      plan({own_daemon.vm, own_daemon.location, own_daemon.cores},
+           options.plan) {}
 
 base::Status GossipService::Start(const std::string& listen) {
   const auto address = ParseSocketAddress(listen);
@@ -68,7 +80,7 @@
     }
     this->addresses[daemon.vm.name] =
         udp::endpoint(address->address(), address->port());
-    peers.push_back({daemon.vm, daemon.location});
+    peers.push_back({daemon.vm, daemon.location, daemon.cores});
   }
   std::erase_if(this->newest_sequences, [&](const auto& each) {
     return !senders.contains(each.first);
@@ -84,32 +96,93 @@
 
 asio::awaitable<void> GossipService::SendLoop() {
   while (!this->stopped) {
-    ++this->tick_count;
-    auto own = this->hooks.make_message();
-    own.sequence = this->tick_count;
-    this->SendMessages(std::move(own));
-    co_await Pause(this->tick);
+    const auto tick = this->NextTick();
+    if (this->plan.UsesCollectors()) {
+      co_await this->SendByCollector(tick);
+    } else {
+      co_await this->SendDirectly(tick);
+    }
+    const auto next_at = tick.now + this->tick_period;
+    const auto now = this->clock.now();
+    if (now < next_at) co_await Pause(next_at - now);
+  }
+}
+
+policy::GossipTick GossipService::NextTick() {
+  policy::GossipTick tick;
+  tick.number = ++this->tick_count;
+  tick.slot = static_cast<std::uint64_t>(this->clock.wall().time_since_epoch() /
+                                         this->tick_period);
+  tick.now = this->clock.now();
+  return tick;
+}
+
+std::optional<GossipMessage> GossipService::MakeMessage(
+    const policy::GossipTick& tick) {
+  GossipDue due;
+  due.is_due = this->plan.IsDue(tick);
+  due.reaches_all = this->plan.IsForOtherDomains(tick);
+  auto message = this->hooks.make_message(due);
+  if (message) message->sequence = tick.number;
+  return message;
+}
+
+asio::awaitable<void> GossipService::SendDirectly(policy::GossipTick tick) {
+  auto own = this->MakeMessage(tick);
+  if (own && this->plan.IsForOtherDomains(tick)) {
+    auto datagrams = EncodeOne(*own);
+    co_await this->SendDatagrams(std::move(datagrams),
+                                 this->plan.RemotePeers(tick));
   }
+  if (own) this->to_forward.push_back(std::move(*own));
+  // The peers may have changed their mode and sent messages to be relayed.
+  this->to_other_domains.clear();
+  co_await this->Forward();
 }
 
-void GossipService::SendMessages(GossipMessage own) {
-  std::vector<GossipMessage> messages{std::move(own)};
-  const auto remotes = this->plan.RemotePeers(this->tick_count);
-  if (!remotes.empty()) this->SendDatagrams(EncodeGossip(messages), remotes);
-  std::move(this->to_forward.begin(), this->to_forward.end(),
-            std::back_inserter(messages));
-  this->to_forward.clear();
-  this->SendDatagrams(EncodeGossip(messages), this->plan.DomainPeers());
+asio::awaitable<void> GossipService::SendByCollector(policy::GossipTick tick) {
+  auto own = this->MakeMessage(tick);
+  if (own) {
+    own->to_other_domains = this->plan.IsForOtherDomains(tick);
+    const auto collector = this->plan.Collector(tick);
+    if (collector == this->self.name) {
+      this->Collect(std::move(*own));
+    } else {
+      own->to_relay = true;
+      auto datagrams = EncodeOne(std::move(*own));
+      std::vector<std::string> recipients(1, collector);
+      co_await this->SendDatagrams(std::move(datagrams), std::move(recipients));
+    }
+  }
+  auto for_others = std::exchange(this->to_other_domains, {});
+  if (!for_others.empty()) {
+    auto datagrams = EncodeGossip(for_others);
+    co_await this->SendDatagrams(std::move(datagrams),
+                                 this->plan.RemotePeers(tick));
+  }
+  co_await this->Forward();
 }
 
-void GossipService::SendDatagrams(const std::vector<std::string>& datagrams,
-                                  const std::vector<std::string>& recipients) {
+asio::awaitable<void> GossipService::Forward() {
+  const auto messages = std::exchange(this->to_forward, {});
+  if (messages.empty()) co_return;
+  auto datagrams = EncodeGossip(messages);
+  co_await this->SendDatagrams(std::move(datagrams), this->plan.DomainPeers());
+}
+
+asio::awaitable<void> GossipService::SendDatagrams(
+    std::vector<std::string> datagrams, std::vector<std::string> recipients) {
+  int sent_in_row = 0;
   for (const auto& name : recipients) {
-    const auto& address = this->addresses.at(name);
+    const auto found = this->addresses.find(name);
+    if (found == this->addresses.end()) continue;
+    const auto address = found->second;
     for (const auto& datagram : datagrams) {
       // Errors are ignored: the next message repeats the contents.
       error_code ignored;
       this->socket.send_to(asio::buffer(datagram), address, 0, ignored);
+      if (++sent_in_row % kMaxDatagramsInRow == 0) co_await Pause(kSendPause);
+      if (this->stopped) co_return;
     }
   }
 }
@@ -135,11 +208,23 @@
 }
 
 void GossipService::OnMessage(GossipMessage message) {
+  if (message.sender.name == this->self.name) return;
   auto& newest_sequence = this->newest_sequences[message.sender];
   if (message.sequence <= newest_sequence) return;
   newest_sequence = message.sequence;
+  this->plan.OnMessageFrom(message.sender.name, this->clock.now());
   this->hooks.on_message(message);
-  if (message.forwarded || !this->plan.ShouldForward(message.sender)) return;
+  const bool forwards =
+      !message.forwarded &&
+      this->plan.ShouldForward(message.sender, message.to_relay);
+  if (forwards) this->Collect(std::move(message));
+}
+
+void GossipService::Collect(GossipMessage message) {
+  message.to_relay = false;
+  if (std::exchange(message.to_other_domains, false)) {
+    this->to_other_domains.push_back(message);
+  }
   message.forwarded = true;
   this->to_forward.push_back(std::move(message));
 }
--- a/packages/gateway/src/serving/serving_daemon.cc
+++ b/packages/gateway/src/serving/serving_daemon.cc
@@ -10,6 +10,7 @@
 #include <csignal>
 #include <limits>
 #include <map>
+#include <optional>
 #include <thread>
 #include <tuple>
 #include <utility>
@@ -122,13 +123,15 @@
           this->SetPeers(peers);
         });
     GossipHooks hooks;
-    hooks.make_message = [this] { return this->MakeGossipMessage(); };
+    hooks.make_message = [this](const GossipDue& due) {
+      return this->MakeGossipMessage(due);
+    };
     hooks.on_message = [this](const GossipMessage& message) {
       this->OnGossipMessage(message);
     };
     this->gossip = std::make_unique<GossipService>(
-        this->serving.executor, this->serving.self,
-        this->serving.settings.location, GossipOptions{}, std::move(hooks));
+        this->serving.executor, this->clock, this->fleet->self_daemon(),
+        GossipOptions{}, std::move(hooks));
     this->jobs = std::make_unique<JobService>(this->serving, *this->fleet);
     this->AddGauges();
   }
@@ -212,27 +215,36 @@
     this->gossip->SetPeers(peers);
   }
 
-  GossipMessage MakeGossipMessage() {
+  std::optional<GossipMessage> MakeGossipMessage(const GossipDue& due) {
     GossipMessage message;
     message.sender = this->serving.self;
+    message.holds_lease = this->fleet->HoldsLease();
     for (const auto& [id, load] : this->serving.endpoints.OwnLoads()) {
-      message.loads[HashName(id.text)] = load;
+      message.loads.emplace_back(HashName(id.text), load);
     }
-    const auto own_counts =
-        this->serving.quota.NextCountsMessage(this->clock.now());
-    message.is_full = own_counts.is_full;
     constexpr std::uint32_t kMaxWaitingItems =
         std::numeric_limits<std::uint16_t>::max();
     message.waiting_items = static_cast<std::uint16_t>(
         std::min(this->jobs->CountWaitingItems(), kMaxWaitingItems));
+    const auto admitted = this->serving.quota.OwnAdmittedTotal();
+    const bool unchanged =
+        message == this->last_gossip && admitted == this->last_gossip_admitted;
+    if (unchanged && !due.is_due) return std::nullopt;
+    this->last_gossip = message;
+    this->last_gossip_admitted = admitted;
+    const auto own_counts = this->serving.quota.NextCountsMessage(
+        this->clock.now(), due.reaches_all);
+    message.is_full = own_counts.is_full;
     for (const auto& [name, count] : own_counts.counts) {
-      message.admitted[HashName(name.text)] = static_cast<std::uint32_t>(count);
+      message.admitted.emplace_back(HashName(name.text),
+                                    static_cast<std::uint32_t>(count));
     }
     return message;
   }
 
   void OnGossipMessage(const GossipMessage& received) {
     const auto now = this->clock.now();
+    if (received.holds_lease) this->fleet->OnHolderReport(received.sender);
     policy::EndpointLoads loads;
     for (const auto& [name_hash, load] : received.loads) {
       const auto found = this->endpoints_by_hash.find(name_hash);
@@ -466,6 +478,10 @@
   std::shared_ptr<const policy::ServingRules> rules;
   std::map<NameHash, base::EndpointId> endpoints_by_hash;
   std::map<NameHash, base::Organisation> organisations_by_hash;
+  /// The last gossip message, without the counts, and the number of requests
+  /// admitted by then.
+  GossipMessage last_gossip;
+  std::uint64_t last_gossip_admitted = 0;
   bool callers_drained = false;
   bool last_ready = false;
 };
--- a/packages/gateway/test/serving/gossip_message_test.cc
+++ b/packages/gateway/test/serving/gossip_message_test.cc
@@ -13,8 +13,8 @@
   message.sequence = 42;
   message.waiting_items = 300;
   for (std::uint32_t i = 0; i < entry_count; ++i) {
-    message.loads[i * 7919] = {i % 9, i % 5};
-    message.admitted[i * 104729] = i * 1000;
+    message.loads.push_back({i * 7919, {i % 9, i % 5}});
+    message.admitted.emplace_back(i * 104729, i * 1000);
   }
   return message;
 }
@@ -32,6 +32,9 @@
     std::vector<GossipMessage> messages{MakeMessage(5), MakeMessage(7)};
     messages.back().sender.name = "vm-8";
     messages.back().forwarded = true;
+    messages.front().to_relay = true;
+    messages.front().to_other_domains = true;
+    messages.front().holds_lease = true;
     const auto datagrams = EncodeGossip(messages);
     REQUIRE(datagrams.size() == 1);
     CHECK(DecodeGossip(datagrams.front()) == messages);
--- a/packages/policy/include/gypsumtrack/policy/serving/fleet_quota.h
+++ b/packages/policy/include/gypsumtrack/policy/serving/fleet_quota.h
@@ -50,11 +50,16 @@
   /// Fraction of the burst that is available to a daemon that has just started,
   /// because daemons that ran before may have used the rest.
   double initial_fill = 0.5;
-  /// Interval between full messages.
+  /// Shortest interval between full messages.
   base::Duration full_message_period = std::chrono::milliseconds(400);
   /// Delta messages contain the counts that changed within this time. It is
   /// longer than `full_message_period`, so that each count is sent repeatedly.
   base::Duration delta_window = std::chrono::milliseconds(1200);
+  /// With more peers than this, gossip is collected before it is sent on, and
+  /// all intervals above but those of demand and of unlisted peers are longer
+  /// by the factor.
+  std::size_t large_fleet_peers = 100;
+  int large_fleet_factor = 2;
 };
 
 /// Number of requests that a daemon has admitted since its start, by
@@ -89,8 +94,8 @@
   void OnPeerCounts(const base::VmId& vm, const CountsMessage& message,
                     base::Instant now);
   /// Returns the message to be sent to the peers now. Single messages may be
-  /// lost.
-  CountsMessage NextCountsMessage(base::Instant now);
+  /// lost. Only a message that reaches all peers may be full.
+  CountsMessage NextCountsMessage(base::Instant now, bool reaches_all);
   /// Returns whether a request of the organisation is admitted, and counts it
   /// if so. Requests of organisations without a limit are always admitted and
   /// aren't counted.
@@ -101,6 +106,8 @@
 
   // Queries.
 
+  /// Returns the number of requests admitted here since the start.
+  std::uint64_t OwnAdmittedTotal() const { return this->own_admitted; }
   /// Returns the tokens left in this daemon's copy of the organisation's
   /// bucket, negative after too many admissions by peers; 0 without a limit.
   double Tokens(const base::Organisation& organisation) const;
@@ -115,6 +122,10 @@
     double per_second = 0;
     base::Instant updated_at{};
   };
+  struct PeerUse {
+    Demand demand;
+    double share = 0;
+  };
   struct OwnCount {
     std::uint64_t admitted = 0;
     base::Instant changed_at{};
@@ -128,12 +139,11 @@
     /// Requests admitted here since the last round of gossip ended.
     double unconfirmed = 0;
     Demand own_demand;
-    /// Peers without demand have no entry.
-    std::map<std::string, Demand> peer_demands;
     /// Shares are fractions of the bucket. They are frozen while a peer is
     /// unresponsive, so that both sides of a partition use the same ones.
     double own_share = 1;
-    std::map<std::string, double> peer_shares;
+    /// Peers without demand have no entry. Keyed by VM name.
+    std::map<std::string, PeerUse> peer_uses;
     /// Share of a peer without demand.
     double idle_share = 0;
     /// Sum of the shares of unresponsive peers.
@@ -154,8 +164,16 @@
   /// organisation with this rate.
   double ExcessCapacity(double rate) const;
   void Refill(Bucket& bucket, base::Instant now) const;
+  /// Returns a duration of the options, adapted to the size of the fleet.
+  base::Duration Scaled(base::Duration duration) const;
   /// Reserves the shares of peers that have become unresponsive.
   void DetectUnresponsivePeers(base::Instant now);
+  /// Reserves a peer's share of the bucket.
+  static void ReserveShare(Bucket& bucket, const std::string& peer);
+  /// Ends the reservation of the share of a peer that has become responsive.
+  void ReleaseShare(Bucket& bucket, const std::string& peer) const;
+  /// Must be called after peers were added or removed, or changed their state.
+  void CountPeers();
   void UpdateShares(base::Instant now);
   /// Computes shares from demand. Precondition: all peers are responsive.
   void ComputeShares(Bucket& bucket, base::Instant now) const;
@@ -164,7 +182,7 @@
                       base::Instant now) const;
   bool AllPeersResponsive() const;
   double EvenShare() const;
-  /// Must be called after a change of shares or of unresponsive peers.
+  /// Must be called after a change of shares.
   void UpdateReservedShare(Bucket& bucket) const;
   /// Returns the tokens reserved for an unresponsive peer since its last
   /// message. What it admitted beyond these is subtracted from the bucket when
@@ -182,13 +200,21 @@
   static double ShareOfPeer(const Bucket& bucket, const std::string& peer);
   /// Returns the demand a second, decayed until now.
   double DecayedDemand(const Demand& demand, base::Instant now) const;
+  /// Decays the demand until now.
+  void Decay(Demand& demand, base::Instant now) const;
   void AddDemand(Demand& demand, double requests, base::Instant now) const;
 
   FleetQuotaOptions options;
   std::map<base::Organisation, Bucket> buckets;
   /// Keyed by VM name.
   std::map<std::string, Peer> peers;
+  /// Number of unresponsive peers, and of responsive ones from which no message
+  /// was received since `confirmed_at`.
+  std::size_t unresponsive_count = 0;
+  std::size_t awaited_count = 0;
+  base::Instant next_detection_at{};
   std::map<base::Organisation, OwnCount> own_counts;
+  std::uint64_t own_admitted = 0;
   /// When the last full message was sent; the minimum if the next message has
   /// to be full.
   base::Instant full_message_at = base::Instant::min();
--- a/packages/policy/src/serving/fleet_quota.cc
+++ b/packages/policy/src/serving/fleet_quota.cc
@@ -27,6 +27,8 @@
 constexpr double kFullFraction = 0.85;
 /// Demand below which a peer counts as idle, in requests a second.
 constexpr double kMinDemand = 0.005;
+/// Interval between checks for unresponsive peers.
+constexpr base::Duration kDetectionPeriod = std::chrono::milliseconds(50);
 
 double Seconds(base::Duration duration) {
   return std::chrono::duration<double>(duration).count();
@@ -82,10 +84,11 @@
     if (this->peers.try_emplace(name).second) added.push_back(name);
   }
   if (removed == 0 && added.empty()) return;
+  this->CountPeers();
   if (!added.empty()) this->full_message_at = base::Instant::min();
   for (auto& [organisation, bucket] : this->buckets) {
     this->Refill(bucket, now);
-    std::erase_if(bucket.peer_demands, [&](const auto& each) {
+    std::erase_if(bucket.peer_uses, [&](const auto& each) {
       return !this->peers.contains(each.first);
     });
     this->OnPeersChanged(bucket, added, now);
@@ -98,21 +101,35 @@
   if (this->AllPeersResponsive()) return this->ComputeShares(bucket, now);
   const auto even = this->EvenShare();
   if (this->shares_known) {
-    for (const auto& name : added) bucket.peer_shares[name] = even;
+    for (const auto& name : added) bucket.peer_uses[name] = {{}, even};
   } else {
     // Only this daemon's demand is known yet: with shares by demand it would
     // get nearly the whole bucket.
     bucket.own_share = even;
     bucket.idle_share = even;
-    bucket.peer_shares.clear();
+    for (auto& [name, use] : bucket.peer_uses) use.share = even;
   }
   this->UpdateReservedShare(bucket);
 }
 
 bool FleetQuota::AllPeersResponsive() const {
-  return std::none_of(
-      this->peers.begin(), this->peers.end(),
-      [](const auto& each) { return each.second.unresponsive; });
+  return this->unresponsive_count == 0;
+}
+
+void FleetQuota::CountPeers() {
+  this->unresponsive_count = 0;
+  this->awaited_count = 0;
+  for (const auto& [name, peer] : this->peers) {
+    if (peer.unresponsive) ++this->unresponsive_count;
+    const bool is_awaited =
+        !peer.unresponsive && !peer.received_since_confirmation;
+    if (is_awaited) ++this->awaited_count;
+  }
+}
+
+base::Duration FleetQuota::Scaled(base::Duration duration) const {
+  const bool is_large = this->peers.size() > this->options.large_fleet_peers;
+  return is_large ? duration * this->options.large_fleet_factor : duration;
 }
 
 double FleetQuota::EvenShare() const {
@@ -122,7 +139,9 @@
 void FleetQuota::OnPeerCounts(const base::VmId& vm,
                               const CountsMessage& message, base::Instant now) {
   this->DetectUnresponsivePeers(now);
-  auto& peer = this->peers[vm.name];
+  const auto [at, is_new] = this->peers.try_emplace(vm.name);
+  if (is_new) this->CountPeers();
+  auto& peer = at->second;
   const bool restarted =
       peer.incarnation != 0 && peer.incarnation != vm.incarnation;
   const bool was_unresponsive = peer.unresponsive;
@@ -147,16 +166,17 @@
   }
   peer.incarnation = vm.incarnation;
   peer.received_at = now;
-  peer.received_since_confirmation = true;
   if (was_unresponsive) {
-    for (auto& [organisation, bucket] : this->buckets) {
-      this->Refill(bucket, now);
-    }
     peer.unresponsive = false;
+    --this->unresponsive_count;
     for (auto& [organisation, bucket] : this->buckets) {
-      this->UpdateReservedShare(bucket);
+      this->Refill(bucket, now);
+      this->ReleaseShare(bucket, vm.name);
     }
+  } else if (!peer.received_since_confirmation) {
+    --this->awaited_count;
   }
+  peer.received_since_confirmation = true;
   this->ConfirmIfAllReceived(now);
   this->UpdateShares(now);
 }
@@ -171,19 +191,24 @@
                                         double admitted,
                                         base::Instant now) const {
   this->Refill(bucket, now);
-  this->AddDemand(bucket.peer_demands[peer], admitted, now);
+  const auto [use, is_new] = bucket.peer_uses.try_emplace(peer);
+  if (is_new) use->second.share = bucket.idle_share;
+  this->AddDemand(use->second.demand, admitted, now);
   const auto min_tokens = -kMaxDebtSeconds * bucket.rate;
   bucket.tokens = std::max(bucket.tokens - admitted, min_tokens);
 }
 
-CountsMessage FleetQuota::NextCountsMessage(base::Instant now) {
+CountsMessage FleetQuota::NextCountsMessage(base::Instant now,
+                                            bool reaches_all) {
   CountsMessage message;
-  message.is_full =
-      this->full_message_at == base::Instant::min() ||
-      now - this->full_message_at >= this->options.full_message_period;
+  const bool full_is_due = this->full_message_at == base::Instant::min() ||
+                           now - this->full_message_at >=
+                               this->Scaled(this->options.full_message_period);
+  message.is_full = reaches_all && full_is_due;
   if (message.is_full) this->full_message_at = now;
   for (const auto& [organisation, count] : this->own_counts) {
-    const bool recent = now - count.changed_at < this->options.delta_window;
+    const bool recent =
+        now - count.changed_at < this->Scaled(this->options.delta_window);
     if (message.is_full || recent) {
       message.counts[organisation] = count.admitted;
     }
@@ -192,13 +217,12 @@
 }
 
 void FleetQuota::ConfirmIfAllReceived(base::Instant now) {
-  for (const auto& [name, peer] : this->peers) {
-    if (!peer.unresponsive && !peer.received_since_confirmation) return;
-  }
+  if (this->awaited_count > 0) return;
   this->confirmed_at = now;
   for (auto& [name, peer] : this->peers) {
     peer.received_since_confirmation = false;
   }
+  this->CountPeers();
   for (auto& [organisation, bucket] : this->buckets) bucket.unconfirmed = 0;
 }
 
@@ -214,7 +238,8 @@
   // Peers spend from the same bucket until they receive this daemon's counts.
   const auto unreserved = UnreservedShare(bucket);
   const auto own_part = unreserved > 0 ? bucket.own_share / unreserved : 1.0;
-  const bool overdue = now - this->confirmed_at > this->options.round_timeout;
+  const bool overdue =
+      now - this->confirmed_at > this->Scaled(this->options.round_timeout);
   const auto max_shares = overdue ? 1.0 : this->options.max_shares_per_round;
   const auto fair_limit =
       max_shares * own_part * (bucket.tokens + bucket.unconfirmed);
@@ -226,6 +251,7 @@
   bucket.unconfirmed += 1;
   auto& own = this->own_counts[organisation];
   ++own.admitted;
+  ++this->own_admitted;
   own.changed_at = now;
   return true;
 }
@@ -268,34 +294,47 @@
 }
 
 void FleetQuota::DetectUnresponsivePeers(base::Instant now) {
+  if (now < this->next_detection_at) return;
+  this->next_detection_at = now + kDetectionPeriod;
+  const auto timeout = this->Scaled(this->options.peer_timeout);
+  std::vector<std::string> lost;
   for (auto& [name, peer] : this->peers) {
-    if (peer.unresponsive ||
-        now - peer.received_at <= this->options.peer_timeout) {
-      continue;
-    }
-    for (auto& [organisation, bucket] : this->buckets) {
-      this->Refill(bucket, now);
-      const auto unreserved = UnreservedShare(bucket);
-      const auto remaining =
-          std::max(0.0, unreserved - ShareOfPeer(bucket, name));
-      // The peer may use its share of the saved tokens now. What was admitted
-      // here since its last message counts against the rest.
-      const auto total = bucket.tokens + bucket.unconfirmed;
-      if (total > 0 && unreserved > 0) {
-        bucket.tokens = total * remaining / unreserved - bucket.unconfirmed;
-      }
-    }
+    if (peer.unresponsive || now - peer.received_at <= timeout) continue;
     peer.unresponsive = true;
     peer.received_since_confirmation = false;
-    for (auto& [organisation, bucket] : this->buckets) {
-      this->UpdateReservedShare(bucket);
-    }
+    lost.push_back(name);
+  }
+  if (lost.empty()) return;
+  this->CountPeers();
+  for (auto& [organisation, bucket] : this->buckets) {
+    this->Refill(bucket, now);
+    for (const auto& name : lost) ReserveShare(bucket, name);
   }
 }
 
+void FleetQuota::ReserveShare(Bucket& bucket, const std::string& peer) {
+  const auto share = ShareOfPeer(bucket, peer);
+  const auto unreserved = UnreservedShare(bucket);
+  const auto remaining = std::max(0.0, unreserved - share);
+  // The peer may use its share of the saved tokens now. What was admitted here
+  // since its last message counts against the rest.
+  const auto total = bucket.tokens + bucket.unconfirmed;
+  if (total > 0 && unreserved > 0) {
+    bucket.tokens = total * remaining / unreserved - bucket.unconfirmed;
+  }
+  bucket.reserved_share += share;
+}
+
+void FleetQuota::ReleaseShare(Bucket& bucket, const std::string& peer) const {
+  const auto remaining = bucket.reserved_share - ShareOfPeer(bucket, peer);
+  bucket.reserved_share =
+      this->AllPeersResponsive() ? 0 : std::max(0.0, remaining);
+}
+
 void FleetQuota::UpdateShares(base::Instant now) {
-  if (now - this->shares_updated_at < this->options.share_update_period) return;
   if (!this->AllPeersResponsive()) return;
+  const auto update_period = this->Scaled(this->options.share_update_period);
+  if (now - this->shares_updated_at < update_period) return;
   this->shares_known = true;
   this->shares_updated_at = now;
   for (auto& [organisation, bucket] : this->buckets) {
@@ -307,14 +346,12 @@
   const auto even = this->EvenShare();
   const auto own = this->DecayedDemand(bucket.own_demand, now);
   double total = own;
-  std::map<std::string, double> demands;
-  for (const auto& [name, demand] : bucket.peer_demands) {
-    const auto per_second = this->DecayedDemand(demand, now);
-    demands[name] = per_second;
-    total += per_second;
+  for (auto& [name, use] : bucket.peer_uses) {
+    this->Decay(use.demand, now);
+    total += use.demand.per_second;
   }
-  std::erase_if(bucket.peer_demands, [&](const auto& each) {
-    return demands[each.first] < kMinDemand;
+  std::erase_if(bucket.peer_uses, [](const auto& each) {
+    return each.second.demand.per_second < kMinDemand;
   });
   const auto share = [&](double demand) {
     if (total <= 0) return even;
@@ -323,21 +360,24 @@
   };
   bucket.own_share = share(own);
   bucket.idle_share = share(0);
-  bucket.peer_shares = std::move(demands);
-  for (auto& [name, value] : bucket.peer_shares) value = share(value);
+  for (auto& [name, use] : bucket.peer_uses) {
+    use.share = share(use.demand.per_second);
+  }
   this->UpdateReservedShare(bucket);
 }
 
 void FleetQuota::UpdateReservedShare(Bucket& bucket) const {
   bucket.reserved_share = 0;
+  if (this->AllPeersResponsive()) return;
   for (const auto& [name, peer] : this->peers) {
     if (peer.unresponsive) bucket.reserved_share += ShareOfPeer(bucket, name);
   }
 }
 
 double FleetQuota::ShareOfPeer(const Bucket& bucket, const std::string& peer) {
-  const auto found = bucket.peer_shares.find(peer);
-  return found == bucket.peer_shares.end() ? bucket.idle_share : found->second;
+  const auto found = bucket.peer_uses.find(peer);
+  return found == bucket.peer_uses.end() ? bucket.idle_share
+                                         : found->second.share;
 }
 
 double FleetQuota::UnreservedShare(const Bucket& bucket) {
@@ -353,8 +393,12 @@
 
 void FleetQuota::AddDemand(Demand& demand, double requests,
                            base::Instant now) const {
-  const auto window = Seconds(this->options.demand_window);
-  demand.per_second = this->DecayedDemand(demand, now) + requests / window;
+  this->Decay(demand, now);
+  demand.per_second += requests / Seconds(this->options.demand_window);
+}
+
+void FleetQuota::Decay(Demand& demand, base::Instant now) const {
+  demand.per_second = this->DecayedDemand(demand, now);
   demand.updated_at = now;
 }
 
--- a/packages/policy/test/serving/fleet_quota_test.cc
+++ b/packages/policy/test/serving/fleet_quota_test.cc
@@ -95,7 +95,8 @@
     this->exchanged_at = this->now;
     this->isolated.resize(this->daemons.size());
     for (std::size_t from = 0; from < this->daemons.size(); ++from) {
-      const auto message = this->daemons[from]->NextCountsMessage(this->now);
+      const auto message =
+          this->daemons[from]->NextCountsMessage(this->now, true);
       for (std::size_t to = 0; to < this->daemons.size(); ++to) {
         if (from == to || this->isolated[from] || this->isolated[to]) continue;
         if (this->dropped_links.contains({from, to})) continue;
@@ -196,17 +197,17 @@
   for (auto* each : {&daemon, &peer}) each->SetRules(rules, now);
   daemon.SetPeers({"vm-2"}, now);
   REQUIRE(peer.TryAdmit(quiet, now));
-  const auto first = peer.NextCountsMessage(now);
+  const auto first = peer.NextCountsMessage(now, true);
   CHECK(first.is_full);
   now += milliseconds(1300);
-  CHECK(peer.NextCountsMessage(now).is_full);
+  CHECK(peer.NextCountsMessage(now, true).is_full);
   now += milliseconds(300);
-  CHECK_FALSE(peer.NextCountsMessage(now).is_full);
+  CHECK_FALSE(peer.NextCountsMessage(now, true).is_full);
   now += milliseconds(100);
-  CHECK(peer.NextCountsMessage(now).is_full);
+  CHECK(peer.NextCountsMessage(now, true).is_full);
   now += milliseconds(100);
   REQUIRE(peer.TryAdmit(kOrganisation, now));
-  const auto changed = peer.NextCountsMessage(now);
+  const auto changed = peer.NextCountsMessage(now, true);
   CHECK_FALSE(changed.is_full);
   CHECK(changed.counts == AdmittedCounts{{kOrganisation, 1}});
   SECTION("deltas are counted after a full message") {
@@ -234,7 +235,7 @@
   }
   SECTION("the first message to a new peer is full") {
     peer.SetPeers({"vm-3"}, now);
-    CHECK(peer.NextCountsMessage(now).is_full);
+    CHECK(peer.NextCountsMessage(now, true).is_full);
   }
 }
 
@@ -331,7 +332,7 @@
   SECTION("an organisation without a limit isn't counted") {
     quota.SetRules({{kOrganisation, 0, 0, std::nullopt}}, now);
     for (int i = 0; i < 1000; ++i) REQUIRE(quota.TryAdmit(kOrganisation, now));
-    CHECK(quota.NextCountsMessage(now).counts.empty());
+    CHECK(quota.NextCountsMessage(now, true).counts.empty());
   }
   SECTION("a refused request may be retried at the time returned") {
     while (quota.TryAdmit(kOrganisation, now)) {
