Send full counts only where they are needed in large fleets

Each daemon sent the counts of all organisations since its start every 0.8 s, about 640 bytes where a delta has 40.

Change: full messages every 4 s with more than 100 peers, and at once to a peer that says it lacks one; they are sent only when they reach all. Messages for other domains go in the same slot, so that few datagrams carry them. Near an organisation's limit a daemon of a large fleet admits its one request at random, by its share. The feed of owners is read every 0.7 s instead of 0.4 s.

--- a/packages/gateway/include/gypsumtrack/gateway/serving/gossip_message.h
+++ b/packages/gateway/include/gypsumtrack/gateway/serving/gossip_message.h
@@ -43,6 +43,8 @@
   /// `admitted` contains all organisations of which the sender has admitted
   /// requests, not only those whose count has changed recently.
   bool is_full = false;
+  /// The sender wants the recipients' next messages to be full.
+  bool wants_full = false;
   /// Number of batch items of the sender's jobs that wait for a free slot.
   std::uint16_t waiting_items = 0;
   /// The sender's requests in progress, by the hash of the endpoint.
--- a/packages/gateway/src/serving/gossip_message.cc
+++ b/packages/gateway/src/serving/gossip_message.cc
@@ -66,6 +66,7 @@
 constexpr std::uint8_t kRelayFlag = 4;
 constexpr std::uint8_t kOtherDomainsFlag = 8;
 constexpr std::uint8_t kHoldsLeaseFlag = 16;
+constexpr std::uint8_t kWantsFullFlag = 32;
 
 std::uint8_t FlagsOf(const GossipMessage& message) {
   std::uint8_t flags = 0;
@@ -74,6 +75,7 @@
   if (message.to_relay) flags |= kRelayFlag;
   if (message.to_other_domains) flags |= kOtherDomainsFlag;
   if (message.holds_lease) flags |= kHoldsLeaseFlag;
+  if (message.wants_full) flags |= kWantsFullFlag;
   return flags;
 }
 
@@ -83,6 +85,7 @@
   message.to_relay = (flags & kRelayFlag) != 0;
   message.to_other_domains = (flags & kOtherDomainsFlag) != 0;
   message.holds_lease = (flags & kHoldsLeaseFlag) != 0;
+  message.wants_full = (flags & kWantsFullFlag) != 0;
 }
 
 std::string EncodeMessage(const GossipMessage& message) {
--- a/packages/gateway/src/serving/gossip_service.cc
+++ b/packages/gateway/src/serving/gossip_service.cc
@@ -144,6 +144,7 @@
   auto own = this->MakeMessage(tick);
   if (own) {
     own->to_other_domains = this->plan.IsForOtherDomains(tick);
+    if (own->to_other_domains) this->plan.OnSentToOtherDomains(tick);
     const auto collector = this->plan.Collector(tick);
     if (collector == this->self.name) {
       this->Collect(std::move(*own));
--- a/packages/gateway/src/serving/job_service.cc
+++ b/packages/gateway/src/serving/job_service.cc
@@ -37,8 +37,8 @@
 /// How long the store holds a read of the owner table's changes. Short, so that
 /// the owner of a job learns of its end within the cancel bound even if the
 /// connection to the store was lost without an error.
-constexpr base::Duration kOwnerFeedHold = std::chrono::milliseconds(1000);
-constexpr base::Duration kOwnerFeedMinPause = std::chrono::milliseconds(400);
+constexpr base::Duration kOwnerFeedHold = std::chrono::milliseconds(500);
+constexpr base::Duration kOwnerFeedMinPause = std::chrono::milliseconds(700);
 constexpr base::Duration kRetryAfterFailure = std::chrono::milliseconds(300);
 constexpr base::Duration kRetryAfterOverLimit = std::chrono::milliseconds(1000);
 /// If the cached rules are older than this, a failed call is taken as a sign
--- a/packages/gateway/src/serving/serving_daemon.cc
+++ b/packages/gateway/src/serving/serving_daemon.cc
@@ -64,6 +64,7 @@
 
 policy::FleetQuotaOptions QuotaOptions(const ServingSettings& settings) {
   policy::FleetQuotaOptions options;
+  options.random_seed = std::random_device{}();
   options.excess_fraction = settings.quota_excess_fraction;
   options.excess_requests = settings.quota_excess_requests;
   return options;
@@ -235,6 +236,7 @@
     const auto own_counts = this->serving.quota.NextCountsMessage(
         this->clock.now(), due.reaches_all);
     message.is_full = own_counts.is_full;
+    message.wants_full = own_counts.wants_full;
     for (const auto& [name, count] : own_counts.counts) {
       message.admitted.emplace_back(HashName(name.text),
                                     static_cast<std::uint32_t>(count));
@@ -256,6 +258,7 @@
                                                    received.waiting_items, now);
     policy::CountsMessage counts;
     counts.is_full = received.is_full;
+    counts.wants_full = received.wants_full;
     for (const auto& [name_hash, count] : received.admitted) {
       const auto found = this->organisations_by_hash.find(name_hash);
       if (found != this->organisations_by_hash.end()) {
--- a/packages/policy/include/gypsumtrack/policy/serving/fleet_quota.h
+++ b/packages/policy/include/gypsumtrack/policy/serving/fleet_quota.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -60,6 +61,10 @@
   /// by the factor.
   std::size_t large_fleet_peers = 100;
   int large_fleet_factor = 2;
+  /// Interval between full messages in such a fleet, unless a peer wants one.
+  base::Duration large_fleet_full_message_period = std::chrono::seconds(4);
+  /// Differs between daemons, so that they don't admit the same requests.
+  std::uint32_t random_seed = 1;
 };
 
 /// Number of requests that a daemon has admitted since its start, by
@@ -72,6 +77,8 @@
   /// requests; a delta message only those whose count has changed recently.
   bool is_full = false;
   AdmittedCounts counts;
+  /// The sender has received counts that it can't use without a full message.
+  bool wants_full = false;
 };
 
 /// One daemon's copy of all limits. Not thread-safe.
@@ -164,6 +171,11 @@
   /// organisation with this rate.
   double ExcessCapacity(double rate) const;
   void Refill(Bucket& bucket, base::Instant now) const;
+  /// Returns whether the next message that reaches all peers has to be full.
+  bool FullMessageIsDue(base::Instant now) const;
+  bool IsLargeFleet() const;
+  /// Returns a random number from 0 up to 1.
+  double RandomFraction();
   /// Returns a duration of the options, adapted to the size of the fleet.
   base::Duration Scaled(base::Duration duration) const;
   /// Reserves the shares of peers that have become unresponsive.
@@ -205,6 +217,7 @@
   void AddDemand(Demand& demand, double requests, base::Instant now) const;
 
   FleetQuotaOptions options;
+  std::minstd_rand random;
   std::map<base::Organisation, Bucket> buckets;
   /// Keyed by VM name.
   std::map<std::string, Peer> peers;
@@ -215,6 +228,10 @@
   base::Instant next_detection_at{};
   std::map<base::Organisation, OwnCount> own_counts;
   std::uint64_t own_admitted = 0;
+  /// When a message was last ignored for lack of a full one before it.
+  base::Instant full_wanted_at = base::Instant::min();
+  /// A peer wants a full message.
+  bool full_requested = false;
   /// When the last full message was sent; the minimum if the next message has
   /// to be full.
   base::Instant full_message_at = base::Instant::min();
--- a/packages/policy/include/gypsumtrack/policy/serving/gossip_plan.h
+++ b/packages/policy/include/gypsumtrack/policy/serving/gossip_plan.h
@@ -32,9 +32,11 @@
   std::uint32_t remote_period_ticks = 2;
   /// Domains with more daemons than this use collectors.
   std::size_t max_direct_daemons = 20;
-  /// With collectors: interval, in ticks, between messages to other domains,
-  /// and between messages that are sent although nothing has changed.
-  std::uint32_t relayed_period_ticks = 4;
+  /// With collectors: interval, in time slots, between messages to other
+  /// domains, and between messages that are sent although nothing has changed.
+  /// All daemons send them in the same slot, so that few collectors pass on
+  /// many messages at once.
+  std::uint32_t relayed_period_slots = 4;
   /// A collector is skipped if nothing was received from it for this long.
   base::Duration collector_timeout = std::chrono::milliseconds(1000);
 };
@@ -69,6 +71,8 @@
   void SetPeers(const std::vector<GossipPeer>& peers);
   /// Records that a message of the peer was received.
   void OnMessageFrom(const std::string& vm_name, base::Instant now);
+  /// Records that a message for other domains was sent.
+  void OnSentToOtherDomains(const GossipTick& tick);
 
   // Queries.
 
@@ -106,8 +110,10 @@
 
   GossipPeer self;
   GossipPlanOptions options;
-  /// Differs between daemons, so that they don't act in the same ticks.
+  /// Differs between daemons, so that they don't choose the same peers.
   std::uint64_t offset;
+  /// Slot of the last message for other domains.
+  std::uint64_t sent_slot = 0;
   std::vector<std::string> domain_peers;
   /// This daemon's own domain, with itself, and all others.
   std::map<base::FailureDomain, Domain> domains;
--- a/packages/policy/src/serving/fleet_quota.cc
+++ b/packages/policy/src/serving/fleet_quota.cc
@@ -25,6 +25,10 @@
 constexpr double kMinPerRound = 1;
 constexpr double kMinPerRoundWhenFull = 3;
 constexpr double kFullFraction = 0.85;
+/// In a large fleet a request in a round for each daemon may be more than a
+/// bucket holds. Below this fraction of its capacity a daemon whose share is
+/// less than a request admits one at random, in proportion to its share.
+constexpr double kScarceFraction = 0.5;
 /// Demand below which a peer counts as idle, in requests a second.
 constexpr double kMinDemand = 0.005;
 /// Interval between checks for unresponsive peers.
@@ -36,7 +40,8 @@
 
 }  // namespace
 
-FleetQuota::FleetQuota(FleetQuotaOptions options) : options(options) {}
+FleetQuota::FleetQuota(FleetQuotaOptions options)
+    : options(options), random(options.random_seed) {}
 
 void FleetQuota::SetRules(const std::vector<OrganisationRule>& organisations,
                           base::Instant now) {
@@ -127,9 +132,17 @@
   }
 }
 
+bool FleetQuota::IsLargeFleet() const {
+  return this->peers.size() > this->options.large_fleet_peers;
+}
+
+double FleetQuota::RandomFraction() {
+  return std::uniform_real_distribution<double>(0, 1)(this->random);
+}
+
 base::Duration FleetQuota::Scaled(base::Duration duration) const {
-  const bool is_large = this->peers.size() > this->options.large_fleet_peers;
-  return is_large ? duration * this->options.large_fleet_factor : duration;
+  return this->IsLargeFleet() ? duration * this->options.large_fleet_factor
+                              : duration;
 }
 
 double FleetQuota::EvenShare() const {
@@ -145,7 +158,11 @@
   const bool restarted =
       peer.incarnation != 0 && peer.incarnation != vm.incarnation;
   const bool was_unresponsive = peer.unresponsive;
-  if (was_unresponsive && !message.is_full) return;
+  if (message.wants_full) this->full_requested = true;
+  if (was_unresponsive && !message.is_full) {
+    this->full_wanted_at = now;
+    return;
+  }
   if (restarted) peer.counts.clear();
   const bool is_known = peer.incarnation != 0;
   for (const auto& [organisation, count] : message.counts) {
@@ -198,14 +215,25 @@
   bucket.tokens = std::max(bucket.tokens - admitted, min_tokens);
 }
 
+bool FleetQuota::FullMessageIsDue(base::Instant now) const {
+  if (this->full_message_at == base::Instant::min()) return true;
+  const auto period = this->IsLargeFleet() && !this->full_requested
+                          ? this->options.large_fleet_full_message_period
+                          : this->Scaled(this->options.full_message_period);
+  return now - this->full_message_at >= period;
+}
+
 CountsMessage FleetQuota::NextCountsMessage(base::Instant now,
                                             bool reaches_all) {
   CountsMessage message;
-  const bool full_is_due = this->full_message_at == base::Instant::min() ||
-                           now - this->full_message_at >=
-                               this->Scaled(this->options.full_message_period);
-  message.is_full = reaches_all && full_is_due;
-  if (message.is_full) this->full_message_at = now;
+  message.is_full = reaches_all && this->FullMessageIsDue(now);
+  if (message.is_full) {
+    this->full_message_at = now;
+    this->full_requested = false;
+  }
+  message.wants_full =
+      this->full_wanted_at != base::Instant::min() &&
+      now - this->full_wanted_at < this->Scaled(this->options.round_timeout);
   for (const auto& [organisation, count] : this->own_counts) {
     const bool recent =
         now - count.changed_at < this->Scaled(this->options.delta_window);
@@ -243,9 +271,11 @@
   const auto max_shares = overdue ? 1.0 : this->options.max_shares_per_round;
   const auto fair_limit =
       max_shares * own_part * (bucket.tokens + bucket.unconfirmed);
-  const auto nearly_full =
-      bucket.tokens >= kFullFraction * bucket.capacity * unreserved;
-  const auto min_limit = nearly_full ? kMinPerRoundWhenFull : kMinPerRound;
+  const auto fill = bucket.tokens / (bucket.capacity * unreserved);
+  auto min_limit = fill >= kFullFraction ? kMinPerRoundWhenFull : kMinPerRound;
+  if (this->IsLargeFleet() && fill < kScarceFraction) {
+    min_limit = this->RandomFraction() < fair_limit ? kMinPerRound : 0;
+  }
   if (bucket.unconfirmed + 1 > std::max(fair_limit, min_limit)) return false;
   bucket.tokens -= 1;
   bucket.unconfirmed += 1;
--- a/packages/policy/src/serving/gossip_plan.cc
+++ b/packages/policy/src/serving/gossip_plan.cc
@@ -56,6 +56,10 @@
   this->received_at[vm_name] = now;
 }
 
+void GossipPlan::OnSentToOtherDomains(const GossipTick& tick) {
+  this->sent_slot = tick.slot;
+}
+
 bool GossipPlan::UsesCollectors() const {
   return this->domain_peers.size() >= this->options.max_direct_daemons;
 }
@@ -68,7 +72,8 @@
   if (!this->UsesCollectors()) {
     return tick.number % this->options.remote_period_ticks == 0;
   }
-  return (tick.number + this->offset) % this->options.relayed_period_ticks == 0;
+  const auto period = this->options.relayed_period_slots;
+  return tick.slot / period != this->sent_slot / period;
 }
 
 const std::vector<std::string>& GossipPlan::DomainPeers() const {
--- a/packages/policy/test/serving/fleet_quota_test.cc
+++ b/packages/policy/test/serving/fleet_quota_test.cc
@@ -25,8 +25,9 @@
     std::vector<std::string> names;
     for (std::size_t i = 0; i < size; ++i) names.push_back(Name(i));
     for (std::size_t i = 0; i < size; ++i) {
-      this->daemons.push_back(
-          std::make_unique<FleetQuota>(FleetQuotaOptions{}));
+      FleetQuotaOptions options;
+      options.random_seed = static_cast<std::uint32_t>(i + 1);
+      this->daemons.push_back(std::make_unique<FleetQuota>(options));
       auto others = names;
       others.erase(others.begin() + static_cast<std::ptrdiff_t>(i));
       this->daemons[i]->SetRules({{kOrganisation, rate, burst, std::nullopt}},
@@ -76,6 +77,7 @@
 
   std::size_t refused = 0;
   std::size_t requests = 0;
+  std::size_t full_messages = 0;
   std::vector<std::unique_ptr<FleetQuota>> daemons;
   base::Instant now = kStart;
 
@@ -101,6 +103,7 @@
         if (from == to || this->isolated[from] || this->isolated[to]) continue;
         if (this->dropped_links.contains({from, to})) continue;
         this->daemons[to]->OnPeerCounts({Name(from), 1}, message, this->now);
+        if (message.is_full) ++this->full_messages;
       }
     }
   }
@@ -162,6 +165,33 @@
   }
 }
 
+TEST_CASE("limits hold in a fleet of hundreds") {
+  FleetSimulation fleet(300, 70, 70, milliseconds(400));
+  SECTION("steady demand below the rate is rarely refused") {
+    fleet.Run(seconds(60), 45, 300);
+    CHECK(static_cast<double>(fleet.refused) <
+          0.001 * static_cast<double>(fleet.requests));
+  }
+  SECTION("demand of many times the rate stays within the limit") {
+    fleet.Run(seconds(5), 45, 300);
+    fleet.Run(seconds(8), 525, 300);
+    CHECK(fleet.MaxAdmittedInWindow() <= kMaxAdmitted);
+  }
+  SECTION("full messages are rare, and sent at once to who needs them") {
+    fleet.Run(seconds(5), 45, 300);
+    fleet.full_messages = 0;
+    fleet.Run(seconds(12), 45, 300);
+    CHECK(fleet.full_messages <= 300 * 300 * 3);
+    fleet.SetIsolated(0, true);
+    fleet.Run(seconds(3), 45, 300);
+    fleet.SetIsolated(0, false);
+    fleet.Run(seconds(2), 45, 300);
+    fleet.refused = 0;
+    fleet.Run(seconds(3), 45, 300);
+    CHECK(fleet.refused <= 1);
+  }
+}
+
 TEST_CASE("a small organisation at many times its rate stays in the limit") {
   // With rate 3 and burst 3 the limit is (15 + 3) * 1.1 + 20 in 5 s.
   FleetSimulation fleet(11, 3, 3);
@@ -233,6 +263,16 @@
     daemon.OnPeerCounts({"vm-2", 2}, changed, now);
     CHECK(daemon.Tokens(kOrganisation) == Approx(before - 1));
   }
+  SECTION("a peer that needs a full message says so for some time") {
+    CHECK_FALSE(daemon.NextCountsMessage(now, true).wants_full);
+    daemon.OnPeerCounts(vm, changed, now);
+    CHECK(daemon.NextCountsMessage(now, true).wants_full);
+    CHECK_FALSE(daemon.NextCountsMessage(now + seconds(1), true).wants_full);
+  }
+  SECTION("a message that doesn't reach all peers is never full") {
+    peer.SetPeers({"vm-3"}, now);
+    CHECK_FALSE(peer.NextCountsMessage(now, false).is_full);
+  }
   SECTION("the first message to a new peer is full") {
     peer.SetPeers({"vm-3"}, now);
     CHECK(peer.NextCountsMessage(now, true).is_full);
--- a/packages/policy/test/serving/gossip_plan_test.cc
+++ b/packages/policy/test/serving/gossip_plan_test.cc
@@ -159,6 +159,7 @@
     if (daemon.plan->IsDue(tick)) {
       Message own{name, this->now, true, daemon.plan->IsForOtherDomains(tick),
                   false};
+      daemon.plan->OnSentToOtherDomains(tick);
       const auto collector = daemon.plan->Collector(tick);
       if (collector == name) {
         Collect(daemon, own);
