Spend less on idle ticks and on the lookups of gossip

With few jobs a daemon each runner of jobs looks for work twenty times a second, and each gossip message looks its sender up in eight ordered maps.

Change: a runner without jobs ticks twice a second and at once with its first job; expiry is checked four times a second; tables by VM name are hashed.

--- a/packages/gateway/include/gypsumtrack/gateway/serving/gossip_service.h
+++ b/packages/gateway/include/gypsumtrack/gateway/serving/gossip_service.h
@@ -6,9 +6,9 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <functional>
-#include <map>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "gypsumtrack/base/outcome.h"
@@ -94,13 +94,18 @@
   boost::asio::ip::udp::socket socket;
   policy::GossipPlan plan;
   /// Keyed by VM name.
-  std::map<std::string, boost::asio::ip::udp::endpoint> addresses;
+  std::unordered_map<std::string, boost::asio::ip::udp::endpoint> addresses;
   /// Messages to forward within this failure domain at the next tick, and those
   /// of this domain to send to the other domains then.
   std::vector<GossipMessage> to_forward;
   std::vector<GossipMessage> to_other_domains;
-  /// Sequence number of the newest message of each sender.
-  std::map<base::VmId, std::uint32_t> newest_sequences;
+  /// The newest message of a sender.
+  struct Newest {
+    std::uint64_t incarnation = 0;
+    std::uint32_t sequence = 0;
+  };
+  /// Keyed by VM name.
+  std::unordered_map<std::string, Newest> newest_messages;
   std::uint32_t tick_count = 0;
   bool stopped = false;
 };
--- a/packages/gateway/src/serving/gossip_service.cc
+++ b/packages/gateway/src/serving/gossip_service.cc
@@ -66,11 +66,11 @@
 }
 
 void GossipService::SetPeers(const std::vector<PeerDaemon>& daemons) {
-  std::set<base::VmId> senders;
+  std::set<std::string> senders;
   std::vector<policy::GossipPeer> peers;
   this->addresses.clear();
   for (const auto& daemon : daemons) {
-    senders.insert(daemon.vm);
+    senders.insert(daemon.vm.name);
     const auto address = ParseSocketAddress(daemon.gossip_address);
     if (!address.ok()) {
       base::LogEvent(
@@ -82,7 +82,7 @@
         udp::endpoint(address->address(), address->port());
     peers.push_back({daemon.vm, daemon.location, daemon.cores});
   }
-  std::erase_if(this->newest_sequences, [&](const auto& each) {
+  std::erase_if(this->newest_messages, [&](const auto& each) {
     return !senders.contains(each.first);
   });
   this->plan.SetPeers(peers);
@@ -210,9 +210,11 @@
 
 void GossipService::OnMessage(GossipMessage message) {
   if (message.sender.name == this->self.name) return;
-  auto& newest_sequence = this->newest_sequences[message.sender];
-  if (message.sequence <= newest_sequence) return;
-  newest_sequence = message.sequence;
+  auto& newest = this->newest_messages[message.sender.name];
+  // Incarnations of a VM aren't ordered, because its clock may be set back.
+  const bool is_restarted = newest.incarnation != message.sender.incarnation;
+  if (!is_restarted && message.sequence <= newest.sequence) return;
+  newest = {message.sender.incarnation, message.sequence};
   this->plan.OnMessageFrom(message.sender.name, this->clock.now());
   this->hooks.on_message(message);
   const bool forwards =
--- a/packages/gateway/src/serving/job_runner.cc
+++ b/packages/gateway/src/serving/job_runner.cc
@@ -17,6 +17,8 @@
 namespace asio = boost::asio;
 
 constexpr base::Duration kTickPeriod = std::chrono::milliseconds(50);
+/// The same while there are no jobs; the first one is started at once.
+constexpr base::Duration kIdleTickPeriod = std::chrono::milliseconds(500);
 /// Maximum time between two parts of an item's stream.
 constexpr base::Duration kItemIdleTimeout = std::chrono::milliseconds(2500);
 /// Maximum time of an item's run at one endpoint; the item is then resumed in
@@ -67,7 +69,12 @@
 
 void JobRunner::Add(const OwnedJobPtr& job) {
   const auto key = job->key;
+  const bool was_idle = this->jobs.empty();
   this->jobs[key] = job;
+  if (was_idle) {
+    asio::post(this->context.executor,
+               [self = this->shared_from_this()] { self->Tick(); });
+  }
   // If a previous owner committed all results, only FinishJob remains.
   if (job->run.all_listed()) this->ScheduleCommit(job);
 }
@@ -118,13 +125,18 @@
 
 asio::awaitable<void> JobRunner::TickLoop() {
   while (!this->stopped) {
-    this->YieldToOnline();
-    const bool may_start = !this->may_start || this->may_start();
-    if (this->starting_items && may_start) this->StartItems();
-    co_await Pause(kTickPeriod);
+    this->Tick();
+    co_await Pause(this->jobs.empty() ? kIdleTickPeriod : kTickPeriod);
   }
 }
 
+void JobRunner::Tick() {
+  if (this->stopped || this->jobs.empty()) return;
+  this->YieldToOnline();
+  const bool may_start = !this->may_start || this->may_start();
+  if (this->starting_items && may_start) this->StartItems();
+}
+
 asio::awaitable<void> JobRunner::SaveLoop() {
   while (!this->stopped) {
     co_await Pause(kSavePeriod);
--- a/packages/gateway/src/serving/job_runner.h
+++ b/packages/gateway/src/serving/job_runner.h
@@ -57,6 +57,8 @@
 
  private:
   boost::asio::awaitable<void> TickLoop();
+  /// Lets items yield and starts others.
+  void Tick();
   boost::asio::awaitable<void> SaveLoop();
   policy::Urgency UrgencyOf(const OwnedJob& job, std::uint64_t events) const;
   /// Cancels batch items at endpoints whose slots online requests need.
--- a/packages/gateway/src/serving/serving_daemon.cc
+++ b/packages/gateway/src/serving/serving_daemon.cc
@@ -13,6 +13,7 @@
 #include <optional>
 #include <thread>
 #include <tuple>
+#include <unordered_map>
 #include <utility>
 
 #include "gypsumtrack/base/event_log.h"
@@ -40,7 +41,7 @@
 /// load balancer sends callers to other daemons.
 constexpr base::Duration kMaxReadyViewAge = std::chrono::milliseconds(2600);
 /// Interval at which expired endpoints are removed.
-constexpr base::Duration kExpiryCheckInterval = std::chrono::milliseconds(100);
+constexpr base::Duration kExpiryCheckInterval = std::chrono::milliseconds(250);
 constexpr base::Duration kConnectTimeout = std::chrono::milliseconds(400);
 constexpr std::uint32_t kMaxIdleConnectionsPerEndpoint = 8;
 /// Interval at which the settings are reloaded, since their file may change
@@ -479,8 +480,8 @@
   std::unique_ptr<HttpServer> readiness_server;
   std::unique_ptr<HttpServer> metrics_server;
   std::shared_ptr<const policy::ServingRules> rules;
-  std::map<NameHash, base::EndpointId> endpoints_by_hash;
-  std::map<NameHash, base::Organisation> organisations_by_hash;
+  std::unordered_map<NameHash, base::EndpointId> endpoints_by_hash;
+  std::unordered_map<NameHash, base::Organisation> organisations_by_hash;
   /// The last gossip message, without the counts, and the number of requests
   /// admitted by then.
   GossipMessage last_gossip;
--- a/packages/policy/include/gypsumtrack/policy/serving/batch_start_limiter.h
+++ b/packages/policy/include/gypsumtrack/policy/serving/batch_start_limiter.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <unordered_map>
 
 #include "gypsumtrack/base/time.h"
 #include "gypsumtrack/policy/serving/batch_urgency.h"
@@ -53,7 +54,7 @@
   std::uint64_t PeerWaitingItems(base::Instant now) const;
 
   BatchStartLimiterOptions options;
-  std::map<std::string, PeerCount> peers;
+  std::unordered_map<std::string, PeerCount> peers;
   /// Time of the last AcquireStarts that found free slots and waiting items.
   std::map<Urgency, base::Instant> acquired_at;
 };
--- a/packages/policy/include/gypsumtrack/policy/serving/endpoint_registry.h
+++ b/packages/policy/include/gypsumtrack/policy/serving/endpoint_registry.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "gypsumtrack/base/names.h"
@@ -286,7 +287,7 @@
   std::map<base::EndpointId, State> states;
   std::map<base::EndpointId, Leaving> leaving;
   /// Keyed by VM name.
-  std::map<std::string, PeerLoads> peers;
+  std::unordered_map<std::string, PeerLoads> peers;
 };
 
 }  // namespace gypsumtrack::policy
--- a/packages/policy/include/gypsumtrack/policy/serving/fleet_leases.h
+++ b/packages/policy/include/gypsumtrack/policy/serving/fleet_leases.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <map>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "gypsumtrack/base/names.h"
@@ -99,7 +100,7 @@
   base::FailureDomain own_domain;
   FleetLeasesOptions options;
   /// Keyed by VM name.
-  std::map<std::string, Registration> registered;
+  std::unordered_map<std::string, Registration> registered;
   std::map<base::FailureDomain, Domain> domains;
   bool has_registered = false;
 };
--- a/packages/policy/include/gypsumtrack/policy/serving/fleet_quota.h
+++ b/packages/policy/include/gypsumtrack/policy/serving/fleet_quota.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <random>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "gypsumtrack/base/names.h"
@@ -150,7 +151,7 @@
     /// unresponsive, so that both sides of a partition use the same ones.
     double own_share = 1;
     /// Peers without demand have no entry. Keyed by VM name.
-    std::map<std::string, PeerUse> peer_uses;
+    std::unordered_map<std::string, PeerUse> peer_uses;
     /// Share of a peer without demand.
     double idle_share = 0;
     /// Sum of the shares of unresponsive peers.
@@ -220,7 +221,7 @@
   std::minstd_rand random;
   std::map<base::Organisation, Bucket> buckets;
   /// Keyed by VM name.
-  std::map<std::string, Peer> peers;
+  std::unordered_map<std::string, Peer> peers;
   /// Number of unresponsive peers, and of responsive ones from which no message
   /// was received since `confirmed_at`.
   std::size_t unresponsive_count = 0;
--- a/packages/policy/include/gypsumtrack/policy/serving/gossip_plan.h
+++ b/packages/policy/include/gypsumtrack/policy/serving/gossip_plan.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "gypsumtrack/base/names.h"
@@ -118,9 +119,9 @@
   /// This daemon's own domain, with itself, and all others.
   std::map<base::FailureDomain, Domain> domains;
   /// Failure domain of each peer, keyed by VM name.
-  std::map<std::string, base::FailureDomain> domain_of;
+  std::unordered_map<std::string, base::FailureDomain> domain_of;
   /// When the newest message of each peer was received, keyed by VM name.
-  std::map<std::string, base::Instant> received_at;
+  std::unordered_map<std::string, base::Instant> received_at;
 };
 
 }  // namespace gypsumtrack::policy
--- a/packages/policy/src/serving/fleet_leases.cc
+++ b/packages/policy/src/serving/fleet_leases.cc
@@ -11,7 +11,7 @@
 
 void FleetLeases::SetRegistered(const std::vector<RegisteredDaemon>& daemons,
                                 base::Instant now) {
-  std::map<std::string, Registration> next;
+  std::unordered_map<std::string, Registration> next;
   for (auto& [name, domain] : this->domains) domain.daemon_count = 0;
   for (const auto& daemon : daemons) {
     Registration registration{daemon.vm.incarnation, daemon.domain, now, {}};
