Spread online requests by free slots in large fleets

Change: with more than 100 peers an online request goes to one of the endpoints that differ by less than 16 ms of load, at random by their free slots.

The random numbers of the test on kept connections differed by a thousandth from round to round; they are drawn now.

--- a/packages/policy/include/gypsumtrack/policy/serving/endpoint_registry.h
+++ b/packages/policy/include/gypsumtrack/policy/serving/endpoint_registry.h
@@ -107,6 +107,9 @@
   base::Duration peer_loads_max_age = std::chrono::milliseconds(1500);
   /// Time for which an endpoint's own report is used.
   base::Duration report_max_age = std::chrono::milliseconds(400);
+  /// With loads of more peers than this, which are older there, online requests
+  /// are spread by free slots.
+  std::size_t large_fleet_peers = 100;
   /// Time after an outage of the platform during which missing entries are
   /// kept.
   base::Duration missing_entry_grace_period = std::chrono::milliseconds(2000);
@@ -181,7 +184,9 @@
   // Queries.
 
   /// Chooses the endpoint at which an online request is expected to start
-  /// soonest.
+  /// soonest. In a large fleet, chooses at random among about equal ones, in
+  /// proportion to their free slots, because other daemons that know the same
+  /// outdated loads choose at the same time.
   EndpointChoice ChooseOnline(const EndpointQuery& query,
                               base::Instant now) const;
   /// Chooses an endpoint for a batch item, such that `reserved_slots` slots
@@ -255,6 +260,13 @@
 
   /// Starts a backoff, unless the endpoint is already avoided.
   void StartBackoff(State& state, base::Instant now) const;
+  /// Chooses one of the candidates that are about as cheap as the cheapest, at
+  /// random by their free slots. Precondition: there is a candidate.
+  void PickByFreeSlots(std::vector<Candidate>& candidates,
+                       const EndpointQuery& query, base::Instant now,
+                       EndpointChoice& choice) const;
+  void Choose(const State& state, base::Instant now,
+              EndpointChoice& choice) const;
   /// Chooses one of the candidates that cost at most `max_extra_cost` more than
   /// the cheapest. Precondition: there is a candidate.
   void Pick(std::vector<Candidate>& candidates, const EndpointQuery& query,
@@ -276,6 +288,9 @@
   bool Avoided(const State& state, base::Instant now) const;
   base::Duration DistanceCost(const base::Location& from,
                               const base::Location& to) const;
+  /// Returns the part of the cost that doesn't depend on the load.
+  base::Duration FixedCost(const State& state,
+                           const EndpointQuery& query) const;
   base::Duration Cost(const State& state, const EndpointQuery& query,
                       base::Instant now) const;
   /// Returns the matching endpoints, without those to be avoided. If more than
--- a/packages/policy/src/serving/endpoint_registry.cc
+++ b/packages/policy/src/serving/endpoint_registry.cc
@@ -9,6 +9,14 @@
 /// Online requests: endpoints whose cost is within this of the lowest are
 /// considered equal.
 constexpr base::Duration kOnlineMaxExtraCost = std::chrono::milliseconds(4);
+/// The same for endpoints that differ only in their load, which other daemons
+/// change before this one learns of it.
+constexpr base::Duration kOnlineMaxExtraLoadCost =
+    std::chrono::milliseconds(16);
+/// Weight of an endpoint without free slots, in slots.
+constexpr double kFullEndpointWeight = 0.1;
+/// Resolution of the random fraction that picks an endpoint.
+constexpr std::uint64_t kRandomSteps = 1'000'000;
 /// Batch items: wider than for online requests, because several daemons may
 /// send items to an endpoint before they receive each other's loads.
 constexpr base::Duration kBatchMaxExtraCost = std::chrono::milliseconds(12);
@@ -217,14 +225,19 @@
                                   : this->options.cross_region_cost;
 }
 
+base::Duration EndpointRegistry::FixedCost(const State& state,
+                                           const EndpointQuery& query) const {
+  const auto cost = this->DistanceCost(query.origin, state.entry.location);
+  const bool connected = !query.has_idle_connection ||
+                         query.has_idle_connection(state.entry.address);
+  return connected ? cost : cost + this->options.new_connection_cost;
+}
+
 base::Duration EndpointRegistry::Cost(const State& state,
                                       const EndpointQuery& query,
                                       base::Instant now) const {
   const auto load = this->LoadOf(state, now).total();
-  auto cost = this->DistanceCost(query.origin, state.entry.location);
-  const bool connected = !query.has_idle_connection ||
-                         query.has_idle_connection(state.entry.address);
-  if (!connected) cost += this->options.new_connection_cost;
+  auto cost = this->FixedCost(state, query);
   cost += this->options.cost_per_concurrent_request * load;
   if (load >= state.entry.slots) {
     cost +=
@@ -263,12 +276,67 @@
     if (load >= capacity) continue;
     candidates.push_back({this->Cost(*state, query, now), state});
   }
-  if (!candidates.empty()) {
+  if (candidates.empty()) return choice;
+  if (this->peers.size() > this->options.large_fleet_peers) {
+    this->PickByFreeSlots(candidates, query, now, choice);
+  } else {
     this->Pick(candidates, query, kOnlineMaxExtraCost, now, choice);
   }
   return choice;
 }
 
+void EndpointRegistry::PickByFreeSlots(std::vector<Candidate>& candidates,
+                                       const EndpointQuery& query,
+                                       base::Instant now,
+                                       EndpointChoice& choice) const {
+  const auto cheapest = *std::min_element(
+      candidates.begin(), candidates.end(),
+      [](const auto& a, const auto& b) { return a.cost < b.cost; });
+  const auto lowest_fixed_cost = this->FixedCost(*cheapest.state, query);
+  std::erase_if(candidates, [&](const auto& each) {
+    const auto fixed_cost = this->FixedCost(*each.state, query);
+    const bool differs_in_load =
+        fixed_cost <= lowest_fixed_cost + kOnlineMaxExtraCost;
+    const auto max_extra_cost =
+        differs_in_load ? kOnlineMaxExtraLoadCost : kOnlineMaxExtraCost;
+    return each.cost > cheapest.cost + max_extra_cost;
+  });
+  // Other daemons choose by the same loads at the same time. If each preferred
+  // the lowest one, all would choose the same endpoints.
+  std::vector<std::pair<double, const State*>> weighted;
+  double total_weight = 0;
+  for (const auto& each : candidates) {
+    const auto load = this->LoadOf(*each.state, now).total();
+    const auto slots = each.state->entry.slots;
+    const auto weight =
+        load < slots ? static_cast<double>(slots - load) : kFullEndpointWeight;
+    weighted.emplace_back(weight, each.state);
+    total_weight += weight;
+  }
+  std::stable_sort(
+      weighted.begin(), weighted.end(),
+      [](const auto& a, const auto& b) { return a.first > b.first; });
+  auto position = total_weight *
+                  static_cast<double>(query.random_value % kRandomSteps) /
+                  static_cast<double>(kRandomSteps);
+  const State* chosen = weighted.back().second;
+  for (const auto& [weight, state] : weighted) {
+    if (position < weight) {
+      chosen = state;
+      break;
+    }
+    position -= weight;
+  }
+  this->Choose(*chosen, now, choice);
+}
+
+void EndpointRegistry::Choose(const State& state, base::Instant now,
+                              EndpointChoice& choice) const {
+  choice.status = ChoiceStatus::kChosen;
+  choice.endpoint = state.entry;
+  choice.known_load = this->LoadOf(state, now).total();
+}
+
 EndpointChoice EndpointRegistry::ChooseBatch(const EndpointQuery& query,
                                              std::uint32_t reserved_slots,
                                              base::Instant now) const {
@@ -305,9 +373,7 @@
   const auto& second =
       candidates[query.random_value / candidates.size() % candidates.size()];
   const auto* chosen = (second.cost < first.cost ? second : first).state;
-  choice.status = ChoiceStatus::kChosen;
-  choice.endpoint = chosen->entry;
-  choice.known_load = this->LoadOf(*chosen, now).total();
+  this->Choose(*chosen, now, choice);
 }
 
 std::uint32_t EndpointRegistry::CountFreeSlots(const base::Service& service,
--- a/packages/policy/test/serving/endpoint_registry_test.cc
+++ b/packages/policy/test/serving/endpoint_registry_test.cc
@@ -1,6 +1,10 @@
 #include "gypsumtrack/policy/serving/endpoint_registry.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <map>
+#include <memory>
+#include <random>
 
 namespace gypsumtrack::policy {
 namespace {
@@ -145,10 +149,11 @@
     return idle.contains(address);
   };
   std::size_t connections = 0;
-  for (std::uint64_t round = 0; round < 100; ++round) {
+  std::minstd_rand random;
+  for (int round = 0; round < 100; ++round) {
     std::vector<EndpointEntry> in_progress;
-    for (std::uint64_t i = 0; i < 2; ++i) {
-      query.random_value = round * 7919 + i * 104729;
+    for (int i = 0; i < 2; ++i) {
+      query.random_value = random();
       in_progress.push_back(registry.ChooseOnline(query, kStart).endpoint);
       registry.OnAttemptStarted(in_progress.back().id, WorkKind::kOnline);
       if (idle.erase(in_progress.back().address) == 0) ++connections;
@@ -187,6 +192,92 @@
   }
 }
 
+/// Fifty daemons send online requests to 25 endpoints and learn of each other's
+/// loads with a delay. Returns the fraction of requests that arrive at an
+/// endpoint without a free slot although others have one. `choose` returns the
+/// endpoint for a request of a daemon.
+template <typename Choose>
+double FractionSentToFullEndpoints(double per_second, const Choose& choose) {
+  constexpr int kDaemons = 50;
+  constexpr int kEndpoints = 25;
+  constexpr auto kRunTime = milliseconds(750);
+  constexpr auto kGossipPeriod = milliseconds(200);
+  std::vector<EndpointEntry> entries;
+  for (int i = 0; i < kEndpoints; ++i) {
+    entries.push_back(MakeEndpoint("e" + std::to_string(i), kOwnDomain));
+  }
+  std::vector<std::unique_ptr<EndpointRegistry>> daemons;
+  for (int i = 0; i < kDaemons; ++i) {
+    EndpointRegistryOptions options;
+    options.large_fleet_peers = kDaemons / 2;
+    daemons.push_back(std::make_unique<EndpointRegistry>(options));
+    daemons.back()->ReplaceEntries(entries, {}, kStart);
+  }
+  struct Running {
+    std::size_t daemon = 0;
+    base::EndpointId endpoint;
+  };
+  std::multimap<base::Instant, Running> running;
+  std::map<base::EndpointId, std::uint32_t> loads;
+  std::mt19937 random(1);
+  std::exponential_distribution<double> pause(per_second);
+  auto now = kStart;
+  auto gossip_at = kStart;
+  int sent = 0;
+  int to_full = 0;
+  while (now < kStart + seconds(20)) {
+    now += std::chrono::duration_cast<base::Duration>(
+        std::chrono::duration<double>(pause(random)));
+    while (!running.empty() && running.begin()->first <= now) {
+      const auto& ended = running.begin()->second;
+      daemons[ended.daemon]->OnAttemptEnded(ended.endpoint, WorkKind::kOnline,
+                                            AttemptResult::kSuccess, now);
+      --loads[ended.endpoint];
+      running.erase(running.begin());
+    }
+    if (now >= gossip_at) {
+      gossip_at = now + kGossipPeriod;
+      for (std::size_t from = 0; from < daemons.size(); ++from) {
+        const auto own = daemons[from]->OwnLoads();
+        for (std::size_t to = 0; to < daemons.size(); ++to) {
+          if (to == from) continue;
+          daemons[to]->SetPeerLoads("vm-" + std::to_string(from), own, now);
+        }
+      }
+    }
+    const auto daemon = random() % daemons.size();
+    auto query = MakeQuery();
+    query.random_value = random();
+    const auto id = choose(*daemons[daemon], query, now);
+    ++sent;
+    if (++loads[id] > 8) ++to_full;
+    daemons[daemon]->OnAttemptStarted(id, WorkKind::kOnline);
+    running.emplace(now + kRunTime, Running{daemon, id});
+  }
+  return static_cast<double>(to_full) / sent;
+}
+
+TEST_CASE("many daemons with the same outdated loads don't choose alike") {
+  // Online requests occupy three quarters of the slots.
+  constexpr double kPerSecond = 200;
+  const auto chosen = FractionSentToFullEndpoints(
+      kPerSecond, [](const auto& registry, const auto& query, auto now) {
+        return registry.ChooseOnline(query, now).endpoint.id;
+      });
+  // The less loaded of two random endpoints, by the same outdated loads.
+  const auto best_of_two = FractionSentToFullEndpoints(
+      kPerSecond, [](const auto& registry, const auto& query, auto now) {
+        const auto first = Id("e" + std::to_string(query.random_value % 25));
+        const auto second =
+            Id("e" + std::to_string(query.random_value / 25 % 25));
+        return registry.Load(first, now).total() <=
+                       registry.Load(second, now).total()
+                   ? first
+                   : second;
+      });
+  CHECK(chosen < best_of_two);
+}
+
 TEST_CASE("a failing endpoint is avoided and retried after a backoff") {
   EndpointRegistry registry({});
   registry.ReplaceEntries(
