--- a/packages/policy/test/serving/fleet_quota_test.cc
+++ b/packages/policy/test/serving/fleet_quota_test.cc
@@ -181,7 +181,7 @@
     fleet.Run(seconds(5), 45, 300);
     fleet.full_messages = 0;
     fleet.Run(seconds(12), 45, 300);
-    CHECK(fleet.full_messages <= 300 * 300 * 3);
+    CHECK(fleet.full_messages <= std::size_t{300} * 300 * 3);
     fleet.SetIsolated(0, true);
     fleet.Run(seconds(3), 45, 300);
     fleet.SetIsolated(0, false);
