Test registration, leaving and registering anew over a store

fleet_service had no test of its own: two daemons of different failure domains find each other, one that leaves is lost at once, and one whose registration was removed while it lives registers again.

--- /dev/null
+++ b/packages/gateway/test/serving/fleet_service_test.cc
@@ -0,0 +1,102 @@
+#include "gypsumtrack/gateway/serving/fleet_service.h"
+
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+#include <functional>
+#include <memory>
+
+#include "gypsumtrack/gateway/serving/store_layout.h"
+#include "gypsumtrack/testing/memory_row_store.h"
+#include "run_coroutine.h"
+
+namespace gypsumtrack::gateway {
+namespace {
+
+/// Daemons of one failure domain or two that share a store, in real time.
+class FleetFixture {
+ public:
+  FleetFixture() : client(this->rows.Client()) {}
+
+  FleetService& Start(const std::string& name, const std::string& domain,
+                      std::uint64_t incarnation) {
+    ServingSettings settings;
+    settings.vm_name = name;
+    settings.location = {base::FailureDomain(domain), base::Region("delta")};
+    settings.gossip_listen = "127.0.0.1:7360";
+    settings.cpu_cores = 0.5;
+    this->daemons.push_back(std::make_unique<FleetService>(
+        this->context.get_executor(), base::SystemClock(), this->client,
+        settings, base::VmId{name, incarnation},
+        [](const std::vector<PeerDaemon>&) {}));
+    this->daemons.back()->Start();
+    return *this->daemons.back();
+  }
+
+  /// Runs the daemons until the condition holds.
+  void RunUntil(const std::function<bool()>& condition) {
+    while (!condition()) {
+      this->context.restart();
+      this->context.run_for(std::chrono::milliseconds(20));
+    }
+  }
+
+  void Remove(const base::RowKey& key) {
+    base::RowTransaction removal;
+    removal.removals.push_back(key);
+    this->client.transact(removal, base::kNever,
+                          [](const base::Outcome<base::TransactionReply>&) {});
+  }
+
+  bool Exists(const char* table, const std::string& domain,
+              const std::string& name) const {
+    return this->rows.Find({table, domain, name}).has_value();
+  }
+
+  testing::MemoryRowStore rows;
+  base::RowStore client;
+  boost::asio::io_context context;
+  std::vector<std::unique_ptr<FleetService>> daemons;
+};
+
+TEST_CASE("daemons find each other through the store") {
+  FleetFixture fleet;
+  auto& first = fleet.Start("vm-1", "cairo", 7);
+  auto& second = fleet.Start("vm-2", "alex", 8);
+  fleet.RunUntil([&] {
+    return first.LeaseHolders().size() == 2 && first.peers().size() == 1 &&
+           second.LeaseHolders().size() == 2;
+  });
+  SECTION("with what they registered, in the partition of their domain") {
+    const auto& peer = first.peers().front();
+    CHECK(peer.vm == base::VmId{"vm-2", 8});
+    CHECK(peer.location.domain.text == "alex");
+    CHECK(peer.gossip_address == "127.0.0.1:7360");
+    CHECK(peer.cores == 0.5);
+    CHECK(fleet.Exists(layout::kDaemonTable, "alex", "vm-2"));
+    CHECK(fleet.Exists(layout::kLeaseTable, "alex", "vm-2"));
+  }
+  SECTION("a daemon that leaves is lost at once") {
+    std::optional<bool> left;
+    const auto leave = [&]() -> boost::asio::awaitable<bool> {
+      co_await second.Deregister();
+      co_return true;
+    };
+    boost::asio::co_spawn(fleet.context, StoreResult(leave(), left),
+                          boost::asio::detached);
+    fleet.RunUntil([&] {
+      return left.has_value() && first.HasLostLease({"vm-2", 8});
+    });
+    CHECK_FALSE(fleet.Exists(layout::kDaemonTable, "alex", "vm-2"));
+    CHECK_FALSE(fleet.Exists(layout::kLeaseTable, "alex", "vm-2"));
+  }
+  SECTION("one whose registration was removed while it lives is back") {
+    fleet.Remove({layout::kDaemonTable, "alex", "vm-2"});
+    fleet.RunUntil(
+        [&] { return fleet.Exists(layout::kDaemonTable, "alex", "vm-2"); });
+    fleet.RunUntil([&] { return first.peers().size() == 1; });
+    CHECK(first.peers().front().vm == base::VmId{"vm-2", 8});
+  }
+}
+
+}  // namespace
+}  // namespace gypsumtrack::gateway
