--- a/packages/gateway/src/serving/fleet_service.cc
+++ b/packages/gateway/src/serving/fleet_service.cc
@@ -207,10 +207,9 @@
 
 asio::awaitable<void> FleetService::RemoveStaleRow(
     const base::VersionedRow& row) {
-  // Only one of those who see the stale row removes it.
-  const auto incarnation = layout::ParseLease(row.at.key, row.value);
-  const base::VmId lost =
-      incarnation.ok() ? *incarnation : base::VmId{row.at.key, 0};
+  // All daemons that watch the domain see the stale row; one removes it.
+  const auto daemon = layout::ParseLease(row.at.key, row.value);
+  const base::VmId lost = daemon.ok() ? *daemon : base::VmId{row.at.key, 0};
   const auto adopters = this->Adopters(lost);
   if (!policy::RanksFirst(this->self(), row.at.key, adopters)) co_return;
   base::RowTransaction removal;
--- a/packages/gateway/src/serving/gossip_service.cc
+++ b/packages/gateway/src/serving/gossip_service.cc
@@ -141,7 +141,8 @@
                                  this->plan.RemotePeers(tick));
   }
   if (own) this->to_forward.push_back(std::move(*own));
-  // The peers may have changed their mode and sent messages to be relayed.
+  // A peer that knows of more daemons of the domain may use collectors already.
+  // Its next message for other domains reaches another collector.
   this->to_other_domains.clear();
   co_await this->Forward();
 }
--- a/packages/policy/src/serving/fleet_quota.cc
+++ b/packages/policy/src/serving/fleet_quota.cc
@@ -25,9 +25,10 @@
 constexpr double kMinPerRound = 1;
 constexpr double kMinPerRoundWhenFull = 3;
 constexpr double kFullFraction = 0.85;
-/// In a large fleet a request in a round for each daemon may be more than a
-/// bucket holds. Below this fraction of its capacity a daemon whose share is
-/// less than a request admits one at random, in proportion to its share.
+/// In a large fleet one request of each daemon in a round may be more than a
+/// bucket holds. In a bucket that is filled less than this, a daemon whose
+/// share is less than a request admits one at random, in proportion to its
+/// share.
 constexpr double kScarceFraction = 0.5;
 /// Demand below which a peer counts as idle, in requests a second.
 constexpr double kMinDemand = 0.005;
