Log the owner row and the age of the owners' view with each item

Logs couldn't tell apart why an item was sent after the end of its job: the view of the owner rows could be outdated, or young while the daemon relied on a row that was gone. item_sent now carries the version of the owner row and the age of the view, job_dropped the version. The runner asks for the instant of the view instead of a verdict; when items may start is as before.

--- a/packages/gateway/src/serving/job_runner.cc
+++ b/packages/gateway/src/serving/job_runner.cc
@@ -88,6 +88,7 @@
   if (this->on_removed) this->on_removed(key);
   base::LogEvent("job_dropped", {{"job", key.job.text},
                                  {"reason", reason},
+                                 {"owner_version", job->owner_version},
                                  {"running", job->running.size()}});
   const auto running = job->running;
   for (const auto& [index, item] : running) item.cancel->Cancel();
@@ -133,8 +134,13 @@
 void JobRunner::Tick() {
   if (this->stopped || this->jobs.empty()) return;
   this->YieldToOnline();
-  const bool may_start = !this->may_start || this->may_start();
-  if (this->starting_items && may_start) this->StartItems();
+  if (this->starting_items && this->MayStartItems()) this->StartItems();
+}
+
+bool JobRunner::MayStartItems() const {
+  return policy::MayStartItems(this->context.settings.cancel_bound,
+                               this->owners_confirmed_at(),
+                               this->context.clock.now());
 }
 
 asio::awaitable<void> JobRunner::SaveLoop() {
@@ -267,12 +273,15 @@
   const auto start = job->run.StartNextItem(now);
   if (!start) return false;
   --starts;
+  const auto owners_age = now - this->owners_confirmed_at();
   base::LogEvent("item_sent", {{"job", job->key.job.text},
                                {"item", job->run.item(start->index).id},
                                {"endpoint", choice.endpoint.id.text},
                                {"load", choice.known_load},
                                {"urgency", policy::kUrgencyNames.Name(urgency)},
-                               {"events", job->run.event_count(start->index)}});
+                               {"events", job->run.event_count(start->index)},
+                               {"owner_version", job->owner_version},
+                               {"belief_age_ms", owners_age.count() / 1000}});
   job->running[start->index] = {choice.endpoint.id,
                                 std::make_shared<CallCancellation>(), now};
   // co_spawn runs RunItem inline up to its first suspension, so that the
--- a/packages/gateway/src/serving/job_runner.h
+++ b/packages/gateway/src/serving/job_runner.h
@@ -48,8 +48,9 @@
   /// Number of waiting items of all jobs.
   std::uint32_t CountWaitingItems() const;
 
-  /// Whether items may be started now; null means always.
-  std::function<bool()> may_start;
+  /// Returns when the rows that state the owners of jobs were last confirmed.
+  /// Must be set before Start.
+  std::function<base::Instant()> owners_confirmed_at;
   /// Called after results of a job were committed.
   std::function<void(const JobKey&)> on_results_listed;
   /// Called when a job isn't run here any more.
@@ -60,6 +61,8 @@
   /// Lets items yield and starts others.
   void Tick();
   boost::asio::awaitable<void> SaveLoop();
+  /// Whether this daemon knows recently enough which jobs it owns.
+  bool MayStartItems() const;
   policy::Urgency UrgencyOf(const OwnedJob& job, std::uint64_t events) const;
   /// Cancels batch items at endpoints whose slots online requests need.
   void YieldToOnline();
--- a/packages/gateway/src/serving/job_service.cc
+++ b/packages/gateway/src/serving/job_service.cc
@@ -70,10 +70,8 @@
     this->runner->on_results_listed = [this](const JobKey& key) {
       this->NotifyWaiters(key);
     };
-    this->runner->may_start = [this] {
-      return policy::MayStartItems(this->context.settings.cancel_bound,
-                                   this->owners_confirmed_at,
-                                   this->context.clock.now());
+    this->runner->owners_confirmed_at = [this] {
+      return this->owners_confirmed_at;
     };
     this->runner->on_removed = [this](const JobKey& key) {
       this->owners.OnReleased(key);
