--- /dev/null
+++ b/packages/gateway/test/serving/job_service_test.cc
@@ -0,0 +1,201 @@
+#include "gypsumtrack/gateway/serving/job_service.h"
+
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+#include <functional>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "../../src/serving/job_store.h"
+#include "gypsumtrack/gateway/serving/row_store_await.h"
+#include "gypsumtrack/gateway/serving/store_layout.h"
+#include "gypsumtrack/testing/memory_row_store.h"
+#include "run_coroutine.h"
+
+namespace gypsumtrack::gateway {
+namespace {
+
+const JobKey kKey{base::Organisation("club"), base::JobId("j1")};
+
+/// A store client that can delay the responses to reads of one table, and that
+/// knows how far the owner table was followed.
+class DelayingClient {
+ public:
+  explicit DelayingClient(base::RowStore row_store)
+      : inner(std::move(row_store)), client(this->inner) {
+    this->client.read = [this](const base::RowRange& range,
+                               base::Instant deadline, auto handler) {
+      if (range.table != this->delayed_table) {
+        return this->inner.read(range, deadline, std::move(handler));
+      }
+      this->delayed_read = [this, range, deadline, handler] {
+        this->inner.read(range, deadline, handler);
+      };
+    };
+    this->client.feed = [this](const base::FeedRequest& request,
+                               base::Instant deadline, auto handler) {
+      if (request.table == layout::kOwnerTable)
+        this->followed_version = request.after_version;
+      this->inner.feed(request, deadline, std::move(handler));
+    };
+  }
+
+  base::RowStore inner;
+  base::RowStore client;
+  std::string delayed_table;
+  /// Carries out the read that waits; empty if none does.
+  std::function<void()> delayed_read;
+  /// Version up to which the daemon has applied the owner table's changes.
+  std::uint64_t followed_version = 0;
+};
+
+/// One daemon and its store, in real time.
+class JobServiceFixture {
+ public:
+  JobServiceFixture()
+      : store(this->rows.Client()),
+        store_view(this->context.get_executor(), this->clock,
+                   this->store.client, {}, [] {}),
+        client(this->context.get_executor(), this->clock, {}),
+        serving{.settings = {},
+                .self = {"vm-1", 1},
+                .wire = MakeWire(),
+                .clock = this->clock,
+                .executor = this->context.get_executor(),
+                .store = this->store.client,
+                .store_view = this->store_view,
+                .client = this->client,
+                .registry = this->registry,
+                .metrics = ServingMetrics(this->registry),
+                .endpoints = policy::EndpointRegistry({}),
+                .quota = policy::FleetQuota({}),
+                .batch_starts = policy::BatchStartLimiter({}),
+                .random = std::minstd_rand(1)},
+        fleet(this->context.get_executor(), this->clock, this->store.client,
+              Settings(), this->serving.self,
+              [](const std::vector<PeerDaemon>&) {}),
+        jobs(this->serving, this->fleet) {}
+
+  /// Starts the daemon and runs it until it may take jobs over.
+  void Start() {
+    this->fleet.Start();
+    this->jobs.Start();
+    this->RunUntil([this] { return this->fleet.HoldsLease(); });
+  }
+
+  void RunUntil(const std::function<bool()>& condition) {
+    while (!condition()) {
+      this->context.restart();
+      this->context.run_for(std::chrono::milliseconds(10));
+    }
+  }
+
+  /// Another daemon accepts a job of one item and leaves without running it.
+  void AcceptElsewhere() {
+    SubmittedItem item;
+    item.id = "a";
+    item.tokens = 100;
+    const auto acceptance =
+        RunCoroutine(AcceptJob(this->Other(), kKey, "sheets", {item}, "body", 0,
+                               base::kNever, [] { return true; }));
+    REQUIRE(acceptance.owner_version != 0);
+    OwnedJob job{kKey,
+                 acceptance.row,
+                 {item},
+                 policy::JobRun(ToJobItems({item}), {}, {}),
+                 acceptance.owner_version};
+    REQUIRE(RunCoroutine(HandOver(this->Other(), job)));
+  }
+
+  /// Another daemon ends the job for its caller.
+  void EndElsewhere() {
+    REQUIRE(RunCoroutine(EndJob(this->Other(), kKey, base::kNever)).ok());
+  }
+
+  std::optional<base::VersionedRow> OwnerRow() const {
+    return this->rows.Find(
+        {layout::kOwnerTable, kKey.organisation.text, kKey.job.text});
+  }
+
+  /// The store's version after the last change.
+  std::uint64_t StoreVersion() {
+    base::RowRange range;
+    range.table = layout::kOwnerTable;
+    return RunCoroutine(ReadRows(this->store.inner, range, base::kNever))
+        ->store_version;
+  }
+
+  testing::MemoryRowStore rows;
+  DelayingClient store;
+  base::Clock clock = base::SystemClock();
+  boost::asio::io_context context;
+  telemetry::Registry registry;
+  StoreViewService store_view;
+  EndpointClient client;
+  ServingContext serving;
+  FleetService fleet;
+  JobService jobs;
+
+ private:
+  static ServingSettings Settings() {
+    ServingSettings settings;
+    settings.vm_name = "vm-1";
+    settings.location = {base::FailureDomain("cairo"), base::Region("delta")};
+    settings.gossip_listen = "127.0.0.1:7360";
+    return settings;
+  }
+
+  static Wire MakeWire() {
+    Wire wire;
+    wire.read_submission = [](std::string_view) {
+      SubmittedItem item;
+      item.id = "a";
+      item.tokens = 100;
+      return base::Outcome<std::vector<SubmittedItem>>({item});
+    };
+    return wire;
+  }
+
+  JobStore Other() { return {this->store.inner, this->clock, {"vm-2", 1}}; }
+};
+
+/// Another daemon has accepted the job and left. This one has taken it over
+/// and waits for the last row that it reads to run it.
+class TakeoverFixture : public JobServiceFixture {
+ public:
+  TakeoverFixture() {
+    this->AcceptElsewhere();
+    this->store.delayed_table = layout::kPartialTable;
+    this->Start();
+    this->RunUntil([this] { return this->store.delayed_read != nullptr; });
+    REQUIRE(layout::ParseOwner(this->OwnerRow()->value)->name == "vm-1");
+  }
+
+  /// Carries out the read and what follows from it.
+  void FinishTakeover() {
+    this->store.delayed_read();
+    this->context.restart();
+    this->context.poll();
+  }
+};
+
+TEST_CASE("a job whose owner left is taken over and run") {
+  TakeoverFixture daemon;
+  daemon.FinishTakeover();
+  CHECK(daemon.jobs.CountWaitingItems() == 1);
+}
+
+// Guards against items that reach endpoints after the end of their job was
+// acknowledged, because a daemon took the job over while it was being ended.
+TEST_CASE("a job that ends while it is taken over isn't run", "[.known-red]") {
+  TakeoverFixture daemon;
+  daemon.EndElsewhere();
+  const auto end_version = daemon.StoreVersion();
+  daemon.RunUntil([&] { return daemon.store.followed_version >= end_version; });
+  daemon.FinishTakeover();
+  CHECK(daemon.jobs.CountWaitingItems() == 0);
+}
+
+}  // namespace
+}  // namespace gypsumtrack::gateway
