Log the shared parts of a prompt and the events of each attempt

Logs couldn't tell a request that crashes endpoints from those that it takes along: the prompt's parts and the number of events received were missing. sent and item_sent now name the parts that other requests may share, cut to 120 bytes, send_ended and item_ended the number of events of the attempt.

--- a/packages/base/include/gypsumtrack/base/names.h
+++ b/packages/base/include/gypsumtrack/base/names.h
@@ -36,6 +36,9 @@
 using Region = Name<struct RegionTag>;
 /// Name of an endpoint, as in the list of VMs.
 using EndpointId = Name<struct EndpointTag>;
+/// Identifier of a part of a prompt, such as a system prompt. Prompts with the
+/// same beginning have the same first parts.
+using PromptPart = Name<struct PromptPartTag>;
 /// Identifier of a batch job.
 using JobId = Name<struct JobTag>;
 
--- a/packages/gateway/include/gypsumtrack/gateway/serving/wire.h
+++ b/packages/gateway/include/gypsumtrack/gateway/serving/wire.h
@@ -32,6 +32,9 @@
   std::optional<base::Duration> requested_timeout;
   /// Id of the last event of a stream that the caller has received.
   std::optional<std::uint64_t> after_event;
+  /// Parts of the prompt that other requests may have as well, in order. The
+  /// last part of a prompt is the request's own and isn't among them.
+  std::vector<base::PromptPart> shared_parts;
 };
 
 /// Metadata sent to an endpoint in addition to the caller's own request.
@@ -72,6 +75,8 @@
   std::string body;
   /// Tokens of the prompt plus the maximum number of output tokens.
   std::uint64_t tokens = 0;
+  /// As in `RequestMetadata`.
+  std::vector<base::PromptPart> shared_parts;
 };
 
 /// A page of a job's results.
--- a/packages/gateway/src/serving/job_runner.cc
+++ b/packages/gateway/src/serving/job_runner.cc
@@ -273,9 +273,11 @@
   const auto start = job->run.StartNextItem(now);
   if (!start) return false;
   --starts;
+  const auto& item = job->items[start->index];
   const auto owners_age = now - this->owners_confirmed_at();
   base::LogEvent("item_sent", {{"job", job->key.job.text},
                                {"item", job->run.item(start->index).id},
+                               {"parts", FormatParts(item.shared_parts)},
                                {"endpoint", choice.endpoint.id.text},
                                {"load", choice.known_load},
                                {"urgency", policy::kUrgencyNames.Name(urgency)},
@@ -337,6 +339,7 @@
   const auto events_before = job->run.event_count(start.index);
   const auto result = co_await SendToEndpoint(
       this->context, endpoint, policy::WorkKind::kBatch, std::move(call));
+  const auto events = job->run.event_count(start.index);
   const auto outcome = cancel->cancelled()
                            ? policy::ItemRunOutcome::kInterrupted
                            : ClassifyRunOutcome(this->context, result);
@@ -346,9 +349,9 @@
                   {"endpoint", endpoint.id.text},
                   {"call", kCallOutcomeNames.Name(result.outcome)},
                   {"status", result.head.status},
+                  {"events", events - events_before},
                   {"end", policy::kItemRunOutcomeNames.Name(outcome)}});
   job->running.erase(start.index);
-  const auto events = job->run.event_count(start.index);
   if (events > events_before) {
     this->durations.OnRunEnd(events - events_before,
                              this->context.clock.now() - started_at);
--- a/packages/gateway/src/serving/relay_service.cc
+++ b/packages/gateway/src/serving/relay_service.cc
@@ -205,6 +205,7 @@
     const auto now = this->Now();
     base::LogEvent("sent", {{"request", this->facts.request_id},
                             {"organisation", this->organisation.text},
+                            {"parts", FormatParts(this->facts.shared_parts)},
                             {"endpoint", choice.endpoint.id.text},
                             {"load", choice.known_load},
                             {"send", this->attempts.attempt_count() + 1},
@@ -213,6 +214,7 @@
                              this->context.StoreViewAge().count() / 1000}});
     this->tried.insert(choice.endpoint.id);
     this->splitter = {};
+    this->attempt_events = 0;
     EndpointCall call;
     call.address = choice.endpoint.address;
     call.method = this->exchange.request().method;
@@ -267,6 +269,7 @@
                               "an event of the stream is out of order");
       }
       bytes += event.bytes;
+      ++this->attempt_events;
     }
     if (bytes.empty()) co_return base::Done{};
     if (!this->response_started) {
@@ -318,6 +321,7 @@
                     {"call", kCallOutcomeNames.Name(result.outcome)},
                     {"status", result.head.status},
                     {"reused", result.reused_connection ? 1 : 0},
+                    {"events", this->attempt_events},
                     {"end", policy::kAttemptOutcomeNames.Name(outcome)},
                     {"next", policy::kNextStepNames.Name(step)},
                     {"age_ms", (now - this->arrived).count() / 1000}});
@@ -410,6 +414,8 @@
   policy::AttemptTracker attempts;
   std::set<base::EndpointId> tried;
   policy::EventSplitter splitter;
+  /// Number of events received in the current attempt.
+  std::uint64_t attempt_events = 0;
   /// Id of the last event that was relayed, at first of the last one that the
   /// caller reports to have received.
   std::optional<std::uint64_t> after_event;
--- a/packages/gateway/src/serving/send_to_endpoint.cc
+++ b/packages/gateway/src/serving/send_to_endpoint.cc
@@ -7,6 +7,9 @@
 namespace gypsumtrack::gateway {
 namespace {
 
+/// Maximum length of the parts in a log event.
+constexpr std::size_t kMaxLoggedPartsBytes = 120;
+
 /// Returns what an attempt showed about its endpoint.
 policy::AttemptResult ToAttemptResult(const EndpointResult& result,
                                       const ResponseMetadata& response) {
@@ -50,6 +53,16 @@
 
 }  // namespace
 
+std::string FormatParts(const std::vector<base::PromptPart>& parts) {
+  std::string text;
+  for (const auto& part : parts) {
+    if (!text.empty()) text += ',';
+    text += part.text;
+    if (text.size() > kMaxLoggedPartsBytes) break;
+  }
+  return text.substr(0, kMaxLoggedPartsBytes);
+}
+
 boost::asio::awaitable<EndpointResult> SendToEndpoint(
     ServingContext& context, policy::EndpointEntry endpoint,
     policy::WorkKind kind, EndpointCall call) {
--- a/packages/gateway/src/serving/send_to_endpoint.h
+++ b/packages/gateway/src/serving/send_to_endpoint.h
@@ -2,12 +2,18 @@
 #define GYPSUMTRACK_GATEWAY_SRC_SERVING_SEND_TO_ENDPOINT_H_
 
 #include <boost/asio/awaitable.hpp>
+#include <string>
+#include <vector>
 
 #include "gypsumtrack/gateway/serving/serving_context.h"
 
 /// Sends requests to endpoints and keeps the endpoint registry up to date.
 namespace gypsumtrack::gateway {
 
+/// Formats the parts of a prompt for log events, cut to a bounded length.
+/// Thread-safe.
+std::string FormatParts(const std::vector<base::PromptPart>& parts);
+
 /// Makes one attempt to send a request: runs the call and records its start,
 /// the load that the response reports and its result in the endpoint registry.
 /// Must run on the context's thread. Precondition: `call.address` is the
