--- a/packages/testing/include/gypsumtrack/testing/site_standin.h
+++ b/packages/testing/include/gypsumtrack/testing/site_standin.h
@@ -99,6 +99,11 @@
   void SetEventPause(base::Duration pause);
   /// Sets whether all its responses report that it leaves.
   void SetLeaving(bool is_leaving);
+  /// Ends the engine, as a crash does, when it begins to write an answer on a
+  /// prompt with this part.
+  void SetCrashingPart(const std::string& part);
+  /// Whether it has crashed.
+  bool crashed() const;  // NOLINT
   /// The requests that it ran, in order.
   std::vector<EngineRun> runs() const;  // NOLINT
 
@@ -108,6 +113,8 @@
  private:
   /// Handles one HTTP request.
   boost::asio::awaitable<void> Serve(gateway::Exchange& exchange);
+  /// Whether the request crashes the engine; if so, records that it has.
+  bool CrashesOn(const gateway::RequestHead& request);
   /// Returns the headers of every response.
   std::vector<gateway::Header> CommonHeaders(
       const std::string& request_id) const;
@@ -122,6 +129,8 @@
   EngineFaults faults;
   base::Duration event_pause{0};
   bool leaving = false;
+  std::string crashing_part;
+  bool has_crashed = false;
   std::vector<EngineRun> recorded_runs;
   std::unique_ptr<gateway::HttpServer> server;
 };
--- a/packages/testing/src/site_standin.cc
+++ b/packages/testing/src/site_standin.cc
@@ -317,6 +317,25 @@
   this->leaving = is_leaving;
 }
 
+void EngineStandin::SetCrashingPart(const std::string& part) {
+  const std::lock_guard lock(this->mutex);
+  this->crashing_part = part;
+}
+
+bool EngineStandin::crashed() const {
+  const std::lock_guard lock(this->mutex);
+  return this->has_crashed;
+}
+
+bool EngineStandin::CrashesOn(const RequestHead& request) {
+  const auto parts = TextHeader(request, "X-Gypsumtrack-Prompt-Prefix");
+  const std::lock_guard lock(this->mutex);
+  const bool crashes = !this->crashing_part.empty() &&
+                       parts.find(this->crashing_part) != std::string::npos;
+  this->has_crashed = this->has_crashed || crashes;
+  return crashes;
+}
+
 std::vector<gateway::Header> EngineStandin::CommonHeaders(
     const std::string& request_id) const {
   const std::lock_guard lock(this->mutex);
@@ -374,6 +393,12 @@
     std::ignore = co_await exchange.Send(std::move(head), std::string("no"));
     co_return;
   }
+  if (this->CrashesOn(request)) {
+    exchange.Abort();
+    // Closes the listener and all other connections.
+    this->server->Stop();
+    co_return;
+  }
   const bool breaks_between_events = consume_fault(&EngineFaults::break_off);
   const bool breaks_inside_event = consume_fault(&EngineFaults::break_inside);
   co_await this->Stream(exchange, std::move(run), breaks_between_events,
