Quarantine parts of prompts that crash endpoints

Cause: nothing remembered what a lost attempt had carried. An attempt whose connection closed counted against its endpoint and against the attempts of its request, so each new request with the part went to as many healthy endpoints as its route allows, from every daemon.

Change: policy::PromptQuarantine suspects a part after runs with it ended by crashes before their first event, and clears it as soon as any run with it gets an event; after crashes of 3 endpoints under 2 requests it is in quarantine for 10 minutes. Requests with such a part are refused at once as not run, with the end of the quarantine as Retry-After; items wait.

--- a/packages/gateway/include/gypsumtrack/gateway/serving/fleet_service.h
+++ b/packages/gateway/include/gypsumtrack/gateway/serving/fleet_service.h
@@ -65,6 +65,10 @@
   std::vector<base::VmId> Adopters(const base::VmId& lost) const;
   /// Returns whether this daemon may act as the holder of its lease.
   bool HoldsLease() const;
+  /// Returns whether this daemon removes what others have left in the store: it
+  /// has the smallest VM name of all lease holders. For a short time this may
+  /// be true at two daemons.
+  bool IsCollector() const;
   /// Returns this daemon.
   const base::VmId& self() const { return this->own.vm; }  // NOLINT
   /// Returns this daemon as it registers itself.
--- a/packages/gateway/include/gypsumtrack/gateway/serving/serving_context.h
+++ b/packages/gateway/include/gypsumtrack/gateway/serving/serving_context.h
@@ -2,7 +2,11 @@
 #define GYPSUMTRACK_GATEWAY_SERVING_SERVING_CONTEXT_H_
 
 #include <boost/asio/any_io_executor.hpp>
+#include <functional>
+#include <optional>
 #include <random>
+#include <string>
+#include <vector>
 
 #include "gypsumtrack/base/row_store.h"
 #include "gypsumtrack/gateway/endpoint_client.h"
@@ -12,6 +16,7 @@
 #include "gypsumtrack/policy/serving/batch_start_limiter.h"
 #include "gypsumtrack/policy/serving/endpoint_registry.h"
 #include "gypsumtrack/policy/serving/fleet_quota.h"
+#include "gypsumtrack/policy/serving/prompt_quarantine.h"
 #include "gypsumtrack/telemetry/metrics.h"
 
 /// State that the components of a serving daemon share.
@@ -37,11 +42,29 @@
   telemetry::Counter& items_listed;
   telemetry::Counter& items_yielded;
   telemetry::Counter& jobs_taken_over;
+  telemetry::Counter& crashed_runs;
+  telemetry::Counter& quarantined;
   telemetry::LatencyHistogram& first_byte;
   telemetry::LatencyHistogram& complete_response;
   telemetry::LatencyHistogram& job_acceptance;
 };
 
+/// Hooks that tell of the runs of prompts and protect endpoints from those that
+/// crash them. Empty until the crash service has started.
+struct PromptHooks {
+  /// Returns the part that is in quarantine, if any.
+  std::function<std::optional<policy::QuarantinedPart>(
+      const std::vector<base::PromptPart>& parts)>
+      find_quarantined;
+  /// A run got the first event of its answer, or a whole answer.
+  std::function<void(const std::vector<base::PromptPart>& parts)> on_progress;
+  /// The connection of a run closed before the first event of its answer.
+  std::function<void(const std::vector<base::PromptPart>& parts,
+                     const std::string& request_id,
+                     const policy::EndpointEntry& endpoint)>
+      on_lost;
+};
+
 /// Shared state of a serving daemon. Must be used on the thread of `executor`,
 /// except for the store, the store view, the client and the metrics, which are
 /// thread-safe.
@@ -59,6 +82,7 @@
   policy::EndpointRegistry endpoints;
   policy::FleetQuota quota;
   policy::BatchStartLimiter batch_starts;
+  PromptHooks prompts;
   std::minstd_rand random;
   /// Set once the daemon has been asked to stop.
   bool shutting_down = false;
--- a/packages/gateway/include/gypsumtrack/gateway/serving/store_layout.h
+++ b/packages/gateway/include/gypsumtrack/gateway/serving/store_layout.h
@@ -12,6 +12,7 @@
 #include "gypsumtrack/base/row_store.h"
 #include "gypsumtrack/gateway/serving/fleet_service.h"
 #include "gypsumtrack/policy/serving/job_run.h"
+#include "gypsumtrack/policy/serving/prompt_quarantine.h"
 
 /// Tables, keys and row formats in the platform's store. All rows of a batch
 /// job are in the partition of its organisation, so that one transaction can
@@ -27,6 +28,7 @@
 /// | result     | organisation | job/position  | the owner                   |
 /// | partial    | organisation | job           | the owner, periodically     |
 /// | submission | organisation | job           | the accepting daemon, once  |
+/// | crash      |              | part/VM       | that VM, after crashes      |
 ///
 /// All functions are thread-safe. The parsers return kInvalid if the value
 /// isn't a JSON object with the expected fields.
@@ -40,6 +42,7 @@
 inline constexpr const char* kResultTable = "result";
 inline constexpr const char* kPartialTable = "partial";
 inline constexpr const char* kSubmissionTable = "submission";
+inline constexpr const char* kCrashTable = "crash";
 
 /// Serializes the registration of a daemon. The VM's name is the key of the
 /// row, not part of the value.
@@ -117,6 +120,14 @@
 base::RowRange ResultRange(const base::Organisation& organisation,
                            const base::JobId& job, std::size_t from);
 
+/// Key of a report in the crash table. It holds a hash of the part, whose own
+/// name may be longer than a key.
+std::string CrashReportRowKey(const policy::CrashReportKey& key);
+/// Serializes a report on crashes.
+std::string SerializeCrashReport(const policy::CrashReport& report);
+/// Parses a report on crashes. Errors: kInvalid.
+base::Outcome<policy::CrashReport> ParseCrashReport(std::string_view value);
+
 /// Name of the object that holds a job as submitted.
 std::string SubmissionObjectName(const base::Organisation& organisation,
                                  const base::JobId& job);
--- a/packages/gateway/src/serving/fleet_service.cc
+++ b/packages/gateway/src/serving/fleet_service.cc
@@ -267,6 +267,14 @@
   return holders;
 }
 
+bool FleetService::IsCollector() const {
+  const auto holders = this->LeaseHolders();
+  const auto collector = std::min_element(
+      holders.begin(), holders.end(),
+      [](const auto& a, const auto& b) { return a.name < b.name; });
+  return collector != holders.end() && collector->name == this->self().name;
+}
+
 bool FleetService::HoldsLease() const {
   return !this->deregistered && this->heartbeat_sent_at != base::Instant{} &&
          this->clock.now() - this->heartbeat_sent_at < kOwnLeaseDuration;
--- a/packages/gateway/src/serving/job_runner.cc
+++ b/packages/gateway/src/serving/job_runner.cc
@@ -270,7 +270,10 @@
   const auto choice = this->context.endpoints.ChooseBatch(
       query, policy::SlotsToKeepFree(urgency), now);
   if (choice.status != policy::ChoiceStatus::kChosen) return false;
-  const auto start = job->run.StartNextItem(now);
+  const auto start = job->run.StartNextItem(now, [&](std::size_t index) {
+    const auto& parts = job->items[index].shared_parts;
+    return !FindQuarantinedPart(this->context, parts);
+  });
   if (!start) return false;
   --starts;
   const auto& item = job->items[start->index];
@@ -316,7 +319,8 @@
   call.deadline = this->context.clock.now() + kMaxItemRunTime;
   call.progress_timeout = kItemIdleTimeout;
   call.cancel = job->running[start.index].cancel;
-  call.on_part = [this, job, start, &splitter](
+  const auto events_before = job->run.event_count(start.index);
+  call.on_part = [this, job, start, events_before, &splitter](
                      const ResponseHead& head,
                      std::string_view part) -> asio::awaitable<base::Status> {
     base::Status status = base::Done{};
@@ -326,6 +330,9 @@
       co_return status;
     }
     for (const auto& event : splitter.Feed(part)) {
+      const bool is_first = job->run.event_count(start.index) == events_before;
+      if (is_first)
+        ReportProgress(this->context, job->items[start.index].shared_parts);
       if (job->run.OnEvent(start.index, event)) continue;
       status = base::Error(base::Errc::kInvalid,
                            "the stream has an event out of order");
@@ -336,10 +343,11 @@
   call.is_complete = [&splitter] { return splitter.at_event_end(); };
   const auto cancel = call.cancel;
   const auto started_at = this->context.clock.now();
-  const auto events_before = job->run.event_count(start.index);
   const auto result = co_await SendToEndpoint(
       this->context, endpoint, policy::WorkKind::kBatch, std::move(call));
   const auto events = job->run.event_count(start.index);
+  ReportRunEnd(this->context, item.shared_parts, item.id, endpoint, result,
+               events - events_before);
   const auto outcome = cancel->cancelled()
                            ? policy::ItemRunOutcome::kInterrupted
                            : ClassifyRunOutcome(this->context, result);
--- a/packages/gateway/src/serving/job_service.cc
+++ b/packages/gateway/src/serving/job_service.cc
@@ -489,7 +489,8 @@
   asio::awaitable<void> GarbageCollectionLoop() {
     while (!this->shutting_down) {
       co_await Pause(kGarbageCollectionPeriod);
-      if (this->shutting_down || !this->IsGarbageCollector()) continue;
+      // Concurrent passes of two daemons are safe.
+      if (this->shutting_down || !this->fleet.IsCollector()) continue;
       const auto pass = co_await RemoveExpiredJobs(
           this->store,
           kRetentionFactor * this->context.settings.result_retention);
@@ -499,17 +500,6 @@
     }
   }
 
-  /// Whether this daemon has the smallest VM name of all lease holders. For a
-  /// short time this may be true at two daemons; concurrent passes are safe.
-  bool IsGarbageCollector() const {
-    const auto holders = this->fleet.LeaseHolders();
-    const auto collector = std::min_element(
-        holders.begin(), holders.end(),
-        [](const auto& a, const auto& b) { return a.name < b.name; });
-    return collector != holders.end() &&
-           collector->name == this->context.self.name;
-  }
-
   /// Jobs without a live owner that this daemon should take over.
   std::vector<policy::OwnerRow> FindOrphans() const {
     if (!this->fleet.HoldsLease()) return {};
--- a/packages/gateway/src/serving/relay_service.cc
+++ b/packages/gateway/src/serving/relay_service.cc
@@ -28,6 +28,8 @@
 /// kMinProgressTimeout if that is longer.
 constexpr int kMaxEventGaps = 3;
 constexpr base::Duration kMinProgressTimeout = std::chrono::milliseconds(1000);
+/// Error code of requests with a part in their prompt that crashes endpoints.
+constexpr const char* kQuarantinedCode = "prompt_crashes_endpoints";
 
 /// Relays one request, with retries, and its response.
 class RequestRelay {
@@ -60,6 +62,10 @@
       co_return;
     }
     this->body = std::move(*read);
+    if (const auto part = this->FindQuarantined()) {
+      co_await this->RefuseQuarantined(*part);
+      co_return;
+    }
     if (!this->context.quota.TryAdmit(this->organisation,
                                       this->context.clock.now())) {
       co_await this->RefuseOverQuota();
@@ -119,6 +125,10 @@
     }
     const bool allowed = co_await this->CheckStillAllowed();
     if (!allowed) co_return false;
+    if (const auto part = this->FindQuarantined()) {
+      co_await this->EndQuarantined(*part);
+      co_return false;
+    }
     const auto result = co_await this->Send(choice);
     const bool retry = co_await this->OnAttemptEnd(choice, result);
     co_return retry;
@@ -199,6 +209,34 @@
     co_return false;
   }
 
+  std::optional<policy::QuarantinedPart> FindQuarantined() const {
+    return FindQuarantinedPart(this->context, this->facts.shared_parts);
+  }
+
+  /// Refuses a request that no endpoint ran, because a part of its prompt
+  /// crashes endpoints.
+  asio::awaitable<void> RefuseQuarantined(policy::QuarantinedPart part) {
+    this->context.metrics.quarantined.Add();
+    base::LogEvent("prompt_quarantined", {{"request", this->facts.request_id},
+                                          {"part", part.part.text}});
+    Refusal refusal{status::kUnavailable, kQuarantinedCode, {}};
+    refusal.retry_after = part.until - this->context.clock.wall();
+    co_await SendRefusal(this->context, this->exchange, this->facts.request_id,
+                         std::move(refusal));
+  }
+
+  /// Ends a request whose prompt was put in quarantine since it was admitted.
+  asio::awaitable<void> EndQuarantined(policy::QuarantinedPart part) {
+    if (this->response_started) {
+      this->AbortResponse(kQuarantinedCode);
+    } else if (this->attempts.may_have_run()) {
+      co_await this->Fail(status::kBadGateway, kQuarantinedCode);
+    } else {
+      this->context.quota.ReturnToken(this->organisation);
+      co_await this->RefuseQuarantined(std::move(part));
+    }
+  }
+
   /// Sends the request to the chosen endpoint and, on a route for streams,
   /// relays the response.
   asio::awaitable<EndpointResult> Send(const policy::EndpointChoice& choice) {
@@ -241,6 +279,9 @@
     auto result =
         co_await SendToEndpoint(this->context, choice.endpoint,
                                 policy::WorkKind::kOnline, std::move(call));
+    ReportRunEnd(this->context, this->facts.shared_parts,
+                 this->facts.request_id, choice.endpoint, result,
+                 this->attempt_events);
     co_return result;
   }
 
@@ -269,7 +310,7 @@
                               "an event of the stream is out of order");
       }
       bytes += event.bytes;
-      ++this->attempt_events;
+      this->CountEvent();
     }
     if (bytes.empty()) co_return base::Done{};
     if (!this->response_started) {
@@ -280,6 +321,11 @@
     co_return written;
   }
 
+  void CountEvent() {
+    if (this->attempt_events++ == 0)
+      ReportProgress(this->context, this->facts.shared_parts);
+  }
+
   /// Returns whether the event directly follows the one before, and if so
   /// records it as the last one. Events without an id are always accepted.
   bool AcceptEvent(const policy::StreamEvent& event) {
--- a/packages/gateway/src/serving/send_to_endpoint.cc
+++ b/packages/gateway/src/serving/send_to_endpoint.cc
@@ -63,6 +63,32 @@
   return text.substr(0, kMaxLoggedPartsBytes);
 }
 
+std::optional<policy::QuarantinedPart> FindQuarantinedPart(
+    const ServingContext& context, const std::vector<base::PromptPart>& parts) {
+  if (!context.prompts.find_quarantined) return std::nullopt;
+  return context.prompts.find_quarantined(parts);
+}
+
+void ReportProgress(const ServingContext& context,
+                    const std::vector<base::PromptPart>& parts) {
+  if (context.prompts.on_progress) context.prompts.on_progress(parts);
+}
+
+void ReportRunEnd(const ServingContext& context,
+                  const std::vector<base::PromptPart>& parts,
+                  const std::string& request_id,
+                  const policy::EndpointEntry& endpoint,
+                  const EndpointResult& result, std::uint64_t events) {
+  if (events > 0) return;  // Reported by its first event.
+  const bool is_answered =
+      result.outcome == CallOutcome::kComplete && result.head.status / 100 == 2;
+  if (is_answered) ReportProgress(context, parts);
+  const bool is_lost = result.outcome == CallOutcome::kClosed &&
+                       result.run != policy::RunState::kNotRun;
+  if (is_lost && context.prompts.on_lost)
+    context.prompts.on_lost(parts, request_id, endpoint);
+}
+
 boost::asio::awaitable<EndpointResult> SendToEndpoint(
     ServingContext& context, policy::EndpointEntry endpoint,
     policy::WorkKind kind, EndpointCall call) {
--- a/packages/gateway/src/serving/serving_daemon.cc
+++ b/packages/gateway/src/serving/serving_daemon.cc
@@ -18,6 +18,7 @@
 
 #include "gypsumtrack/base/event_log.h"
 #include "gypsumtrack/gateway/http_status.h"
+#include "gypsumtrack/gateway/serving/crash_service.h"
 #include "gypsumtrack/gateway/serving/gossip_service.h"
 #include "gypsumtrack/gateway/serving/job_service.h"
 #include "gypsumtrack/gateway/serving/relay_service.h"
@@ -135,6 +136,7 @@
         this->serving.executor, this->clock, this->fleet->self_daemon(),
         GossipOptions{}, std::move(hooks));
     this->jobs = std::make_unique<JobService>(this->serving, *this->fleet);
+    this->crashes = std::make_unique<CrashService>(this->serving, *this->fleet);
     this->AddGauges();
   }
 
@@ -152,6 +154,7 @@
     this->store_view.Start();
     this->fleet->Start();
     this->jobs->Start();
+    this->crashes->Start();
     asio::co_spawn(
         this->context, [this] { return this->RunPeriodicTasks(); },
         asio::detached);
@@ -476,6 +479,7 @@
   std::unique_ptr<FleetService> fleet;
   std::unique_ptr<GossipService> gossip;
   std::unique_ptr<JobService> jobs;
+  std::unique_ptr<CrashService> crashes;
   std::unique_ptr<HttpServer> caller_server;
   std::unique_ptr<HttpServer> readiness_server;
   std::unique_ptr<HttpServer> metrics_server;
--- a/packages/gateway/src/serving/store_layout.cc
+++ b/packages/gateway/src/serving/store_layout.cc
@@ -4,6 +4,8 @@
 
 #include <boost/json.hpp>
 
+#include "gypsumtrack/base/hash.h"
+
 namespace gypsumtrack::gateway::layout {
 namespace {
 
@@ -221,6 +223,49 @@
   return range;
 }
 
+std::string CrashReportRowKey(const policy::CrashReportKey& key) {
+  return fmt::format("{:016x}/{}", base::Hash64(key.part.text), key.daemon);
+}
+
+std::string SerializeCrashReport(const policy::CrashReport& report) {
+  json::array runs;
+  for (const auto& run : report.runs) {
+    runs.push_back(json::object{{"endpoint", run.endpoint.text},
+                                {"incarnation", run.incarnation},
+                                {"request", run.request_id}});
+  }
+  return json::serialize(json::object{
+      {"part", report.key.part.text},
+      {"vm", report.key.daemon},
+      {"last_crash", report.last_crash_at.time_since_epoch().count()},
+      {"runs", std::move(runs)}});
+}
+
+base::Outcome<policy::CrashReport> ParseCrashReport(std::string_view value) {
+  const auto object = ParseObject(value);
+  const auto part = StringField(object, "part");
+  const auto daemon = StringField(object, "vm");
+  const auto last_crash = NumberField(object, "last_crash");
+  const auto* runs = object.if_contains("runs");
+  const bool has_runs = runs != nullptr && runs->is_array();
+  if (!part || !daemon || !last_crash || !has_runs)
+    return MalformedRow("crash");
+  policy::CrashReport report;
+  report.key = {base::PromptPart(*part), *daemon};
+  report.last_crash_at = base::WallTime(
+      std::chrono::milliseconds(static_cast<std::int64_t>(*last_crash)));
+  for (const auto& element : runs->as_array()) {
+    if (!element.is_object()) return MalformedRow("crash");
+    const auto& fields = element.as_object();
+    const auto endpoint = StringField(fields, "endpoint");
+    const auto incarnation = NumberField(fields, "incarnation");
+    const auto request = StringField(fields, "request");
+    if (!endpoint || !incarnation || !request) return MalformedRow("crash");
+    report.runs.insert({base::EndpointId(*endpoint), *incarnation, *request});
+  }
+  return report;
+}
+
 std::string SubmissionObjectName(const base::Organisation& organisation,
                                  const base::JobId& job) {
   return fmt::format("job.{}.{}", organisation.text, job.text);
--- a/packages/policy/include/gypsumtrack/policy/serving/job_run.h
+++ b/packages/policy/include/gypsumtrack/policy/serving/job_run.h
@@ -2,6 +2,7 @@
 #define GYPSUMTRACK_POLICY_SERVING_JOB_RUN_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -112,8 +113,10 @@
   // Commands.
 
   /// Selects the next item to run and marks it as running. None if no item can
-  /// start now.
-  std::optional<ItemRunStart> StartNextItem(base::Instant now);
+  /// start now. `may_start`, if set, tells whether the item at an index may.
+  std::optional<ItemRunStart> StartNextItem(
+      base::Instant now,
+      const std::function<bool(std::size_t index)>& may_start = {});
   /// Appends an event to a running item. Returns false if the item isn't
   /// running or the event doesn't follow the one before it; the run must then
   /// be aborted.
--- a/packages/policy/src/serving/job_run.cc
+++ b/packages/policy/src/serving/job_run.cc
@@ -26,12 +26,15 @@
   }
 }
 
-std::optional<ItemRunStart> JobRun::StartNextItem(base::Instant now) {
+std::optional<ItemRunStart> JobRun::StartNextItem(
+    base::Instant now,
+    const std::function<bool(std::size_t index)>& may_start) {
   // Start with the item that has the most output: part of its work is done.
   std::optional<std::size_t> chosen;
   for (std::size_t i = 0; i < this->progress.size(); ++i) {
     const auto& each = this->progress[i];
     if (each.state != State::kWaiting || now < each.not_before) continue;
+    if (may_start && !may_start(i)) continue;
     if (!chosen || each.text.size() > this->progress[*chosen].text.size()) {
       chosen = i;
     }
--- /dev/null
+++ b/packages/policy/test/serving/prompt_quarantine_test.cc
@@ -0,0 +1,345 @@
+#include "gypsumtrack/policy/serving/prompt_quarantine.h"
+
+#include <catch2/catch.hpp>
+#include <memory>
+#include <random>
+
+namespace gypsumtrack::policy {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+using Parts = std::vector<base::PromptPart>;
+
+const base::Instant kStart(seconds(10));
+const base::WallTime kWall(minutes(1'000'000));
+const base::PromptPart kCommon("c0");
+const base::PromptPart kBad("bad");
+
+CrashedRun Run(const std::string& endpoint, const std::string& request) {
+  return {base::EndpointId(endpoint), 1, request};
+}
+
+/// The store's reports, as all daemons read them.
+class ReportTable {
+ public:
+  void Write(PromptQuarantine& daemon) {
+    for (auto& report : daemon.TakeChangedReports()) {
+      this->rows[report.key] = {report, ++this->version};
+      for (auto* reader : this->readers)
+        reader->ApplyReport(report, this->version);
+    }
+  }
+
+  void Remove(PromptQuarantine& daemon, bool collects_all, base::Instant now,
+              base::WallTime wall) {
+    for (const auto& [key, row_version] :
+         daemon.TakeReportsToRemove(collects_all, now, wall)) {
+      const auto found = this->rows.find(key);
+      if (found == this->rows.end() || found->second.second != row_version)
+        continue;
+      this->rows.erase(found);
+      for (auto* reader : this->readers) reader->ApplyRemoval(key);
+    }
+  }
+
+  std::vector<PromptQuarantine*> readers;
+  std::map<CrashReportKey, std::pair<CrashReport, std::uint64_t>> rows;
+  std::uint64_t version = 0;
+};
+
+TEST_CASE("a part that crashes several endpoints is put in quarantine") {
+  PromptQuarantine first("vm-1", {});
+  PromptQuarantine second("vm-2", {});
+  ReportTable table;
+  table.readers = {&first, &second};
+  const auto crash = [&](PromptQuarantine& daemon, const std::string& endpoint,
+                         const std::string& request) {
+    daemon.OnCrash({kCommon, kBad}, Run(endpoint, request), kWall, kStart);
+    table.Write(daemon);
+  };
+  crash(first, "e-1", "r-1");
+  crash(first, "e-2", "r-1");
+  SECTION("not by one request alone, which may only have been near crashes") {
+    crash(first, "e-3", "r-1");
+    CHECK_FALSE(first.Find({kBad}, kWall));
+  }
+  SECTION("not by two crashes") {
+    crash(second, "e-2", "r-2");
+    CHECK_FALSE(second.Find({kBad}, kWall));
+  }
+  SECTION("once other daemons have seen the rest") {
+    crash(second, "e-3", "r-2");
+    CHECK(first.Find({kBad}, kWall)->part == kBad);
+    CHECK(second.Find({kCommon, kBad}, kWall));
+    SECTION("until some time after the last crash") {
+      CHECK(first.Find({kBad}, kWall)->until == kWall + minutes(10));
+      CHECK(first.Find({kBad}, kWall + minutes(9)));
+      CHECK_FALSE(first.Find({kBad}, kWall + minutes(10)));
+    }
+    SECTION("and its other parts are cleared by a request that is answered") {
+      second.OnProgress({kCommon}, kStart, 0);
+      table.Remove(second, false, kStart, kWall);
+      CHECK_FALSE(first.Find({kCommon}, kWall));
+      CHECK_FALSE(second.Find({kCommon}, kWall));
+      CHECK(first.Find({kCommon, kBad}, kWall)->part == kBad);
+    }
+    SECTION("also at a daemon that starts later") {
+      PromptQuarantine third("vm-3", {});
+      for (const auto& [key, row] : table.rows)
+        third.ApplyReport(row.first, row.second);
+      CHECK(third.Find({kBad}, kWall));
+    }
+    SECTION("also if a daemon reads all reports again") {
+      first.ForgetReports();
+      for (const auto& [key, row] : table.rows)
+        first.ApplyReport(row.first, row.second);
+      CHECK(first.Find({kBad}, kWall));
+    }
+  }
+  SECTION("at the daemon that saw them even without the store") {
+    first.OnCrash({kBad}, Run("e-3", "r-2"), kWall, kStart);
+    CHECK(first.Find({kBad}, kWall));
+    CHECK_FALSE(second.Find({kBad}, kWall));
+  }
+}
+
+TEST_CASE("reports that no longer matter leave the store") {
+  PromptQuarantine first("vm-1", {});
+  PromptQuarantine second("vm-2", {});
+  ReportTable table;
+  table.readers = {&first, &second};
+  first.OnCrash({kBad}, Run("e-1", "r-1"), kWall, kStart);
+  table.Write(first);
+  REQUIRE(table.rows.size() == 1);
+  SECTION("when the part has made progress elsewhere") {
+    second.OnProgress({kBad}, kStart, 0);
+    table.Remove(second, false, kStart, kWall);
+    CHECK(table.rows.empty());
+    SECTION("and what they said isn't reported again") {
+      table.Write(first);
+      CHECK(table.rows.empty());
+      CHECK_FALSE(first.has_pending_reports());
+      CHECK_FALSE(second.has_pending_reports());
+    }
+  }
+  SECTION("but not at once at every daemon, by the random number") {
+    second.OnProgress({kBad}, kStart, 300'000);
+    table.Remove(second, false, kStart + milliseconds(299), kWall);
+    CHECK(table.rows.size() == 1);
+    table.Remove(second, false, kStart + milliseconds(300), kWall);
+    CHECK(table.rows.empty());
+  }
+  SECTION("when they have expired, removed by their daemon") {
+    table.Remove(second, false, kStart, kWall + minutes(11));
+    CHECK(table.rows.size() == 1);
+    table.Remove(first, false, kStart, kWall + minutes(11));
+    CHECK(table.rows.empty());
+  }
+  SECTION("when they have expired, removed by the collector") {
+    table.Remove(second, true, kStart, kWall + minutes(11));
+    CHECK(table.rows.empty());
+  }
+  SECTION("not while a write of one has failed") {
+    first.OnCrash({kBad}, Run("e-2", "r-2"), kWall, kStart);
+    const auto reports = first.TakeChangedReports();
+    CHECK_FALSE(first.has_pending_reports());
+    first.OnWriteFailed(reports);
+    CHECK(first.has_pending_reports());
+  }
+}
+
+TEST_CASE("a part that just made progress isn't reported") {
+  PromptQuarantine daemon("vm-1", {});
+  daemon.OnProgress({kCommon}, kStart, 0);
+  daemon.OnCrash({kCommon}, Run("e-1", "r-1"), kWall, kStart + seconds(1));
+  CHECK(daemon.TakeChangedReports().empty());
+  daemon.OnCrash({kCommon}, Run("e-1", "r-1"), kWall, kStart + seconds(3));
+  CHECK(daemon.TakeChangedReports().size() == 1);
+}
+
+/// Endpoints that crash when they begin to write an answer on kBad, before
+/// daemons that choose among them at random. Time advances in steps.
+class CrashingFleet {
+ public:
+  static constexpr int kDaemons = 12;
+  static constexpr int kEndpoints = 18;
+  static constexpr base::Duration kStep = milliseconds(10);
+  static constexpr base::Duration kFirstEvent = milliseconds(60);
+  static constexpr base::Duration kCrashAfter = milliseconds(100);
+  static constexpr base::Duration kAnswer = milliseconds(600);
+  static constexpr base::Duration kRestart = seconds(3);
+  /// From the write of a report until all daemons have read it.
+  static constexpr base::Duration kReportDelay = milliseconds(60);
+  static constexpr int kAttempts = 2;
+
+  explicit CrashingFleet(unsigned seed) : random(seed) {
+    for (int i = 0; i < kDaemons; ++i) {
+      this->daemons.push_back(std::make_unique<PromptQuarantine>(
+          "vm-" + std::to_string(i), PromptQuarantineOptions{}));
+      this->table.readers.push_back(this->daemons.back().get());
+    }
+    this->endpoints.resize(kEndpoints);
+  }
+
+  /// Plays sound requests at 80 a second, of which some have a part that few
+  /// have, and bad ones at `bad_rate`.
+  void Play(base::Duration duration, double bad_rate) {
+    const auto until = this->now + duration;
+    while (this->now < until) {
+      this->now += kStep;
+      this->EndRuns();
+      this->ExchangeReports();
+      if (this->Chance(80)) this->Send(this->SoundParts());
+      if (this->Chance(bad_rate)) this->Send({kCommon, kBad});
+    }
+  }
+
+  int crashes = 0;
+  /// Bad requests that reached an endpoint after the last call of Play began.
+  int bad_sent = 0;
+  int sound_sent = 0;
+  int sound_refused = 0;
+
+ private:
+  struct Active {
+    Parts parts;
+    std::string request;
+    std::size_t daemon = 0;
+    int attempt = 0;
+    base::Instant started{};
+    bool has_event = false;
+  };
+  struct Endpoint {
+    std::uint64_t incarnation = 1;
+    base::Instant back_at{};
+    std::vector<Active> runs;
+  };
+
+  bool Chance(double rate_per_second) {
+    const double step_seconds = std::chrono::duration<double>(kStep).count();
+    return std::uniform_real_distribution<>(0, 1)(this->random) <
+           rate_per_second * step_seconds;
+  }
+
+  Parts SoundParts() {
+    Parts parts{base::PromptPart("c" + std::to_string(this->random() % 3))};
+    if (this->random() % 4 == 0) {
+      parts.emplace_back("rare" + std::to_string(this->random() % 40));
+    }
+    return parts;
+  }
+
+  base::WallTime Wall() const {
+    return kWall + std::chrono::duration_cast<milliseconds>(
+                       this->now.time_since_epoch());
+  }
+
+  void Send(Parts parts) {
+    Active run{std::move(parts), "r-" + std::to_string(++this->request_count),
+               this->random() % kDaemons};
+    if (run.parts.back() != kBad) ++this->sound_sent;
+    this->Attempt(std::move(run));
+  }
+
+  void Attempt(Active run) {
+    const bool is_bad = run.parts.back() == kBad;
+    if (this->daemons[run.daemon]->Find(run.parts, this->Wall())) {
+      if (!is_bad) ++this->sound_refused;
+      return;
+    }
+    std::vector<std::size_t> live;
+    for (std::size_t i = 0; i < this->endpoints.size(); ++i) {
+      if (this->endpoints[i].back_at <= this->now) live.push_back(i);
+    }
+    if (live.empty()) return;
+    if (is_bad) ++this->bad_sent;
+    ++run.attempt;
+    run.started = this->now;
+    run.has_event = false;
+    this->endpoints[live[this->random() % live.size()]].runs.push_back(
+        std::move(run));
+  }
+
+  void EndRuns() {
+    std::vector<Active> retries;
+    for (std::size_t i = 0; i < this->endpoints.size(); ++i) {
+      auto& endpoint = this->endpoints[i];
+      bool crashes_now = false;
+      std::erase_if(endpoint.runs, [&](Active& run) {
+        const auto age = this->now - run.started;
+        const bool is_bad = run.parts.back() == kBad;
+        crashes_now = crashes_now || (is_bad && age >= kCrashAfter);
+        if (!is_bad && !run.has_event && age >= kFirstEvent) {
+          run.has_event = true;
+          this->daemons[run.daemon]->OnProgress(run.parts, this->now,
+                                                this->random());
+        }
+        return !is_bad && age >= kAnswer;
+      });
+      if (crashes_now) this->Crash(i, retries);
+    }
+    for (auto& run : retries) this->Attempt(std::move(run));
+  }
+
+  void Crash(std::size_t index, std::vector<Active>& retries) {
+    auto& endpoint = this->endpoints[index];
+    ++this->crashes;
+    const CrashedRun crash{base::EndpointId("e-" + std::to_string(index)),
+                           endpoint.incarnation, ""};
+    for (auto& run : std::exchange(endpoint.runs, {})) {
+      auto crashed_run = crash;
+      crashed_run.request_id = run.request;
+      if (!run.has_event) {
+        this->daemons[run.daemon]->OnCrash(run.parts, crashed_run, this->Wall(),
+                                           this->now);
+      }
+      if (run.attempt < kAttempts) retries.push_back(std::move(run));
+    }
+    ++endpoint.incarnation;
+    endpoint.back_at = this->now + kRestart;
+  }
+
+  void ExchangeReports() {
+    if (this->now < this->exchange_at) return;
+    this->exchange_at = this->now + kReportDelay;
+    for (const auto& daemon : this->daemons) {
+      this->table.Write(*daemon);
+      this->table.Remove(*daemon, false, this->now, this->Wall());
+    }
+  }
+
+  std::mt19937 random;
+  base::Instant now = kStart;
+  base::Instant exchange_at{};
+  ReportTable table;
+  std::vector<std::unique_ptr<PromptQuarantine>> daemons;
+  std::vector<Endpoint> endpoints;
+  int request_count = 0;
+};
+
+// Load pattern: a few requests a second, no two alike and at any daemon, have a
+// part that crashes the endpoint, which runs sound requests beside.
+TEST_CASE("one part of prompts that crashes endpoints costs few of them") {
+  for (unsigned seed = 1; seed <= 20; ++seed) {
+    CrashingFleet fleet(seed);
+    fleet.Play(seconds(5), 0);
+    REQUIRE(fleet.crashes == 0);
+    fleet.Play(seconds(10), 6);
+    INFO("seed " << seed << ", " << fleet.crashes << " crashes");
+    CHECK(fleet.crashes >= 3);
+    CHECK(fleet.crashes < CrashingFleet::kEndpoints);
+    const auto sound_before = fleet.sound_sent;
+    fleet.bad_sent = 0;
+    fleet.sound_refused = 0;
+    fleet.Play(seconds(60), 6);
+    CHECK(fleet.bad_sent == 0);
+    CHECK(fleet.sound_sent > sound_before);
+    CHECK(fleet.sound_refused == 0);
+  }
+}
+
+}  // namespace
+}  // namespace gypsumtrack::policy
