Test the exchange of crash reports over a shared store

Two daemons before one store: they add up their crashes, a run that gets an event clears a part everywhere, a daemon that starts later reads the reports, an endpoint that still listens counts as no crash, and reports of an outage are written after it. The fixture of the job test's daemon serves both.

--- /dev/null
+++ b/packages/gateway/test/serving/crash_service_test.cc
@@ -0,0 +1,152 @@
+#include "gypsumtrack/gateway/serving/crash_service.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "gypsumtrack/gateway/serving/store_layout.h"
+#include "gypsumtrack/testing/memory_row_store.h"
+#include "serving_fixture.h"
+
+namespace gypsumtrack::gateway {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using Parts = std::vector<base::PromptPart>;
+
+const Parts kParts{base::PromptPart("common"), base::PromptPart("bad")};
+const Parts kCommon{base::PromptPart("common")};
+
+/// Two daemons that share a store, and endpoints of which only the port
+/// matters.
+class CrashServiceFixture {
+ public:
+  CrashServiceFixture()
+      : store(this->rows.Client()),
+        first(this->store, "vm-1", {}),
+        second(this->store, "vm-2", {}),
+        first_crashes(this->first.serving, this->first.fleet),
+        second_crashes(this->second.serving, this->second.fleet) {
+    this->first_crashes.Start();
+    this->second_crashes.Start();
+  }
+
+  /// A run at the daemon is lost before its first event.
+  static void LoseRun(ServingFixture& daemon, const std::string& request,
+                      const std::string& endpoint, const std::string& address) {
+    policy::EndpointEntry entry;
+    entry.id = base::EndpointId(endpoint);
+    entry.incarnation = 1;
+    entry.address = address;
+    daemon.serving.prompts.on_lost(kParts, request, entry);
+  }
+
+  /// The address of a port on which nothing listens.
+  std::string ClosedAddress() {
+    tcp::acceptor acceptor(this->first.context,
+                           {asio::ip::make_address("127.0.0.1"), 0});
+    return AddressOf(acceptor);
+  }
+
+  static std::string AddressOf(const tcp::acceptor& acceptor) {
+    return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+  }
+
+  static bool IsQuarantined(const ServingFixture& daemon, const Parts& parts) {
+    return daemon.serving.prompts.find_quarantined(parts).has_value();
+  }
+
+  std::size_t CountReports() const {
+    return this->rows.Table(layout::kCrashTable).size();
+  }
+
+  /// Runs both daemons until the condition holds.
+  void RunUntil(const std::function<bool()>& condition) {
+    this->first.RunUntil([&] {
+      this->second.Poll();
+      return condition();
+    });
+  }
+
+  testing::MemoryRowStore rows;
+  base::RowStore store;
+  ServingFixture first;
+  ServingFixture second;
+  CrashService first_crashes;
+  CrashService second_crashes;
+};
+
+TEST_CASE("daemons add up the crashes that each of them has seen") {
+  CrashServiceFixture fixture;
+  const auto closed = fixture.ClosedAddress();
+  CrashServiceFixture::LoseRun(fixture.first, "r-1", "e-1", closed);
+  CrashServiceFixture::LoseRun(fixture.first, "r-1", "e-2", closed);
+  CrashServiceFixture::LoseRun(fixture.second, "r-2", "e-3", closed);
+  fixture.RunUntil([&] {
+    return CrashServiceFixture::IsQuarantined(fixture.first, kParts) &&
+           CrashServiceFixture::IsQuarantined(fixture.second, kParts);
+  });
+  SECTION("and clear a part as soon as a run with it gets an event") {
+    fixture.second.serving.prompts.on_progress(kCommon);
+    fixture.RunUntil([&] {
+      return !CrashServiceFixture::IsQuarantined(fixture.first, kCommon) &&
+             !CrashServiceFixture::IsQuarantined(fixture.second, kCommon);
+    });
+    CHECK(fixture.CountReports() == 2);
+    CHECK(CrashServiceFixture::IsQuarantined(fixture.first, kParts));
+  }
+  SECTION("a daemon that starts later reads them") {
+    ServingFixture third(fixture.store, "vm-3", {});
+    CrashService crashes(third.serving, third.fleet);
+    crashes.Start();
+    third.RunUntil(
+        [&] { return CrashServiceFixture::IsQuarantined(third, kParts); });
+  }
+}
+
+TEST_CASE("a lost run whose endpoint still listens isn't a crash") {
+  CrashServiceFixture fixture;
+  tcp::acceptor alive(fixture.first.context,
+                      {asio::ip::make_address("127.0.0.1"), 0});
+  const auto alive_address = CrashServiceFixture::AddressOf(alive);
+  CrashServiceFixture::LoseRun(fixture.first, "r-1", "e-1", alive_address);
+  // The report on a crash that came later shows that the first was looked at.
+  CrashServiceFixture::LoseRun(fixture.first, "r-2", "e-2",
+                               fixture.ClosedAddress());
+  fixture.RunUntil([&] { return fixture.CountReports() == 2; });
+  for (const auto& row : fixture.rows.Table(layout::kCrashTable)) {
+    const auto report = layout::ParseCrashReport(row.value);
+    REQUIRE(report.ok());
+    REQUIRE(report->runs.size() == 1);
+    CHECK(report->runs.begin()->endpoint.text == "e-2");
+  }
+}
+
+TEST_CASE("reports are written once the store is reachable again") {
+  CrashServiceFixture fixture;
+  fixture.rows.SetFaults({.down = true});
+  const auto closed = fixture.ClosedAddress();
+  CrashServiceFixture::LoseRun(fixture.first, "r-1", "e-1", closed);
+  CrashServiceFixture::LoseRun(fixture.first, "r-2", "e-2", closed);
+  CrashServiceFixture::LoseRun(fixture.first, "r-2", "e-3", closed);
+  fixture.RunUntil([&] {
+    return CrashServiceFixture::IsQuarantined(fixture.first, kParts);
+  });
+  CHECK(fixture.CountReports() == 0);
+  fixture.rows.SetFaults({});
+  fixture.RunUntil([&] {
+    return CrashServiceFixture::IsQuarantined(fixture.second, kParts);
+  });
+}
+
+TEST_CASE("a report that can't be read does no harm") {
+  CHECK_FALSE(layout::ParseCrashReport("").ok());
+  CHECK_FALSE(layout::ParseCrashReport(R"({"part":"a","vm":"b"})").ok());
+  CHECK_FALSE(layout::ParseCrashReport(
+                  R"({"part":"a","vm":"b","last_crash":1,"runs":[1]})")
+                  .ok());
+}
+
+}  // namespace
+}  // namespace gypsumtrack::gateway
--- a/packages/gateway/test/serving/job_service_test.cc
+++ b/packages/gateway/test/serving/job_service_test.cc
@@ -1,6 +1,5 @@
 #include "gypsumtrack/gateway/serving/job_service.h"
 
-#include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
 #include <functional>
 #include <optional>
@@ -12,6 +11,7 @@
 #include "gypsumtrack/gateway/serving/store_layout.h"
 #include "gypsumtrack/testing/memory_row_store.h"
 #include "run_coroutine.h"
+#include "serving_fixture.h"
 
 namespace gypsumtrack::gateway {
 namespace {
@@ -50,52 +50,24 @@
   std::uint64_t followed_version = 0;
 };
 
-/// One daemon and its store, in real time.
+/// One daemon and its store.
 class JobServiceFixture {
  public:
   JobServiceFixture()
       : store(this->rows.Client()),
-        store_view(this->context.get_executor(), this->clock,
-                   this->store.client, {}, [] {}),
-        client(this->context.get_executor(), this->clock, {}),
-        serving{.settings = {},
-                .self = {"vm-1", 1},
-                .wire = MakeWire(),
-                .clock = this->clock,
-                .executor = this->context.get_executor(),
-                .store = this->store.client,
-                .store_view = this->store_view,
-                .client = this->client,
-                .registry = this->registry,
-                .metrics = ServingMetrics(this->registry),
-                .endpoints = policy::EndpointRegistry({}),
-                .quota = policy::FleetQuota({}),
-                .batch_starts = policy::BatchStartLimiter({}),
-                .random = std::minstd_rand(1)},
-        fleet(this->context.get_executor(), this->clock, this->store.client,
-              Settings(), this->serving.self,
-              [](const std::vector<PeerDaemon>&) {}),
-        jobs(this->serving, this->fleet) {}
+        daemon(this->store.client, "vm-1", MakeWire()),
+        jobs(this->daemon.serving, this->daemon.fleet) {}
 
   /// Starts the daemon and runs it until it may take jobs over.
   void Start() {
-    this->fleet.Start();
+    this->daemon.fleet.Start();
     this->jobs.Start();
-    this->RunUntil([this] { return this->fleet.HoldsLease(); });
-  }
-
-  void RunUntil(const std::function<bool()>& condition) {
-    while (!condition()) {
-      this->context.restart();
-      this->context.run_for(std::chrono::milliseconds(10));
-    }
+    this->daemon.RunUntil([this] { return this->daemon.fleet.HoldsLease(); });
   }
 
   /// Another daemon accepts a job of one item and leaves without running it.
   void AcceptElsewhere() {
-    SubmittedItem item;
-    item.id = "a";
-    item.tokens = 100;
+    const auto item = Item();
     const auto acceptance =
         RunCoroutine(AcceptJob(this->Other(), kKey, "sheets", {item}, "body", 0,
                                base::kNever, [] { return true; }));
@@ -108,9 +80,12 @@
     REQUIRE(RunCoroutine(HandOver(this->Other(), job)));
   }
 
-  /// Another daemon ends the job for its caller.
-  void EndElsewhere() {
-    REQUIRE(RunCoroutine(EndJob(this->Other(), kKey, base::kNever)).ok());
+  /// Another daemon ends the job for its caller. Returns the store's version in
+  /// which it has ended.
+  std::uint64_t EndElsewhere() {
+    const auto ended = RunCoroutine(EndJob(this->Other(), kKey, base::kNever));
+    REQUIRE(ended.ok());
+    return this->StoreVersion();
   }
 
   std::optional<base::VersionedRow> OwnerRow() const {
@@ -118,46 +93,37 @@
         {layout::kOwnerTable, kKey.organisation.text, kKey.job.text});
   }
 
-  /// The store's version after the last change.
-  std::uint64_t StoreVersion() {
-    base::RowRange range;
-    range.table = layout::kOwnerTable;
-    return RunCoroutine(ReadRows(this->store.inner, range, base::kNever))
-        ->store_version;
-  }
-
   testing::MemoryRowStore rows;
   DelayingClient store;
-  base::Clock clock = base::SystemClock();
-  boost::asio::io_context context;
-  telemetry::Registry registry;
-  StoreViewService store_view;
-  EndpointClient client;
-  ServingContext serving;
-  FleetService fleet;
+  ServingFixture daemon;
   JobService jobs;
 
  private:
-  static ServingSettings Settings() {
-    ServingSettings settings;
-    settings.vm_name = "vm-1";
-    settings.location = {base::FailureDomain("cairo"), base::Region("delta")};
-    settings.gossip_listen = "127.0.0.1:7360";
-    return settings;
+  static SubmittedItem Item() {
+    SubmittedItem item;
+    item.id = "a";
+    item.tokens = 100;
+    return item;
   }
 
   static Wire MakeWire() {
     Wire wire;
     wire.read_submission = [](std::string_view) {
-      SubmittedItem item;
-      item.id = "a";
-      item.tokens = 100;
-      return base::Outcome<std::vector<SubmittedItem>>({item});
+      return base::Outcome<std::vector<SubmittedItem>>({Item()});
     };
     return wire;
   }
 
-  JobStore Other() { return {this->store.inner, this->clock, {"vm-2", 1}}; }
+  std::uint64_t StoreVersion() {
+    base::RowRange range;
+    range.table = layout::kOwnerTable;
+    return RunCoroutine(ReadRows(this->store.inner, range, base::kNever))
+        ->store_version;
+  }
+
+  JobStore Other() {
+    return {this->store.inner, this->daemon.clock, {"vm-2", 1}};
+  }
 };
 
 /// Another daemon has accepted the job and left. This one has taken it over
@@ -168,33 +134,33 @@
     this->AcceptElsewhere();
     this->store.delayed_table = layout::kPartialTable;
     this->Start();
-    this->RunUntil([this] { return this->store.delayed_read != nullptr; });
+    this->daemon.RunUntil(
+        [this] { return this->store.delayed_read != nullptr; });
     REQUIRE(layout::ParseOwner(this->OwnerRow()->value)->name == "vm-1");
   }
 
   /// Carries out the read and what follows from it.
   void FinishTakeover() {
     this->store.delayed_read();
-    this->context.restart();
-    this->context.poll();
+    this->daemon.Poll();
   }
 };
 
 TEST_CASE("a job whose owner left is taken over and run") {
-  TakeoverFixture daemon;
-  daemon.FinishTakeover();
-  CHECK(daemon.jobs.CountWaitingItems() == 1);
+  TakeoverFixture takeover;
+  takeover.FinishTakeover();
+  CHECK(takeover.jobs.CountWaitingItems() == 1);
 }
 
 // Guards against items that reach endpoints after the end of their job was
 // acknowledged, because a daemon took the job over while it was being ended.
-TEST_CASE("a job that ends while it is taken over isn't run", ) {
-  TakeoverFixture daemon;
-  daemon.EndElsewhere();
-  const auto end_version = daemon.StoreVersion();
-  daemon.RunUntil([&] { return daemon.store.followed_version >= end_version; });
-  daemon.FinishTakeover();
-  CHECK(daemon.jobs.CountWaitingItems() == 0);
+TEST_CASE("a job that ends while it is taken over isn't run") {
+  TakeoverFixture takeover;
+  const auto end_version = takeover.EndElsewhere();
+  takeover.daemon.RunUntil(
+      [&] { return takeover.store.followed_version >= end_version; });
+  takeover.FinishTakeover();
+  CHECK(takeover.jobs.CountWaitingItems() == 0);
 }
 
 }  // namespace
