Drop a job when saving its partial output shows another owner

While items of a job run, their partial output is saved every 2 s by a transaction that expects the owner row. That it wasn't applied, because the job had ended or had another owner, was ignored: SavePartials returned one bool for that and for a store that doesn't answer. The job was dropped only when the feed of the owner rows or the first commit of a result said so.

SavePartials now returns a CommitOutcome, as CommitResults does, and the runner drops the job on kNotOwner: its items are cancelled and no others start. A call whose response is lost, or a store that is down, drops nothing. A job that was dropped while the call was on its way is left alone, since its key may name a later run by then.

--- a/packages/gateway/src/serving/job_runner.cc
+++ b/packages/gateway/src/serving/job_runner.cc
@@ -146,9 +146,17 @@
 asio::awaitable<void> JobRunner::SaveLoop() {
   while (!this->stopped) {
     co_await Pause(kSavePeriod);
-    for (const auto& job : this->Jobs()) {
-      if (job->running.empty() || job->dropped || this->stopped) continue;
-      co_await SavePartials(this->store, *job);
+    co_await this->SavePartialOutput();
+  }
+}
+
+asio::awaitable<void> JobRunner::SavePartialOutput() {
+  for (const auto& job : this->Jobs()) {
+    if (job->running.empty() || job->dropped || this->stopped) continue;
+    const auto outcome = co_await SavePartials(this->store, *job);
+    // If the job was dropped meanwhile, the key may refer to a later run of it.
+    if (outcome == CommitOutcome::kNotOwner && !job->dropped) {
+      this->Drop(job->key, "owned_elsewhere_or_ended");
     }
   }
 }
--- a/packages/gateway/src/serving/job_runner.h
+++ b/packages/gateway/src/serving/job_runner.h
@@ -38,6 +38,10 @@
   void AbortRunningItems();
   /// Ends the background loops and starts no more commits.
   void Stop();
+  /// Saves the partial output of all running items in the store, so that a new
+  /// owner can resume them, and drops the jobs that this daemon no longer owns.
+  /// Called by a background loop.
+  boost::asio::awaitable<void> SavePartialOutput();
 
   // Queries.
 
--- a/packages/gateway/src/serving/job_store.cc
+++ b/packages/gateway/src/serving/job_store.cc
@@ -373,14 +373,17 @@
   co_return reply.ok() && reply->applied;
 }
 
-asio::awaitable<bool> SavePartials(const JobStore& store, const OwnedJob& job) {
+asio::awaitable<CommitOutcome> SavePartials(const JobStore& store,
+                                            const OwnedJob& job) {
   base::RowTransaction save;
   save.expectations.push_back(
       {JobRowKey(layout::kOwnerTable, job.key), job.owner_version});
   AddPartials(store, job, save);
   const auto reply = co_await Transact(store.store, std::move(save),
                                        store.clock.now() + kCallTimeout);
-  co_return reply.ok() && reply->applied;
+  if (!reply.ok()) co_return CommitOutcome::kRetry;
+  co_return reply->applied ? CommitOutcome::kCommitted
+                           : CommitOutcome::kNotOwner;
 }
 
 asio::awaitable<base::Outcome<std::string>> ReadSubmission(
--- a/packages/gateway/src/serving/job_store.h
+++ b/packages/gateway/src/serving/job_store.h
@@ -98,9 +98,9 @@
                                       const OwnedJob& job);
 
 /// Saves the partial output of the job's items, so that a new owner can resume
-/// them if this daemon is lost. Returns whether the store confirmed it.
-boost::asio::awaitable<bool> SavePartials(const JobStore& store,
-                                          const OwnedJob& job);
+/// them if this daemon is lost.
+boost::asio::awaitable<CommitOutcome> SavePartials(const JobStore& store,
+                                                   const OwnedJob& job);
 
 /// What a new owner needs to run a job.
 struct LoadedJob {
--- a/packages/gateway/test/serving/job_store_test.cc
+++ b/packages/gateway/test/serving/job_store_test.cc
@@ -233,14 +233,23 @@
     CHECK(loaded->partials[0].text == "half");
   }
   SECTION("saved periodically by an owner that is lost") {
-    CHECK(RunCoroutine(SavePartials(fixture.first_daemon, *job)));
+    CHECK(RunCoroutine(SavePartials(fixture.first_daemon, *job)) ==
+          CommitOutcome::kCommitted);
     CHECK(load()->partials.size() == 1);
   }
   SECTION("a daemon that no longer owns the job can't save it") {
     RunCoroutine(TakeOver(fixture.second_daemon, kKey, job->owner_version));
-    CHECK_FALSE(RunCoroutine(SavePartials(fixture.first_daemon, *job)));
+    CHECK(RunCoroutine(SavePartials(fixture.first_daemon, *job)) ==
+          CommitOutcome::kNotOwner);
     CHECK_FALSE(RunCoroutine(HandOver(fixture.first_daemon, *job)));
   }
+  SECTION("a daemon that the store doesn't answer saves it the next time") {
+    fixture.rows.SetFaults({.lose_answers = 1});
+    CHECK(RunCoroutine(SavePartials(fixture.first_daemon, *job)) ==
+          CommitOutcome::kRetry);
+    CHECK(RunCoroutine(SavePartials(fixture.first_daemon, *job)) ==
+          CommitOutcome::kCommitted);
+  }
   SECTION("a finished job leaves only its job row and results") {
     JobStoreFixture::RunItems(*job, 2);
     job->run.OnRunEnd(start->index, policy::ItemRunOutcome::kComplete,
