Show that a refused second attempt hides that the first was sent

HttpPool sends a call again if a reused connection gives no response. If the server refuses that second attempt (429, 503, 507), the pool returns the refusal, and the store's client reports that nothing was done; the first attempt may have been carried out, or may be later.

Sequence for a batch job: the store carries the acceptance out and its response is lost; it turns the daemon away with 503 from then on; the daemon answers 503 to the caller, which promises that no part of the job runs, and the job runs once its owner row is read. The project's own interface maps such commits alike.

--- a/packages/platform/test/http_pool_test.cc
+++ b/packages/platform/test/http_pool_test.cc
@@ -105,5 +105,104 @@
   CHECK_FALSE(reply.ok());
 }
 
+/// Reads requests of two calls. It answers the first one on a connection that
+/// stays open, reads the second one there and closes the connection without a
+/// response, then answers the attempt on a new connection with `status`.
+class ForgetfulServer {
+ public:
+  explicit ForgetfulServer(std::string status)
+      : acceptor(this->context,
+                 tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
+        thread([this, status = std::move(status)] { this->Serve(status); }) {}
+  ~ForgetfulServer() { this->thread.join(); }
+  ForgetfulServer(const ForgetfulServer&) = delete;
+  ForgetfulServer& operator=(const ForgetfulServer&) = delete;
+
+  std::string Address() const {
+    return "127.0.0.1:" +
+           std::to_string(this->acceptor.local_endpoint().port());
+  }
+
+ private:
+  static void ReadRequest(tcp::socket& socket) {
+    std::string request;
+    boost::system::error_code ignored;
+    asio::read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n",
+                     ignored);
+  }
+
+  static void Respond(tcp::socket& socket, const std::string& status) {
+    boost::system::error_code ignored;
+    asio::write(
+        socket,
+        asio::buffer("HTTP/1.1 " + status + "\r\nContent-Length: 0\r\n\r\n"),
+        ignored);
+  }
+
+  void Serve(const std::string& status) {
+    auto kept = this->acceptor.accept();
+    ReadRequest(kept);
+    Respond(kept, "200 OK");
+    ReadRequest(kept);
+    kept.close();
+    auto fresh = this->acceptor.accept();
+    ReadRequest(fresh);
+    Respond(fresh, status);
+  }
+
+  asio::io_context context;
+  tcp::acceptor acceptor;
+  std::thread thread;
+};
+
+/// Sends two calls, one after the other, and returns the outcome of the second.
+base::Outcome<HttpReply> SendTwice(const std::string& address) {
+  asio::thread_pool threads(1);
+  const auto clock = base::SystemClock();
+  const auto pool =
+      std::make_shared<HttpPool>(threads.get_executor(), address, clock);
+  const auto send = [&] {
+    HttpCall call;
+    call.method = "GET";
+    call.target = "/";
+    call.deadline = clock.now() + milliseconds(20'000);
+    std::promise<base::Outcome<HttpReply>> done;
+    pool->Send(std::move(call), [&](base::Outcome<HttpReply> reply) {
+      done.set_value(std::move(reply));
+    });
+    return done.get_future().get();
+  };
+  REQUIRE(send().ok());
+  auto second = send();
+  threads.join();
+  return second;
+}
+
+TEST_CASE("a call whose first attempt got no response is sent once more") {
+  SECTION("the response to the second attempt is returned") {
+    ForgetfulServer server("200 OK");
+    CHECK(SendTwice(server.Address()).ok());
+  }
+  SECTION("so is one that describes what the server holds") {
+    ForgetfulServer server("412 Precondition Failed");
+    const auto reply = SendTwice(server.Address());
+    REQUIRE(reply.ok());
+    CHECK(reply->status == 412);
+  }
+}
+
+// Guards against a change that was reported as refused and takes effect: a
+// server that refuses the second attempt says nothing about the first.
+TEST_CASE("a refusal of the second attempt leaves the outcome unknown",
+          "[.known-red]") {
+  const std::string status =
+      GENERATE("429 Too Many Requests", "503 Service Unavailable",
+               "507 Insufficient Storage");
+  ForgetfulServer server(status);
+  const auto reply = SendTwice(server.Address());
+  REQUIRE_FALSE(reply.ok());
+  CHECK(reply.error().Is(base::Errc::kUnknown));
+}
+
 }  // namespace
 }  // namespace gypsumtrack::platform
