Show that a late commit of a dropped run ends the job's next run

A daemon sends a commit, loses the job to another daemon and takes it back; then the commit comes back as not applied, since the owner row has changed. JobRunner drops the job by its key, which names the new run by then: its items are cancelled, and the job stands still until the daemon has taken it over once more.

--- a/packages/gateway/test/serving/job_runner_test.cc
+++ b/packages/gateway/test/serving/job_runner_test.cc
@@ -39,7 +39,9 @@
                 .quota = policy::FleetQuota({}),
                 .batch_starts = policy::BatchStartLimiter({}),
                 .random = std::minstd_rand(1)},
-        runner(std::make_shared<JobRunner>(this->serving, this->self)),
+        runner(std::make_shared<JobRunner>(
+            this->serving,
+            JobStore{this->runner_client, this->clock, {"vm-1", 1}})),
         job(this->AcceptJobOfTwoItems()) {
     this->runner->owners_confirmed_at = [] { return base::Instant{}; };
     this->runner->Add(this->job);
@@ -54,12 +56,34 @@
     RunCoroutine(this->WithResult(this->runner->SavePartialOutput()));
   }
 
+  /// Adds a run of the job, of which the results of these items are listed.
+  OwnedJobPtr AddRun(std::uint64_t owner_version,
+                     const std::vector<std::string>& listed_ids) {
+    auto run = std::make_shared<OwnedJob>(
+        OwnedJob{kKey, this->job->row, this->job->items,
+                 policy::JobRun(ToJobItems(this->job->items), listed_ids, {}),
+                 owner_version});
+    this->runner->Add(run);
+    return run;
+  }
+
+  /// Carries out what is ready on the daemon's thread.
+  void Poll() {
+    this->context.restart();
+    this->context.poll();
+  }
+
   void EndElsewhere() {
     REQUIRE(RunCoroutine(EndJob(this->other, kKey, base::kNever)).ok());
   }
 
   testing::MemoryRowStore rows;
   base::RowStore client = this->rows.Client();
+  /// The runner's client. Its transactions can be held.
+  base::RowStore runner_client = this->MakeRunnerClient();
+  bool hold_transactions = false;
+  /// Carries out the transaction that is held; empty if none is.
+  std::function<void()> held_transaction;
   base::Clock clock = base::SystemClock();
   JobStore self{this->client, this->clock, {"vm-1", 1}};
   JobStore other{this->client, this->clock, {"vm-2", 1}};
@@ -74,6 +98,20 @@
   OwnedJobPtr job;
 
  private:
+  base::RowStore MakeRunnerClient() {
+    auto made = this->client;
+    made.transact = [this](const base::RowTransaction& transaction,
+                           base::Instant deadline, auto handler) {
+      if (!this->hold_transactions) {
+        return this->client.transact(transaction, deadline, std::move(handler));
+      }
+      this->held_transaction = [this, transaction, deadline, handler] {
+        this->client.transact(transaction, deadline, handler);
+      };
+    };
+    return made;
+  }
+
   static boost::asio::awaitable<bool> WithResult(
       boost::asio::awaitable<void> coroutine) {
     co_await std::move(coroutine);
@@ -131,5 +169,30 @@
   }
 }
 
+// Guards against a job that stands still and is loaded anew because an earlier
+// run of it here learns late that it lost the job.
+TEST_CASE("a late outcome of an earlier run doesn't end a later one",
+          "[.known-red]") {
+  JobRunnerFixture daemon;
+  daemon.runner->Drop(kKey, "test");
+  const auto version = daemon.job->owner_version;
+  // All results are listed, so that the run sends the call that finishes it.
+  daemon.hold_transactions = true;
+  daemon.AddRun(version, {"a", "b"});
+  daemon.Poll();
+  REQUIRE(daemon.held_transaction != nullptr);
+  // Another daemon takes the job over, and this one takes it back.
+  daemon.runner->Drop(kKey, "owned-elsewhere");
+  const auto taken = RunCoroutine(TakeOver(daemon.other, kKey, version));
+  REQUIRE(taken);
+  const auto taken_back = RunCoroutine(TakeOver(daemon.self, kKey, *taken));
+  REQUIRE(taken_back);
+  const auto later_run = daemon.AddRun(*taken_back, {"a"});
+  daemon.held_transaction();
+  daemon.Poll();
+  CHECK(daemon.runner->Find(kKey) == later_run);
+  CHECK_FALSE(later_run->dropped);
+}
+
 }  // namespace
 }  // namespace gypsumtrack::gateway
