Show that a VM fences itself after a renewal without a response

A renewal of the batch leases is applied and its response lost, so that the holder row's version is one above the known one. Before the renewal is repeated, 0.5 s later, the VM leases chunks under the old version; that conflicts, the row's version isn't the expected one, and the VM takes itself for fenced: it gives up its chunks, and items that may be sent only once end as unknown.

--- a/packages/testing/test/batch_world_test.cc
+++ b/packages/testing/test/batch_world_test.cc
@@ -51,4 +51,32 @@
   CHECK(AllCompleted(simulation, job));
 }
 
+// Guards against a VM that takes its own renewal, whose response was lost, for
+// that of a VM that recovered its chunks: it gave them up, and items that may
+// be sent only once ended as unknown.
+TEST_CASE("A VM whose renewal got no response keeps its chunks",
+          "[.known-red]") {
+  constexpr std::uint64_t kSeeds = 20;
+  constexpr int kJobs = 4;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    BatchSimulationOptions options;
+    options.seed = seed;
+    options.lost_responses = 0.1;
+    options.max_item_duration = seconds(4);
+    BatchSimulation simulation(options);
+    std::vector<SubmittedJob> jobs;
+    for (int i = 0; i < kJobs; ++i) {
+      jobs.push_back(simulation.Submit("cairo-federation",
+                                       fmt::format("draw{}", i), MakeLines(150),
+                                       10, false));
+    }
+    REQUIRE(simulation.RunUntilEnded(minutes(30)));
+    CAPTURE(seed);
+    for (std::size_t vm = 0; vm < options.vms; ++vm) {
+      CHECK(simulation.node(vm).counters().times_fenced == 0);
+    }
+    for (const auto& job : jobs) CHECK(AllCompleted(simulation, job));
+  }
+}
+
 }  // namespace gypsumtrack::testing
