Lease no chunks while a renewal's outcome is unknown

Cause: a lease write and the check for fencing took the known version of the holder row for current, although a renewal without a response may have raised it. The VM then took its own renewal for a recovery by another one.

Change: no chunks are leased, and no fencing is concluded, until the renewal has been repeated and its outcome is known. It is also repeated if the last chunk was committed meanwhile. A VM that was recovered in truth learns so from the repeated renewal, which conflicts.

--- a/packages/policy/include/gypsumtrack/policy/batch_node.h
+++ b/packages/policy/include/gypsumtrack/policy/batch_node.h
@@ -244,6 +244,9 @@
                       const BatchJob& job, std::vector<StoredChunk> leased);
   void UpdateHolderChunkKeys();
   void RenewLeases(base::Instant now);
+  /// Whether a write of the holder row may have been applied without a reply,
+  /// so that its version may be newer than known here.
+  bool HolderVersionUnknown() const;
   void ProbeStore(base::Instant now);
   void OnRenewal(base::Instant now, const base::Status& status);
   void QueryPeersIfStale(base::Instant now);
--- a/packages/policy/src/batch_node.cc
+++ b/packages/policy/src/batch_node.cc
@@ -35,8 +35,8 @@
   this->store_calls.Tick(now);
   this->garbage_collector.Tick(now, wall_now);
   if (!this->draining) this->RefreshIndex(now);
-  if (!this->chunks.empty() && now >= this->next_renewal_at)
-    this->RenewLeases(now);
+  const bool renews = !this->chunks.empty() || this->pending_renewal;
+  if (renews && now >= this->next_renewal_at) this->RenewLeases(now);
   this->StartWork(now);
 }
 
--- a/packages/policy/src/batch_node_lease.cc
+++ b/packages/policy/src/batch_node_lease.cc
@@ -44,9 +44,8 @@
 }
 
 void BatchNode::LeaseChunksIfNeeded(base::Instant now) {
-  if (this->chunk_scan_pending || this->holder_write_pending || this->draining)
-    return;
-  if (this->store_calls.down()) return;
+  if (this->chunk_scan_pending || this->draining) return;
+  if (this->HolderVersionUnknown() || this->store_calls.down()) return;
   if (this->chunks.size() >= this->options.max_held_chunks) return;
   if (this->PendingResultBytes() >= this->options.max_pending_result_bytes)
     return;
@@ -94,7 +93,7 @@
 
 void BatchNode::OnChunkRows(base::Instant now, const BatchJob& job,
                             bool from_start, const base::ScanReply& page) {
-  if (this->draining || this->holder_write_pending) return;
+  if (this->draining || this->HolderVersionUnknown()) return;
   std::vector<StoredChunk> free_chunks;
   for (const auto& row : page.rows) {
     const auto chunk = DecodeChunk(row.value);
@@ -237,6 +236,10 @@
       });
 }
 
+bool BatchNode::HolderVersionUnknown() const {
+  return this->holder_write_pending || this->pending_renewal;
+}
+
 void BatchNode::OnRenewal(base::Instant now, const base::Status& status) {
   this->holder_write_pending = false;
   this->store_probe_pending = false;
@@ -295,7 +298,7 @@
   this->store_calls.Scan(
       now, std::move(scan), CallMode::kOnce,
       [this, expected](base::Instant at, base::Outcome<base::ScanReply> page) {
-        if (!page.ok() || this->holder_write_pending) return;
+        if (!page.ok() || this->HolderVersionUnknown()) return;
         if (expected != this->holder.version) return;
         const auto version = page->rows.empty() ? 0 : page->rows[0].version;
         if (version != expected) this->OnFenced(at);
--- a/packages/testing/test/batch_world_test.cc
+++ b/packages/testing/test/batch_world_test.cc
@@ -54,8 +54,7 @@
 // Guards against a VM that takes its own renewal, whose response was lost, for
 // that of a VM that recovered its chunks: it gave them up, and items that may
 // be sent only once ended as unknown.
-TEST_CASE("A VM whose renewal got no response keeps its chunks",
-          "[.known-red]") {
+TEST_CASE("A VM whose renewal got no response keeps its chunks") {
   constexpr std::uint64_t kSeeds = 20;
   constexpr int kJobs = 4;
   for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
