--- a/packages/gateway/src/serving/job_runner.h
+++ b/packages/gateway/src/serving/job_runner.h
@@ -38,6 +38,10 @@
   void AbortRunningItems();
   /// Ends the background loops and starts no more commits.
   void Stop();
+  /// Saves the partial output of all running items in the store, so that a new
+  /// owner can resume them, and drops the jobs that this daemon no longer owns.
+  /// Called by a background loop.
+  boost::asio::awaitable<void> SavePartialOutput();
 
   // Queries.
 
@@ -61,6 +65,8 @@
   /// Lets items yield and starts others.
   void Tick();
   boost::asio::awaitable<void> SaveLoop();
+  /// Drops a job whose transaction failed because its owner row has changed.
+  void OnNotOwner(const OwnedJob& job);
   /// Whether this daemon knows recently enough which jobs it owns.
   bool MayStartItems() const;
   policy::Urgency UrgencyOf(const OwnedJob& job, std::uint64_t events) const;
