Relay the events before one that is out of order

When one packet of a stream held sound events and then one out of order, the attempt ended before the sound ones were written to the caller, though they counted as relayed. The request was then resumed after them, and the caller's stream lacked them: here events 1 and 2 of 6, in a response that looked complete.

The accepted events are now written first. Batch items were not affected, as each event is added to the item by itself.

Measured: site_tests "an endpoint goes wrong after some events of a stream" failed before (the body began with event 3) and passes.

--- a/packages/gateway/src/serving/relay_service.cc
+++ b/packages/gateway/src/serving/relay_service.cc
@@ -261,13 +261,24 @@
                             "the response lacks the endpoint's seal");
     }
     std::string bytes;
-    for (auto& event : this->splitter.Feed(part)) {
-      if (!this->AcceptEvent(event)) {
-        co_return base::Error(base::Errc::kInvalid,
-                              "an event of the stream is out of order");
-      }
+    bool in_order = true;
+    for (const auto& event : this->splitter.Feed(part)) {
+      in_order = this->AcceptEvent(event);
+      if (!in_order) break;
       bytes += event.bytes;
     }
+    // The accepted events count as relayed, so they are relayed in any case: a
+    // retry resumes after the last of them.
+    auto relayed = co_await this->RelayEvents(head, std::move(bytes));
+    if (!relayed.ok() || in_order) co_return relayed;
+    co_return base::Error(base::Errc::kInvalid,
+                          "an event of the stream is out of order");
+  }
+
+  /// Sends the caller the bytes of events, after the head if it hasn't been
+  /// sent yet.
+  asio::awaitable<base::Status> RelayEvents(const ResponseHead& head,
+                                            std::string bytes) {
     if (bytes.empty()) co_return base::Done{};
     if (!this->response_started) {
       auto started = co_await this->StartStream(head);
