Abort a stream whose resumed request gets an error

After a stream had been broken off, an answer of 4xx to the resumed request counted as the response to deliver. As the caller's response had begun, this wrote its last chunk: the stream looked complete after 2 of 6 events.

Such an answer now counts as a failed attempt, so that the request is resumed once more if it may be, and the response is aborted otherwise.

Measured: site_tests "an endpoint goes wrong after some events of a stream" failed before (complete after two events) and passes.

--- a/packages/gateway/src/serving/relay_service.cc
+++ b/packages/gateway/src/serving/relay_service.cc
@@ -362,6 +362,9 @@
       return policy::AttemptOutcome::kUnknown;
     if (result.head.status >= 500) return policy::AttemptOutcome::kFailed;
     const bool success = result.head.status / 100 == 2;
+    // The caller's response has another status and would seem to be complete.
+    if (this->response_started && !success)
+      return policy::AttemptOutcome::kFailed;
     if (success && !this->context.wire.read_response(result.head).has_seal) {
       return policy::AttemptOutcome::kUnknown;
     }
