Give up a stream whose event has no end

The splitter of events kept all bytes of an event that never ended: up to the deadline, 5 s online and 60 s for an item, as fast as the endpoint sends, on VMs of 140 MB. Each part was also searched from its end back to the last line feed, so the time grew with the square of the size; beside it other requests of the daemon waited.

An event may now have 256 KiB. Beyond, the attempt counts as a bad response of the endpoint and is resumed after the last whole event, or aborted.

--- a/packages/gateway/src/serving/job_runner.cc
+++ b/packages/gateway/src/serving/job_runner.cc
@@ -329,6 +329,10 @@
                            "the stream has an event out of order");
       break;
     }
+    if (status.ok() && splitter.event_too_long()) {
+      status = base::Error(base::Errc::kInvalid,
+                           "the stream has an event that is too long");
+    }
     co_return status;
   };
   call.is_complete = [&splitter] { return splitter.at_event_end(); };
--- a/packages/gateway/src/serving/relay_service.cc
+++ b/packages/gateway/src/serving/relay_service.cc
@@ -270,9 +270,10 @@
     // The accepted events count as relayed, so they are relayed in any case: a
     // retry resumes after the last of them.
     auto relayed = co_await this->RelayEvents(head, std::move(bytes));
-    if (!relayed.ok() || in_order) co_return relayed;
+    const bool valid = in_order && !this->splitter.event_too_long();
+    if (!relayed.ok() || valid) co_return relayed;
     co_return base::Error(base::Errc::kInvalid,
-                          "an event of the stream is out of order");
+                          "an event of the stream is out of order or too long");
   }
 
   /// Sends the caller the bytes of events, after the head if it hasn't been
--- a/packages/policy/include/gypsumtrack/policy/serving/event_splitter.h
+++ b/packages/policy/include/gypsumtrack/policy/serving/event_splitter.h
@@ -1,6 +1,7 @@
 #ifndef GYPSUMTRACK_POLICY_SERVING_EVENT_SPLITTER_H_
 #define GYPSUMTRACK_POLICY_SERVING_EVENT_SPLITTER_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -10,6 +11,10 @@
 /// Incremental parser for server-sent events.
 namespace gypsumtrack::policy {
 
+/// Maximum size of an event in bytes. An event holds a few tokens, so a larger
+/// one is no event.
+inline constexpr std::size_t kMaxEventBytes = std::size_t{256} * 1024;
+
 /// One server-sent event.
 struct StreamEvent {
   /// The event as received, including the blank line that ends it.
@@ -24,17 +29,23 @@
 /// the stream is never returned. Not thread-safe.
 class EventSplitter {
  public:
-  /// Appends bytes of the stream; returns the events that they complete.
+  /// Appends bytes of the stream; returns the events that they complete. After
+  /// an event that is too long there are no more events.
   std::vector<StreamEvent> Feed(std::string_view bytes);
 
   /// Whether all bytes received so far belong to complete events.
-  bool at_event_end() const { return this->buffer.empty(); }  // NOLINT
+  bool at_event_end() const {  // NOLINT
+    return this->buffer.empty() && !this->too_long;
+  }
+  /// Whether an event exceeded kMaxEventBytes.
+  bool event_too_long() const { return this->too_long; }  // NOLINT
 
  private:
   /// Bytes received after the last complete event.
   std::string buffer;
   /// The end of an event can't begin before this offset in `buffer`.
   std::size_t scan_offset = 0;
+  bool too_long = false;
 };
 
 }  // namespace gypsumtrack::policy
--- a/packages/policy/src/serving/event_splitter.cc
+++ b/packages/policy/src/serving/event_splitter.cc
@@ -64,6 +64,7 @@
 }  // namespace
 
 std::vector<StreamEvent> EventSplitter::Feed(std::string_view bytes) {
+  if (this->too_long) return {};
   this->buffer += bytes;
   std::vector<StreamEvent> events;
   std::size_t begin = 0;
@@ -74,6 +75,11 @@
     begin = end;
   }
   this->buffer.erase(0, begin);
+  this->too_long = this->buffer.size() > kMaxEventBytes;
+  if (this->too_long) {
+    this->buffer.clear();
+    return events;
+  }
   // The end of an event may be split between two calls, so the next scan starts
   // at the last line feed.
   const auto line_feed = this->buffer.rfind('\n');
--- a/packages/policy/test/serving/event_splitter_test.cc
+++ b/packages/policy/test/serving/event_splitter_test.cc
@@ -44,6 +44,19 @@
     CHECK(events[0].id == 3);
     CHECK(events[0].data == "c");
   }
+  SECTION("an event without end is given up at the limit") {
+    CHECK(splitter.Feed("id: 1\ndata: a\n\nid: 2\ndata: ").size() == 1);
+    const std::string piece(kMaxEventBytes / 2, 'x');
+    CHECK(splitter.Feed(piece).empty());
+    CHECK_FALSE(splitter.event_too_long());
+    CHECK(splitter.Feed(piece).empty());
+    CHECK(splitter.event_too_long());
+    CHECK_FALSE(splitter.at_event_end());
+    SECTION("and what follows isn't part of any event") {
+      CHECK(splitter.Feed("\n\nid: 3\ndata: c\n\n").empty());
+      CHECK_FALSE(splitter.at_event_end());
+    }
+  }
   SECTION("an id that isn't a number is ignored") {
     const auto events = splitter.Feed("id: 1x\ndata:\n\n");
     REQUIRE(events.size() == 1);
