Bound what is held of an endpoint's response unparsed

An endpoint that never ended a chunk's size line, or the trailer, made the client hold all its bytes until the progress timeout or the deadline: the parser limits heads only, and the connection's buffer had no limit.

The buffer now holds at most 128 KiB, which is more than a head may have (64 KiB). A response that doesn't fit ends the call as one whose connection ended.

Endless status lines, headers and error bodies were bounded before.

--- a/packages/gateway/src/connection_pool.h
+++ b/packages/gateway/src/connection_pool.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <cstddef>
 #include <deque>
 #include <memory>
 #include <mutex>
@@ -16,6 +17,11 @@
 /// Pool of idle connections to endpoints.
 namespace gypsumtrack::gateway {
 
+/// Limits what an endpoint can make the gateway hold of a response that it
+/// hasn't parsed. More than the maximum size of a head.
+inline constexpr std::size_t kMaxConnectionBufferBytes =
+    std::size_t{128} * 1024;
+
 /// A connection to an endpoint. It is owned by one call, or by the pool while
 /// it is idle.
 struct EndpointConnection {
@@ -23,7 +29,7 @@
       : socket(std::move(connected)) {}
 
   boost::asio::ip::tcp::socket socket;
-  boost::beast::flat_buffer buffer;
+  boost::beast::flat_buffer buffer{kMaxConnectionBufferBytes};
   /// Number of requests sent on this connection.
   std::uint32_t calls = 0;
   /// When the last response ended.
--- a/packages/gateway/test/endpoint_client_test.cc
+++ b/packages/gateway/test/endpoint_client_test.cc
@@ -135,5 +135,61 @@
   CHECK(result.run == policy::RunState::kUnknown);
 }
 
+TEST_CASE("an endpoint sends bytes without end") {
+  ClientFixture fixture;
+  std::string text;
+  const auto receive = [&] {
+    auto call = fixture.MakeCall();
+    call.on_part =
+        [&text](const ResponseHead&,
+                std::string_view part) -> boost::asio::awaitable<base::Status> {
+      text += part;
+      co_return base::Done{};
+    };
+    auto result = fixture.Send(std::move(call));
+    CHECK(fixture.endpoint.endless_bytes() < kMaxBytesSent);
+    CHECK(fixture.client.idle_count(fixture.endpoint.address()) == 0);
+    CHECK(result.run == policy::RunState::kUnknown);
+    return result.outcome;
+  };
+  const std::string chunked =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string piece(4096, 'x');
+  std::string lines;
+  for (int i = 0; i < 100; ++i) lines += "X-Name: value\r\n";
+  SECTION("in a status line") {
+    fixture.endpoint.SetResponses(
+        {{"HTTP/1.1 200 O", RawEnd::kKeepOpen, piece}});
+    CHECK(receive() == CallOutcome::kClosed);
+  }
+  SECTION("in one header") {
+    fixture.endpoint.SetResponses(
+        {{"HTTP/1.1 200 OK\r\nX-Name: ", RawEnd::kKeepOpen, piece}});
+    CHECK(receive() == CallOutcome::kClosed);
+  }
+  SECTION("in many headers") {
+    fixture.endpoint.SetResponses(
+        {{"HTTP/1.1 200 OK\r\n", RawEnd::kKeepOpen, lines}});
+    CHECK(receive() == CallOutcome::kClosed);
+  }
+  SECTION("in the size of a chunk") {
+    fixture.endpoint.SetResponses(
+        {{chunked + "4;a=", RawEnd::kKeepOpen, piece}});
+    CHECK(receive() == CallOutcome::kClosed);
+  }
+  SECTION("in the trailer") {
+    fixture.endpoint.SetResponses(
+        {{chunked + "4\r\ntext\r\n0\r\n", RawEnd::kKeepOpen, lines}});
+    CHECK(receive() == CallOutcome::kClosed);
+    CHECK(text == "text");
+  }
+  SECTION("in the body of an error") {
+    fixture.endpoint.SetResponses(
+        {{"HTTP/1.1 500 Internal Server Error\r\n\r\n", RawEnd::kKeepOpen,
+          piece}});
+    CHECK(receive() == CallOutcome::kInvalid);
+  }
+}
+
 }  // namespace
 }  // namespace gypsumtrack::gateway
