Limit the interim responses that are skipped

The client skipped any number of responses with a 1xx status, each with a progress timeout of its own, so an endpoint that sent them without end held the attempt until its deadline (60 s for an item).

After 8 of them the response counts as invalid, and against the endpoint.

Measured: gateway_tests [#endpoint_client_test], "in heads that only announce another" failed before (all 64 MB of the stand-in were read) and passes.

--- a/packages/gateway/src/endpoint_client.cc
+++ b/packages/gateway/src/endpoint_client.cc
@@ -29,6 +29,8 @@
 constexpr int kTcpKeepAliveSeconds = 1;
 /// Maximum number of late responses to earlier requests that are discarded.
 constexpr int kMaxLateResponses = 3;
+/// Maximum number of responses with a 1xx status before the final one.
+constexpr int kMaxInterimResponses = 8;
 /// Fraction of the endpoint's idle timeout for which a connection is reused, so
 /// that the endpoint doesn't close it first.
 constexpr double kIdleTimeoutFraction = 0.7;
@@ -249,7 +251,12 @@
 
   /// Reads the head of the next response, skipping those with a 1xx status.
   asio::awaitable<bool> ReadOneHead() {
+    int interim_responses = -1;
     do {
+      if (++interim_responses > kMaxInterimResponses) {
+        this->result.outcome = CallOutcome::kInvalid;
+        co_return false;
+      }
       this->parser.emplace();
       this->parser->header_limit(kMaxHeaderBytes);
       this->parser->body_limit(boost::none);
--- a/packages/gateway/test/endpoint_client_test.cc
+++ b/packages/gateway/test/endpoint_client_test.cc
@@ -172,6 +172,11 @@
         {{"HTTP/1.1 200 OK\r\n", RawEnd::kKeepOpen, lines}});
     CHECK(receive() == CallOutcome::kClosed);
   }
+  SECTION("in heads that only announce another") {
+    fixture.endpoint.SetResponses(
+        {{"", RawEnd::kKeepOpen, "HTTP/1.1 100 Continue\r\n\r\n"}});
+    CHECK(receive() == CallOutcome::kInvalid);
+  }
   SECTION("in the size of a chunk") {
     fixture.endpoint.SetResponses(
         {{chunked + "4;a=", RawEnd::kKeepOpen, piece}});
