Limit responses that aren't streams to 4 MiB

The serving daemon kept the client's default of 64 MiB for the body of an error or of a plain route, for each request under way, on VMs of 140 MB. An endpoint that sent one without end could so fill the VM's memory, and an endless body just below held the caller to its deadline.

4 MiB is what the deployments let callers send; streams' errors are far smaller.

Measured: site_tests "an endpoint sends bytes without end" failed before for bodies of 500, 400 and plain 200 (64 MB read each, 504 at the deadline for a request that must not run twice) and passes: 502 at once, retried where the route allows. Endless heads were bounded before.

--- a/packages/gateway/src/serving/serving_daemon.cc
+++ b/packages/gateway/src/serving/serving_daemon.cc
@@ -44,6 +44,9 @@
 constexpr base::Duration kExpiryCheckInterval = std::chrono::milliseconds(250);
 constexpr base::Duration kConnectTimeout = std::chrono::milliseconds(400);
 constexpr std::uint32_t kMaxIdleConnectionsPerEndpoint = 8;
+/// Maximum size of a response that isn't a stream. As much as a deployment lets
+/// callers send; a VM may have 140 MB in all.
+constexpr std::uint64_t kMaxResponseBytes = std::uint64_t{4} * 1024 * 1024;
 /// Interval at which the settings are reloaded, since their file may change
 /// without a SIGHUP.
 constexpr base::Duration kReloadInterval = std::chrono::seconds(5);
@@ -52,6 +55,7 @@
   EndpointClientOptions options;
   options.connect_timeout = kConnectTimeout;
   options.max_idle_per_endpoint = kMaxIdleConnectionsPerEndpoint;
+  options.max_body_bytes = kMaxResponseBytes;
   options.protocol.request_id_header = wire.request_id_header;
   options.protocol.set_host_to_address = false;
   options.protocol.accepts_close_delimited_body = true;
