Cut off an event that doesn't arrive in time

Each byte counted as progress, so an endpoint that sent an event a byte at a time held a resumable stream until the deadline, and an item for 60 s; its job was given up meanwhile.

An event now has the time that silence has (three gaps of the route and at least 1 s online, 2.5 s for items), from its first bytes. A request that must not run twice still waits until its deadline.

--- a/packages/gateway/src/serving/job_runner.cc
+++ b/packages/gateway/src/serving/job_runner.cc
@@ -300,6 +300,7 @@
                                          std::string host) {
   const auto& item = job->items[start.index];
   policy::EventSplitter splitter;
+  policy::EventArrivalLimit arrival_limit;
   EndpointCall call;
   call.address = endpoint.address;
   call.method = "POST";
@@ -314,7 +315,7 @@
   call.deadline = this->context.clock.now() + kMaxItemRunTime;
   call.progress_timeout = kItemIdleTimeout;
   call.cancel = job->running[start.index].cancel;
-  call.on_part = [this, job, start, &splitter](
+  call.on_part = [this, job, start, &splitter, &arrival_limit](
                      const ResponseHead& head,
                      std::string_view part) -> asio::awaitable<base::Status> {
     base::Status status = base::Done{};
@@ -323,15 +324,18 @@
                            "the response lacks the endpoint's seal");
       co_return status;
     }
-    for (const auto& event : splitter.Feed(part)) {
+    const auto events = splitter.Feed(part);
+    for (const auto& event : events) {
       if (job->run.OnEvent(start.index, event)) continue;
       status = base::Error(base::Errc::kInvalid,
                            "the stream has an event out of order");
       break;
     }
-    if (status.ok() && splitter.event_too_long()) {
+    const bool in_time = arrival_limit.OnPart(
+        !events.empty(), this->context.clock.now(), kItemIdleTimeout);
+    if (status.ok() && (!in_time || splitter.event_too_long())) {
       status = base::Error(base::Errc::kInvalid,
-                           "the stream has an event that is too long");
+                           "an event of the stream is too long or too slow");
     }
     co_return status;
   };
--- a/packages/gateway/src/serving/relay_service.cc
+++ b/packages/gateway/src/serving/relay_service.cc
@@ -213,6 +213,7 @@
                              this->context.StoreViewAge().count() / 1000}});
     this->tried.insert(choice.endpoint.id);
     this->splitter = {};
+    this->arrival_limit = {};
     EndpointCall call;
     call.address = choice.endpoint.address;
     call.method = this->exchange.request().method;
@@ -262,7 +263,8 @@
     }
     std::string bytes;
     bool in_order = true;
-    for (const auto& event : this->splitter.Feed(part)) {
+    const auto events = this->splitter.Feed(part);
+    for (const auto& event : events) {
       in_order = this->AcceptEvent(event);
       if (!in_order) break;
       bytes += event.bytes;
@@ -270,10 +272,13 @@
     // The accepted events count as relayed, so they are relayed in any case: a
     // retry resumes after the last of them.
     auto relayed = co_await this->RelayEvents(head, std::move(bytes));
-    const bool valid = in_order && !this->splitter.event_too_long();
+    const auto now = this->Now();
+    const bool in_time = this->arrival_limit.OnPart(!events.empty(), now,
+                                                    this->ProgressTimeout(now));
+    const bool valid = in_order && in_time && !this->splitter.event_too_long();
     if (!relayed.ok() || valid) co_return relayed;
     co_return base::Error(base::Errc::kInvalid,
-                          "an event of the stream is out of order or too long");
+                          "an event is out of order, too long or too slow");
   }
 
   /// Sends the caller the bytes of events, after the head if it hasn't been
@@ -425,6 +430,7 @@
   policy::AttemptTracker attempts;
   std::set<base::EndpointId> tried;
   policy::EventSplitter splitter;
+  policy::EventArrivalLimit arrival_limit;
   /// Id of the last event that was relayed, at first of the last one that the
   /// caller reports to have received.
   std::optional<std::uint64_t> after_event;
--- a/packages/policy/include/gypsumtrack/policy/serving/event_splitter.h
+++ b/packages/policy/include/gypsumtrack/policy/serving/event_splitter.h
@@ -8,6 +8,8 @@
 #include <string_view>
 #include <vector>
 
+#include "gypsumtrack/base/time.h"
+
 /// Incremental parser for server-sent events.
 namespace gypsumtrack::policy {
 
@@ -48,6 +50,20 @@
   bool too_long = false;
 };
 
+/// Limits the time that an event takes to arrive, so that an endpoint can't
+/// hold an attempt by sending bytes that complete no event. Not thread-safe.
+class EventArrivalLimit {
+ public:
+  /// Records a part of the stream that arrived at `now` and whether it
+  /// completed an event. Returns false if no event was completed within
+  /// `timeout` of the first part that completed none.
+  bool OnPart(bool completed_event, base::Instant now, base::Duration timeout);
+
+ private:
+  /// kNever unless a part arrived since the last event.
+  base::Instant deadline = base::kNever;
+};
+
 }  // namespace gypsumtrack::policy
 
 #endif  // GYPSUMTRACK_POLICY_SERVING_EVENT_SPLITTER_H_
--- a/packages/policy/src/serving/event_splitter.cc
+++ b/packages/policy/src/serving/event_splitter.cc
@@ -88,4 +88,14 @@
   return events;
 }
 
+bool EventArrivalLimit::OnPart(bool completed_event, base::Instant now,
+                               base::Duration timeout) {
+  if (completed_event) {
+    this->deadline = base::kNever;
+    return true;
+  }
+  if (this->deadline == base::kNever) this->deadline = now + timeout;
+  return now < this->deadline;
+}
+
 }  // namespace gypsumtrack::policy
--- a/packages/policy/test/serving/event_splitter_test.cc
+++ b/packages/policy/test/serving/event_splitter_test.cc
@@ -65,6 +65,24 @@
   }
 }
 
+TEST_CASE("an event arrives in parts") {
+  using std::chrono::seconds;
+  const base::Instant start{};
+  const base::Duration timeout = seconds(2);
+  EventArrivalLimit limit;
+  REQUIRE(limit.OnPart(false, start, timeout));
+  CHECK(limit.OnPart(false, start + seconds(1), timeout));
+  SECTION("it may take as long as the timeout") {
+    CHECK_FALSE(limit.OnPart(false, start + seconds(2), timeout));
+  }
+  SECTION("the next event has a time of its own, from its first part") {
+    CHECK(limit.OnPart(true, start + seconds(3), timeout));
+    CHECK(limit.OnPart(false, start + seconds(8), timeout));
+    CHECK(limit.OnPart(false, start + seconds(9), timeout));
+    CHECK_FALSE(limit.OnPart(false, start + seconds(10), timeout));
+  }
+}
+
 TEST_CASE("events don't depend on how the stream is cut into packets") {
   rc::prop("any pieces give the same events", [] {
     std::string stream;
