Don't deliver a stream that ended before its first event

A stream with neither a length nor chunks whose connection closes right after the head counted as complete: the caller got a whole empty answer of 200, and a batch item was listed as done without output.

A stream has events, so such an end is now one that was broken off: the request is sent again where the route allows, and 502 otherwise. A run that resumes may still be empty, since the endpoint before may have sent all events. An empty body with a length or chunks is the endpoint's whole answer, as before.

--- a/packages/gateway/include/gypsumtrack/gateway/endpoint_client.h
+++ b/packages/gateway/include/gypsumtrack/gateway/endpoint_client.h
@@ -48,6 +48,10 @@
 /// interface. Thread-safe.
 EndpointProtocol DefaultProtocol();
 
+/// Whether the body of a 2xx response with that head ends with its connection.
+/// Precondition: the request wasn't HEAD. Thread-safe.
+bool IsCloseDelimited(const ResponseHead& head);
+
 /// Cancels a call in flight. Must be used on the strand of the call.
 class CallCancellation {
  public:
@@ -123,7 +127,7 @@
   std::function<void(const ResponseHead& head)> on_head;
   /// Whether the parts passed to `on_part` form a complete response. Called at
   /// the end of the body.
-  std::function<bool()> is_complete;
+  std::function<bool(const ResponseHead& head)> is_complete;
 };
 
 /// The outcome of a call and the response, as far as it was received.
--- a/packages/gateway/src/endpoint_client.cc
+++ b/packages/gateway/src/endpoint_client.cc
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "connection_pool.h"
+#include "gypsumtrack/gateway/http_status.h"
 #include "socket_address.h"
 #include "watchdog.h"
 
@@ -369,7 +370,7 @@
       return;
     }
     const bool streamed = this->call.on_part && head.status / 100 == 2;
-    if (streamed && this->call.is_complete && !this->call.is_complete()) {
+    if (streamed && this->call.is_complete && !this->call.is_complete(head)) {
       this->result.outcome = CallOutcome::kClosed;
       return;
     }
@@ -403,6 +404,15 @@
   return protocol;
 }
 
+bool IsCloseDelimited(const ResponseHead& head) {
+  const bool has_framing = std::any_of(
+      head.headers.begin(), head.headers.end(), [](const Header& header) {
+        return boost::beast::iequals(header.name, "Content-Length") ||
+               boost::beast::iequals(header.name, "Transfer-Encoding");
+      });
+  return !has_framing && head.status != status::kNoContent;
+}
+
 void CallCancellation::Cancel() {
   this->is_cancelled = true;
   if (this->handler) this->handler();
--- a/packages/gateway/src/item_sender.cc
+++ b/packages/gateway/src/item_sender.cc
@@ -110,7 +110,9 @@
     if (!events.ok()) co_return events.error();
     co_return base::Done{};
   };
-  call.is_complete = [&generation] { return generation.is_complete(); };
+  call.is_complete = [&generation](const ResponseHead&) {
+    return generation.is_complete();
+  };
 }
 
 }  // namespace
--- a/packages/gateway/src/online_service.cc
+++ b/packages/gateway/src/online_service.cc
@@ -355,7 +355,9 @@
       }
       return this->ForwardEvents(exchange, generation, part);
     };
-    call.is_complete = [&] { return generation.is_complete(); };
+    call.is_complete = [&](const ResponseHead&) {
+      return generation.is_complete();
+    };
     return call;
   };
   const auto result =
--- a/packages/gateway/src/serving/job_runner.cc
+++ b/packages/gateway/src/serving/job_runner.cc
@@ -339,7 +339,12 @@
     }
     co_return status;
   };
-  call.is_complete = [&splitter] { return splitter.at_event_end(); };
+  call.is_complete = [job, start, &splitter](const ResponseHead& head) {
+    // One without a length or chunks that ends before any event was broken off,
+    // unless it resumes an output, which may have had all events.
+    const bool has_events = job->run.event_count(start.index) > 0;
+    return splitter.at_event_end() && (has_events || !IsCloseDelimited(head));
+  };
   const auto cancel = call.cancel;
   const auto started_at = this->context.clock.now();
   const auto events_before = job->run.event_count(start.index);
--- a/packages/gateway/src/serving/relay_service.cc
+++ b/packages/gateway/src/serving/relay_service.cc
@@ -235,7 +235,9 @@
       call.on_part = [this](const ResponseHead& head, std::string_view part) {
         return this->RelayPart(head, std::string(part));
       };
-      call.is_complete = [this] { return this->splitter.at_event_end(); };
+      call.is_complete = [this](const ResponseHead& head) {
+        return this->IsComplete(head);
+      };
     }
     auto result =
         co_await SendToEndpoint(this->context, choice.endpoint,
@@ -294,6 +296,15 @@
     co_return written;
   }
 
+  /// Whether the stream of the current attempt may end here. One without a
+  /// length or chunks that ends before any event was broken off, unless it
+  /// resumes a stream, which may have had all events.
+  bool IsComplete(const ResponseHead& head) const {
+    const bool has_events = this->response_started || this->after_event;
+    return this->splitter.at_event_end() &&
+           (has_events || !IsCloseDelimited(head));
+  }
+
   /// Returns whether the event directly follows the one before, and if so
   /// records it as the last one. Events without an id are always accepted.
   bool AcceptEvent(const policy::StreamEvent& event) {
--- a/packages/gateway/test/endpoint_client_test.cc
+++ b/packages/gateway/test/endpoint_client_test.cc
@@ -108,7 +108,9 @@
       received += part;
       co_return base::Done{};
     };
-    call.is_complete = [&received] { return received == "text and more"; };
+    call.is_complete = [&received](const ResponseHead&) {
+      return received == "text and more";
+    };
     const auto result = fixture.Send(std::move(call));
     CHECK(received == "text");
     CHECK(result.outcome == CallOutcome::kClosed);
