Accept events with ids only or without ids only

An event without an id was accepted anywhere. Between events with ids it went into the caller's stream or the item's output, and after an interruption it came again, as a resumed run goes on after the last id. A resumable stream without any ids was sent again from its start into a response that had begun: its events came twice, and the response looked complete.

Data without an id after an event with one is now out of order, for items also an event with an id after data without. A response that has begun and has no id to resume after is aborted. Events with neither id nor data, such as comments, no longer add lines to an item's output.

--- a/packages/gateway/src/serving/relay_service.cc
+++ b/packages/gateway/src/serving/relay_service.cc
@@ -306,9 +306,10 @@
   }
 
   /// Returns whether the event directly follows the one before, and if so
-  /// records it as the last one. Events without an id are always accepted.
+  /// records it as the last one. Data without an id is accepted only in a
+  /// stream without ids, as it could be neither placed nor resumed after.
   bool AcceptEvent(const policy::StreamEvent& event) {
-    if (!event.id) return true;
+    if (!event.id) return event.data.empty() || !this->after_event;
     if (this->after_event && *event.id != *this->after_event + 1) return false;
     this->after_event = event.id;
     return true;
@@ -338,8 +339,12 @@
     }
     const auto now = this->Now();
     const auto outcome = this->ClassifyOutcome(result);
-    const auto step = this->attempts.OnAttemptEnd(
+    auto step = this->attempts.OnAttemptEnd(
         this->route, outcome, this->response_started, this->deadline - now);
+    // Without the id of an event there is nothing to resume after.
+    const bool resumable = !this->response_started || this->after_event;
+    if (step == policy::NextStep::kRetry && !resumable)
+      step = policy::NextStep::kAbort;
     base::LogEvent("send_ended",
                    {{"request", this->facts.request_id},
                     {"endpoint", choice.endpoint.id.text},
--- a/packages/policy/include/gypsumtrack/policy/serving/job_run.h
+++ b/packages/policy/include/gypsumtrack/policy/serving/job_run.h
@@ -116,7 +116,8 @@
   std::optional<ItemRunStart> StartNextItem(base::Instant now);
   /// Appends an event to a running item. Returns false if the item isn't
   /// running or the event doesn't follow the one before it; the run must then
-  /// be aborted.
+  /// be aborted. Data with and without ids doesn't follow each other; events
+  /// with neither are ignored.
   bool OnEvent(std::size_t index, const StreamEvent& event);
   /// Records the end of a run. Precondition: the item is running.
   void OnRunEnd(std::size_t index, ItemRunOutcome outcome, base::Instant now);
--- a/packages/policy/src/serving/job_run.cc
+++ b/packages/policy/src/serving/job_run.cc
@@ -44,9 +44,15 @@
 bool JobRun::OnEvent(std::size_t index, const StreamEvent& event) {
   auto& each = this->progress[index];
   if (each.state != State::kRunning) return false;
+  // A comment, or bytes that are no event.
+  if (!event.id && event.data.empty()) return true;
   if (event.id) {
-    if (each.last_event && *event.id != *each.last_event + 1) return false;
+    const bool follows =
+        each.last_event ? *event.id == *each.last_event + 1 : each.text.empty();
+    if (!follows) return false;
     each.last_event = event.id;
+  } else if (each.last_event) {
+    return false;
   }
   if (each.has_text) each.text += '\n';
   each.text += event.data;
--- a/packages/policy/test/serving/job_run_test.cc
+++ b/packages/policy/test/serving/job_run_test.cc
@@ -56,6 +56,37 @@
       CHECK(job.UnlistedResults(1)[0].output == "x\ny");
     }
   }
+  SECTION("an output has ids in all of its events or in none") {
+    const auto start = job.StartNextItem(kStart);
+    const StreamEvent without_id{"data: y\n\n", std::nullopt, "y"};
+    SECTION("events with neither id nor data are no part of it") {
+      const StreamEvent comment{": y\n\n", std::nullopt, ""};
+      CHECK(job.OnEvent(start->index, comment));
+      CHECK(job.OnEvent(start->index, comment));
+      CHECK(job.OnEvent(start->index, MakeEvent(1, "x")));
+      CHECK(job.OnEvent(start->index, comment));
+      CHECK(job.event_count(start->index) == 1);
+      job.OnRunEnd(start->index, ItemRunOutcome::kComplete, kStart);
+      CHECK(job.UnlistedResults(1)[0].output == "x");
+    }
+    SECTION("data without an id after an event with one is rejected") {
+      CHECK(job.OnEvent(start->index, MakeEvent(1, "x")));
+      CHECK_FALSE(job.OnEvent(start->index, without_id));
+      job.OnRunEnd(start->index, ItemRunOutcome::kInterrupted, kStart);
+      CHECK(job.StartNextItem(kStart)->after_event == 1);
+    }
+    SECTION("an id after data without one is rejected, and all starts anew") {
+      CHECK(job.OnEvent(start->index, without_id));
+      CHECK(job.OnEvent(start->index, without_id));
+      CHECK_FALSE(job.OnEvent(start->index, MakeEvent(1, "x")));
+      job.OnRunEnd(start->index, ItemRunOutcome::kInterrupted, kStart);
+      const auto again = job.StartNextItem(kStart);
+      CHECK_FALSE(again->after_event);
+      CHECK(job.OnEvent(again->index, MakeEvent(1, "x")));
+      job.OnRunEnd(again->index, ItemRunOutcome::kComplete, kStart);
+      CHECK(job.UnlistedResults(1)[0].output == "x");
+    }
+  }
   SECTION("an item that didn't run is retried after a delay") {
     const auto start = job.StartNextItem(kStart);
     job.OnRunEnd(start->index, ItemRunOutcome::kNotRun, kStart);
