--- a/packages/gateway/src/endpoint_client.cc
+++ b/packages/gateway/src/endpoint_client.cc
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "connection_pool.h"
+#include "gypsumtrack/gateway/http_status.h"
 #include "socket_address.h"
 #include "watchdog.h"
 
@@ -29,6 +30,8 @@
 constexpr int kTcpKeepAliveSeconds = 1;
 /// Maximum number of late responses to earlier requests that are discarded.
 constexpr int kMaxLateResponses = 3;
+/// Maximum number of responses with a 1xx status before the final one.
+constexpr int kMaxInterimResponses = 8;
 /// Fraction of the endpoint's idle timeout for which a connection is reused, so
 /// that the endpoint doesn't close it first.
 constexpr double kIdleTimeoutFraction = 0.7;
@@ -238,18 +241,28 @@
     co_return false;
   }
 
+  /// Reads and discards the body. Returns false if the connection failed or the
+  /// body is larger than one that would be accepted.
   asio::awaitable<bool> DiscardBody() {
     std::string part(kBodyPartBytes, '\0');
+    std::uint64_t discarded = 0;
     while (!this->parser->is_done()) {
       const auto size_read = co_await this->ReadSome(part);
       if (!size_read) co_return false;
+      discarded += *size_read;
+      if (discarded > this->options.max_body_bytes) co_return false;
     }
     co_return true;
   }
 
   /// Reads the head of the next response, skipping those with a 1xx status.
   asio::awaitable<bool> ReadOneHead() {
+    int interim_responses = -1;
     do {
+      if (++interim_responses > kMaxInterimResponses) {
+        this->result.outcome = CallOutcome::kInvalid;
+        co_return false;
+      }
       this->parser.emplace();
       this->parser->header_limit(kMaxHeaderBytes);
       this->parser->body_limit(boost::none);
@@ -357,7 +370,7 @@
       return;
     }
     const bool streamed = this->call.on_part && head.status / 100 == 2;
-    if (streamed && this->call.is_complete && !this->call.is_complete()) {
+    if (streamed && this->call.is_complete && !this->call.is_complete(head)) {
       this->result.outcome = CallOutcome::kClosed;
       return;
     }
@@ -391,6 +404,15 @@
   return protocol;
 }
 
+bool IsCloseDelimited(const ResponseHead& head) {
+  const bool has_framing = std::any_of(
+      head.headers.begin(), head.headers.end(), [](const Header& header) {
+        return boost::beast::iequals(header.name, "Content-Length") ||
+               boost::beast::iequals(header.name, "Transfer-Encoding");
+      });
+  return !has_framing && head.status != status::kNoContent;
+}
+
 void CallCancellation::Cancel() {
   this->is_cancelled = true;
   if (this->handler) this->handler();
--- a/packages/gateway/src/serving/job_runner.cc
+++ b/packages/gateway/src/serving/job_runner.cc
@@ -315,6 +315,7 @@
                                          std::string host) {
   const auto& item = job->items[start.index];
   policy::EventSplitter splitter;
+  policy::EventArrivalLimit arrival_limit;
   EndpointCall call;
   call.address = endpoint.address;
   call.method = "POST";
@@ -330,7 +331,7 @@
   call.progress_timeout = kItemIdleTimeout;
   call.cancel = job->running[start.index].cancel;
   const auto events_before = job->run.event_count(start.index);
-  call.on_part = [this, job, start, events_before, &splitter](
+  call.on_part = [this, job, start, events_before, &splitter, &arrival_limit](
                      const ResponseHead& head,
                      std::string_view part) -> asio::awaitable<base::Status> {
     base::Status status = base::Done{};
@@ -339,18 +340,32 @@
                            "the response lacks the endpoint's seal");
       co_return status;
     }
-    for (const auto& event : splitter.Feed(part)) {
-      const bool is_first = job->run.event_count(start.index) == events_before;
-      if (is_first)
-        ReportProgress(this->context, job->items[start.index].shared_parts);
+    const auto events = splitter.Feed(part);
+    const auto count_before = job->run.event_count(start.index);
+    for (const auto& event : events) {
       if (job->run.OnEvent(start.index, event)) continue;
       status = base::Error(base::Errc::kInvalid,
                            "the stream has an event out of order");
       break;
     }
+    const bool has_first = count_before == events_before &&
+                           job->run.event_count(start.index) > events_before;
+    if (has_first)
+      ReportProgress(this->context, job->items[start.index].shared_parts);
+    const bool in_time = arrival_limit.OnPart(
+        !events.empty(), this->context.clock.now(), kItemIdleTimeout);
+    if (status.ok() && (!in_time || splitter.event_too_long())) {
+      status = base::Error(base::Errc::kInvalid,
+                           "an event of the stream is too long or too slow");
+    }
     co_return status;
   };
-  call.is_complete = [&splitter] { return splitter.at_event_end(); };
+  call.is_complete = [job, start, &splitter](const ResponseHead& head) {
+    // One without a length or chunks that ends before any event was broken off,
+    // unless it resumes an output, which may have had all events.
+    const bool has_events = job->run.event_count(start.index) > 0;
+    return splitter.at_event_end() && (has_events || !IsCloseDelimited(head));
+  };
   const auto cancel = call.cancel;
   const auto started_at = this->context.clock.now();
   const auto result = co_await SendToEndpoint(
--- a/packages/gateway/src/serving/relay_service.cc
+++ b/packages/gateway/src/serving/relay_service.cc
@@ -253,6 +253,7 @@
     this->tried.insert(choice.endpoint.id);
     this->splitter = {};
     this->attempt_events = 0;
+    this->arrival_limit = {};
     EndpointCall call;
     call.address = choice.endpoint.address;
     call.method = this->exchange.request().method;
@@ -274,7 +275,9 @@
       call.on_part = [this](const ResponseHead& head, std::string_view part) {
         return this->RelayPart(head, std::string(part));
       };
-      call.is_complete = [this] { return this->splitter.at_event_end(); };
+      call.is_complete = [this](const ResponseHead& head) {
+        return this->IsComplete(head);
+      };
     }
     auto result =
         co_await SendToEndpoint(this->context, choice.endpoint,
@@ -304,14 +307,30 @@
                             "the response lacks the endpoint's seal");
     }
     std::string bytes;
-    for (auto& event : this->splitter.Feed(part)) {
-      if (!this->AcceptEvent(event)) {
-        co_return base::Error(base::Errc::kInvalid,
-                              "an event of the stream is out of order");
-      }
+    bool in_order = true;
+    const auto events = this->splitter.Feed(part);
+    for (const auto& event : events) {
+      in_order = this->AcceptEvent(event);
+      if (!in_order) break;
       bytes += event.bytes;
-      this->CountEvent();
+      this->CountEvent(event);
     }
+    // The accepted events count as relayed, so they are relayed in any case: a
+    // retry resumes after the last of them.
+    auto relayed = co_await this->RelayEvents(head, std::move(bytes));
+    const auto now = this->Now();
+    const bool in_time = this->arrival_limit.OnPart(!events.empty(), now,
+                                                    this->ProgressTimeout(now));
+    const bool valid = in_order && in_time && !this->splitter.event_too_long();
+    if (!relayed.ok() || valid) co_return relayed;
+    co_return base::Error(base::Errc::kInvalid,
+                          "an event is out of order, too long or too slow");
+  }
+
+  /// Sends the caller the bytes of events, after the head if it hasn't been
+  /// sent yet.
+  asio::awaitable<base::Status> RelayEvents(const ResponseHead& head,
+                                            std::string bytes) {
     if (bytes.empty()) co_return base::Done{};
     if (!this->response_started) {
       auto started = co_await this->StartStream(head);
@@ -321,15 +340,27 @@
     co_return written;
   }
 
-  void CountEvent() {
+  void CountEvent(const policy::StreamEvent& event) {
+    const bool is_comment = !event.id && event.data.empty();
+    if (is_comment) return;
     if (this->attempt_events++ == 0)
       ReportProgress(this->context, this->facts.shared_parts);
   }
 
+  /// Whether the stream of the current attempt may end here. One without a
+  /// length or chunks that ends before any event was broken off, unless it
+  /// resumes a stream, which may have had all events.
+  bool IsComplete(const ResponseHead& head) const {
+    const bool has_events = this->response_started || this->after_event;
+    return this->splitter.at_event_end() &&
+           (has_events || !IsCloseDelimited(head));
+  }
+
   /// Returns whether the event directly follows the one before, and if so
-  /// records it as the last one. Events without an id are always accepted.
+  /// records it as the last one. Data without an id is accepted only in a
+  /// stream without ids, as it could be neither placed nor resumed after.
   bool AcceptEvent(const policy::StreamEvent& event) {
-    if (!event.id) return true;
+    if (!event.id) return event.data.empty() || !this->after_event;
     if (this->after_event && *event.id != *this->after_event + 1) return false;
     this->after_event = event.id;
     return true;
@@ -359,8 +390,12 @@
     }
     const auto now = this->Now();
     const auto outcome = this->ClassifyOutcome(result);
-    const auto step = this->attempts.OnAttemptEnd(
+    auto step = this->attempts.OnAttemptEnd(
         this->route, outcome, this->response_started, this->deadline - now);
+    // Without the id of an event there is nothing to resume after.
+    const bool resumable = !this->response_started || this->after_event;
+    if (step == policy::NextStep::kRetry && !resumable)
+      step = policy::NextStep::kAbort;
     base::LogEvent("send_ended",
                    {{"request", this->facts.request_id},
                     {"endpoint", choice.endpoint.id.text},
@@ -401,6 +436,9 @@
       return policy::AttemptOutcome::kUnknown;
     if (result.head.status >= 500) return policy::AttemptOutcome::kFailed;
     const bool success = result.head.status / 100 == 2;
+    // The caller's response has another status and would seem to be complete.
+    if (this->response_started && !success)
+      return policy::AttemptOutcome::kFailed;
     if (success && !this->context.wire.read_response(result.head).has_seal) {
       return policy::AttemptOutcome::kUnknown;
     }
@@ -462,6 +500,7 @@
   policy::EventSplitter splitter;
   /// Number of events received in the current attempt.
   std::uint64_t attempt_events = 0;
+  policy::EventArrivalLimit arrival_limit;
   /// Id of the last event that was relayed, at first of the last one that the
   /// caller reports to have received.
   std::optional<std::uint64_t> after_event;
--- a/packages/policy/test/serving/event_splitter_test.cc
+++ b/packages/policy/test/serving/event_splitter_test.cc
@@ -44,6 +44,19 @@
     CHECK(events[0].id == 3);
     CHECK(events[0].data == "c");
   }
+  SECTION("an event without end is given up at the limit") {
+    CHECK(splitter.Feed("id: 1\ndata: a\n\nid: 2\ndata: ").size() == 1);
+    const std::string piece(kMaxEventBytes / 2, 'x');
+    CHECK(splitter.Feed(piece).empty());
+    CHECK_FALSE(splitter.event_too_long());
+    CHECK(splitter.Feed(piece).empty());
+    CHECK(splitter.event_too_long());
+    CHECK_FALSE(splitter.at_event_end());
+    SECTION("and what follows isn't part of any event") {
+      CHECK(splitter.Feed("\n\nid: 3\ndata: c\n\n").empty());
+      CHECK_FALSE(splitter.at_event_end());
+    }
+  }
   SECTION("an id that isn't a number is ignored") {
     const auto events = splitter.Feed("id: 1x\ndata:\n\n");
     REQUIRE(events.size() == 1);
@@ -52,6 +65,24 @@
   }
 }
 
+TEST_CASE("an event arrives in parts") {
+  using std::chrono::seconds;
+  const base::Instant start{};
+  const base::Duration timeout = seconds(2);
+  EventArrivalLimit limit;
+  REQUIRE(limit.OnPart(false, start, timeout));
+  CHECK(limit.OnPart(false, start + seconds(1), timeout));
+  SECTION("it may take as long as the timeout") {
+    CHECK_FALSE(limit.OnPart(false, start + seconds(2), timeout));
+  }
+  SECTION("the next event has a time of its own, from its first part") {
+    CHECK(limit.OnPart(true, start + seconds(3), timeout));
+    CHECK(limit.OnPart(false, start + seconds(8), timeout));
+    CHECK(limit.OnPart(false, start + seconds(9), timeout));
+    CHECK_FALSE(limit.OnPart(false, start + seconds(10), timeout));
+  }
+}
+
 TEST_CASE("events don't depend on how the stream is cut into packets") {
   rc::prop("any pieces give the same events", [] {
     std::string stream;
