End jobs in the soak and check what reaches endpoints afterwards

Callers saw an item reach an endpoint more than 3 s, the bound on that, after the end of its job was acknowledged. The soak never ended a job, so it couldn't see that.

Change: four callers submit jobs of items that take 3.6 s each and end them at any daemon, half of them within 0.6 s and the others within 6 s, also while daemons restart and take jobs over. Half of the ends are followed by a repeat of the submission and of the end. The checker reports an item that reaches an endpoint later than 3 s after the first acknowledgement. It excuses only a daemon that the soak itself stopped, killed, started, paused, cut off from the store or whose connections to the store it reset, until 4 s after that (contactMs of the users' rules). Endpoints don't see which daemon sent an item; it is looked up in the daemons' logs, and an item whose sender isn't found counts as a violation.

--- a/packages/testing/include/gypsumtrack/testing/site_standin.h
+++ b/packages/testing/include/gypsumtrack/testing/site_standin.h
@@ -72,6 +72,9 @@
   std::uint64_t after_event = 0;
   /// Value of X-Gypsumtrack-Deadline-Ms.
   std::uint64_t deadline_millis = 0;
+  /// Value of X-Event-Pause-Ms, which a test sets: the pause before each event,
+  /// or 0 for that of the engine.
+  std::uint64_t event_pause_millis = 0;
   base::Instant at{};
 };
 
--- a/packages/testing/soak/daemon_process.cc
+++ b/packages/testing/soak/daemon_process.cc
@@ -1,6 +1,7 @@
 #include "daemon_process.h"
 
 #include <fcntl.h>
+#include <fmt/chrono.h>
 #include <fmt/format.h>
 #include <signal.h>
 #include <spawn.h>
@@ -8,6 +9,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <filesystem>
 #include <fstream>
 #include <stdexcept>
 #include <utility>
@@ -97,4 +99,31 @@
   return DescribeExit(status);
 }
 
+std::optional<std::string> FindItemSender(const std::string& directory,
+                                          const std::string& item,
+                                          base::WallTime at) {
+  // Each line starts with its time, in a form that sorts by time.
+  const auto limit =
+      fmt::format("time={:%Y-%m-%dT%H:%M:%S}.{:03}Z",
+                  fmt::gmtime(std::chrono::system_clock::to_time_t(at)),
+                  at.time_since_epoch().count() % 1000);
+  const auto mark = fmt::format(" item={} ", item);
+  std::optional<std::string> sender;
+  std::string last;
+  for (const auto& file : std::filesystem::directory_iterator(directory)) {
+    if (file.path().extension() != ".log") continue;
+    std::ifstream in(file.path());
+    std::string line;
+    while (std::getline(in, line)) {
+      if (line.find("event=item_sent ") == std::string::npos) continue;
+      if (line.find(mark) == std::string::npos) continue;
+      const auto time = line.substr(0, limit.size());
+      if (time > limit || time < last) continue;
+      last = time;
+      sender = file.path().stem().string();
+    }
+  }
+  return sender;
+}
+
 }  // namespace gypsumtrack::testing
--- a/packages/testing/soak/daemon_process.h
+++ b/packages/testing/soak/daemon_process.h
@@ -3,8 +3,11 @@
 
 #include <sys/types.h>
 
+#include <optional>
 #include <string>
 
+#include "gypsumtrack/base/time.h"
+
 /// A daemon that the soak test runs as a child process.
 namespace gypsumtrack::testing {
 
@@ -66,6 +69,12 @@
   pid_t pid = 0;
 };
 
+/// Returns the name of the daemon whose log names the last start of the item at
+/// or before `at`, or nullopt if there is none. `directory` holds the logs.
+std::optional<std::string> FindItemSender(const std::string& directory,
+                                          const std::string& item,
+                                          base::WallTime at);
+
 }  // namespace gypsumtrack::testing
 
 #endif  // GYPSUMTRACK_TESTING_SOAK_DAEMON_PROCESS_H_
--- a/packages/testing/soak/invariant_checker.cc
+++ b/packages/testing/soak/invariant_checker.cc
@@ -16,6 +16,12 @@
 /// Requests sent with a withdrawn key later than this after the withdrawal must
 /// not run. Equals the setting bounds.revokeMs of the daemons.
 constexpr base::Duration kWithdrawalBound = std::chrono::milliseconds(5000);
+/// Items that reach an endpoint later than this after the end of their job must
+/// not run. Equals the setting bounds.cancelMs of the daemons.
+constexpr base::Duration kJobEndBound = std::chrono::milliseconds(3000);
+/// How long a disruption excuses a daemon after it is over: contactMs of the
+/// users' rules.
+constexpr base::Duration kContact = std::chrono::milliseconds(4000);
 constexpr base::Duration kRateWindow = std::chrono::seconds(5);
 /// The settings bounds.quotaExcess and bounds.quotaSlack of the daemons: the
 /// tolerated share and number of requests above a rate limit.
@@ -76,6 +82,31 @@
   entry->second = entry->second && GuaranteesNotRun(status);
 }
 
+void InvariantChecker::RecordEnd(const std::string& job,
+                                 base::Instant acknowledged_at) {
+  const std::lock_guard lock(this->mutex);
+  this->job_ends.try_emplace(job, acknowledged_at);
+}
+
+void InvariantChecker::RecordDisruption(const std::string& daemon,
+                                        Disruption kind, base::Instant now) {
+  const std::lock_guard lock(this->mutex);
+  for (const auto& record : this->disruptions) {
+    const bool is_same = record.daemon == daemon && record.kind == kind;
+    if (is_same && record.until == base::kNever) return;
+  }
+  this->disruptions.push_back({daemon, kind, now});
+}
+
+void InvariantChecker::RecordDisruptionEnd(const std::string& daemon,
+                                           Disruption kind, base::Instant now) {
+  const std::lock_guard lock(this->mutex);
+  for (auto& record : this->disruptions) {
+    const bool is_same = record.daemon == daemon && record.kind == kind;
+    if (is_same && record.until == base::kNever) record.until = now;
+  }
+}
+
 void InvariantChecker::RecordWithdrawal(Withdrawal withdrawal) {
   const std::lock_guard lock(this->mutex);
   this->withdrawals.push_back(std::move(withdrawal));
@@ -98,12 +129,13 @@
 
 std::vector<std::string> InvariantChecker::Check(
     const std::vector<EngineRun>& runs,
-    const std::map<std::string, RateLimit>& limits) const {
+    const std::map<std::string, RateLimit>& limits,
+    const SenderLookup& find_sender) const {
   const std::lock_guard lock(this->mutex);
   auto violations = this->caller_violations;
   std::map<std::string, int> run_counts;
   for (const auto& run : runs) {
-    this->CheckRun(run, violations);
+    this->CheckRun(run, find_sender, violations);
     const auto found = this->requests.find(run.request_id);
     if (found == this->requests.end() || found->second.resumable) continue;
     if (++run_counts[run.request_id] == 2) {
@@ -116,6 +148,7 @@
 }
 
 void InvariantChecker::CheckRun(const EngineRun& run,
+                                const SenderLookup& find_sender,
                                 std::vector<std::string>& violations) const {
   if (!run.key.empty()) violations.push_back("key leaked: " + run.request_id);
   const auto request = this->requests.find(run.request_id);
@@ -124,7 +157,7 @@
   }
   const auto item = this->items.find(run.request_id);
   if (item != this->items.end()) {
-    return this->CheckItemRun(run, item->second, violations);
+    return this->CheckItemRun(run, item->second, find_sender, violations);
   }
   violations.push_back("endpoint ran an unknown request: " + run.request_id);
 }
@@ -151,6 +184,7 @@
 
 void InvariantChecker::CheckItemRun(
     const EngineRun& run, const ItemRecord& item,
+    const SenderLookup& find_sender,
     std::vector<std::string>& violations) const {
   if (run.organisation != item.organisation || run.target != item.target) {
     violations.push_back(
@@ -161,6 +195,33 @@
   if (refused != this->refused_jobs.end() && refused->second) {
     violations.push_back("item of a refused job ran: " + run.request_id);
   }
+  this->CheckJobEnd(run, item, find_sender, violations);
+}
+
+void InvariantChecker::CheckJobEnd(const EngineRun& run, const ItemRecord& item,
+                                   const SenderLookup& find_sender,
+                                   std::vector<std::string>& violations) const {
+  const auto ended = this->job_ends.find(item.job);
+  if (ended == this->job_ends.end()) return;
+  if (run.at <= ended->second + kJobEndBound) return;
+  const auto sender = find_sender(run);
+  if (sender && this->WasDisrupted(*sender, run.at)) return;
+  const auto late = run.at - ended->second;
+  violations.push_back(
+      fmt::format("item {} of {} ran {} ms after the end of the job, from {}",
+                  run.request_id, item.job, late.count() / 1000,
+                  sender.value_or("an unknown daemon")));
+}
+
+bool InvariantChecker::WasDisrupted(const std::string& daemon,
+                                    base::Instant at) const {
+  return std::any_of(this->disruptions.begin(), this->disruptions.end(),
+                     [&](const DisruptionRecord& record) {
+                       const bool is_over = record.until != base::kNever &&
+                                            at > record.until + kContact;
+                       return record.daemon == daemon && at >= record.from &&
+                              !is_over;
+                     });
 }
 
 void InvariantChecker::CheckRates(
@@ -214,4 +275,9 @@
   return this->requests.size();
 }
 
+std::size_t InvariantChecker::ended_job_count() const {
+  const std::lock_guard lock(this->mutex);
+  return this->job_ends.size();
+}
+
 }  // namespace gypsumtrack::testing
--- a/packages/testing/soak/invariant_checker.h
+++ b/packages/testing/soak/invariant_checker.h
@@ -2,8 +2,10 @@
 #define GYPSUMTRACK_TESTING_SOAK_INVARIANT_CHECKER_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -50,6 +52,25 @@
   base::Instant restored_at = base::kNever;
 };
 
+/// What the soak does to a daemon that excuses it from bounds on time.
+enum class Disruption {
+  kProcess,  ///< stopped, killed, started or paused
+  kStore,    ///< cut off from the store, or its connections to it reset
+};
+
+/// A span in which a daemon was disrupted.
+struct DisruptionRecord {
+  std::string daemon;
+  Disruption kind = Disruption::kProcess;
+  base::Instant from{};
+  /// kNever while it lasts.
+  base::Instant until = base::kNever;
+};
+
+/// Returns the name of the daemon that sent an item to an endpoint, if known.
+using SenderLookup =
+    std::function<std::optional<std::string>(const EngineRun&)>;
+
 /// Requests of one organisation.
 struct ServedCounts {
   std::size_t sent = 0;
@@ -72,6 +93,15 @@
   void RecordItem(const std::string& id, ItemRecord item);
   /// Adds the status of one submission of the job; 0 if there was no response.
   void RecordSubmission(const std::string& job, unsigned status);
+  /// Call when the end of the job is acknowledged; later calls have no effect.
+  void RecordEnd(const std::string& job, base::Instant acknowledged_at);
+  /// Marks the begin of a disruption; has no effect while one of this kind
+  /// lasts.
+  void RecordDisruption(const std::string& daemon, Disruption kind,
+                        base::Instant now);
+  /// Marks the end of the disruption of this kind, if one lasts.
+  void RecordDisruptionEnd(const std::string& daemon, Disruption kind,
+                           base::Instant now);
   /// Adds the withdrawal of a key.
   void RecordWithdrawal(Withdrawal withdrawal);
   /// Marks the open withdrawal of `key` as ended at `now`.
@@ -81,28 +111,39 @@
 
   // Queries.
 
-  /// Returns all violations, those added by AddViolation() first.
-  std::vector<std::string> Check(
-      const std::vector<EngineRun>& runs,
-      const std::map<std::string, RateLimit>& limits) const;
+  /// Returns all violations, those added by AddViolation() first. Calls
+  /// `find_sender` for items that came too late only.
+  std::vector<std::string> Check(const std::vector<EngineRun>& runs,
+                                 const std::map<std::string, RateLimit>& limits,
+                                 const SenderLookup& find_sender) const;
   /// Returns by organisation the requests sent at or after `from` whose callers
   /// waited for the response.
   std::map<std::string, ServedCounts> ServedSince(base::Instant from) const;
   /// The number of recorded requests.
   std::size_t request_count() const;  // NOLINT
+  /// The number of jobs whose end was acknowledged.
+  std::size_t ended_job_count() const;  // NOLINT
 
  private:
   // The following need `mutex` to be held and append to `violations`.
 
   /// Checks that a run belongs to a recorded request or item.
-  void CheckRun(const EngineRun& run,
+  void CheckRun(const EngineRun& run, const SenderLookup& find_sender,
                 std::vector<std::string>& violations) const;
   /// Checks a run against its request and the withdrawals of its key.
   void CheckRequestRun(const EngineRun& run, const RequestRecord& record,
                        std::vector<std::string>& violations) const;
   /// Checks a run against its item and job.
   void CheckItemRun(const EngineRun& run, const ItemRecord& item,
+                    const SenderLookup& find_sender,
                     std::vector<std::string>& violations) const;
+  /// Checks that the run came before the bound after the end of its job, or
+  /// from a daemon that was disrupted.
+  void CheckJobEnd(const EngineRun& run, const ItemRecord& item,
+                   const SenderLookup& find_sender,
+                   std::vector<std::string>& violations) const;
+  /// Whether the daemon was disrupted at `at` or shortly before.
+  bool WasDisrupted(const std::string& daemon, base::Instant at) const;
   /// Checks the number of requests per window against the limits.
   void CheckRates(const std::vector<EngineRun>& runs,
                   const std::map<std::string, RateLimit>& limits,
@@ -113,6 +154,9 @@
   std::map<std::string, ItemRecord> items;
   /// Whether all submissions of a job so far were refused.
   std::map<std::string, bool> refused_jobs;
+  /// When the end of a job was first acknowledged.
+  std::map<std::string, base::Instant> job_ends;
+  std::vector<DisruptionRecord> disruptions;
   std::vector<Withdrawal> withdrawals;
   std::vector<std::string> caller_violations;
 };
--- a/packages/testing/soak/soak_callers.cc
+++ b/packages/testing/soak/soak_callers.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <boost/json.hpp>
+#include <iterator>
 #include <memory>
 #include <utility>
 
@@ -25,7 +26,15 @@
 constexpr base::Duration kDisconnectAfter = milliseconds(40);
 constexpr const char* kDeadlineMs = "3000";
 constexpr std::size_t kSubmissionAttempts = 6;
-constexpr std::size_t kItemsPerJob = 3;
+constexpr JobShape kShortJob{.items = 3};
+/// Its items take 3.6 s, longer than the bound on items after the end of a job,
+/// and more than the endpoints have room for wait.
+constexpr JobShape kLongJob{.items = 12, .event_pause_millis = 600};
+/// Long enough for another daemon to take over the job of a daemon that was
+/// killed.
+constexpr std::size_t kMaxMillisBeforeEnd = 6000;
+/// The same for the half of the jobs that end soon after their acceptance.
+constexpr std::size_t kMaxMillisBeforeEarlyEnd = 600;
 
 std::string ExpectedStream() {
   std::string stream;
@@ -51,6 +60,16 @@
           {"X-Gypsumtrack-Deadline-Ms", kDeadlineMs}};
 }
 
+json::object MakeItem(const std::string& id, const std::string& target,
+                      const JobShape& shape) {
+  const auto pause = std::to_string(shape.event_pause_millis);
+  return {{"id", id},
+          {"path", target},
+          {"headers", json::object{{"X-Event-Pause-Ms", pause}}},
+          {"body", "q83v"},
+          {"tokens", 10}};
+}
+
 void CheckStream(InvariantChecker& checker, const std::string& id,
                  const CallResponse& response) {
   if (response.status != code::kOk) return;
@@ -142,22 +161,57 @@
 asio::awaitable<void> JobCaller::Run() {
   while (!this->context.stopped) {
     if (this->jobs.empty() || this->context.RandomBelow(4) == 0) {
-      co_await this->Submit();
+      co_await this->Submit(kShortJob);
     } else {
+      const auto chosen = this->context.RandomBelow(this->jobs.size());
       co_await this->Read(
-          this->jobs[this->context.RandomBelow(this->jobs.size())]);
+          *std::next(this->jobs.begin(), static_cast<std::ptrdiff_t>(chosen)));
     }
     co_await Pause(milliseconds(50 + this->context.RandomBelow(150)));
   }
 }
 
+asio::awaitable<void> JobCaller::RunAndEndJobs() {
+  while (!this->context.stopped) {
+    auto* job = co_await this->Submit(kLongJob);
+    const bool ends_early = this->context.RandomBelow(2) == 0;
+    const milliseconds delay(this->context.RandomBelow(
+        ends_early ? kMaxMillisBeforeEarlyEnd : kMaxMillisBeforeEnd));
+    const auto end_at = this->context.clock.now() + delay;
+    if (job == nullptr) continue;
+    while (!this->context.stopped && this->context.clock.now() < end_at) {
+      co_await this->Read(*job);
+      co_await Pause(milliseconds(20 + this->context.RandomBelow(150)));
+    }
+    do {
+      co_await this->End(*job);
+      co_await Pause(milliseconds(20 + this->context.RandomBelow(150)));
+    } while (!this->context.stopped && !job->ended);
+    if (!job->ended || this->context.RandomBelow(2) == 0) continue;
+    // Neither a repeat of the submission nor of the end may change anything.
+    co_await this->SendSubmission(*job);
+    co_await this->End(*job);
+  }
+}
+
 asio::awaitable<void> JobCaller::ReadAllResults(base::Instant until) {
   for (auto& job : this->jobs) {
-    while (!job.complete() && this->context.clock.now() < until) {
-      co_await this->Read(job);
+    const auto is_settled = [&job] {
+      return job.end_requested ? job.ended : job.complete();
+    };
+    while (!is_settled() && this->context.clock.now() < until) {
+      if (job.end_requested) {
+        co_await this->End(job);
+      } else {
+        co_await this->Read(job);
+      }
       co_await Pause(milliseconds(100));
     }
-    if (!job.complete()) {
+    if (is_settled()) continue;
+    if (job.end_requested) {
+      this->context.checker.AddViolation(
+          fmt::format("the end of job {} is never acknowledged", job.id));
+    } else {
       this->context.checker.AddViolation(
           fmt::format("job {} has only {} of {} results at the end", job.id,
                       job.seen_results.size(), job.items.size()));
@@ -165,34 +219,59 @@
   }
 }
 
-asio::awaitable<void> JobCaller::Submit() {
+asio::awaitable<AcceptedJob*> JobCaller::Submit(JobShape shape) {
   AcceptedJob job;
   job.id = this->context.NextId("job");
   // The first key is never withdrawn, so a job is not refused for its key.
   job.key = this->context.keys.front();
   json::array items;
-  for (std::size_t i = 0; i < kItemsPerJob; ++i) {
+  for (std::size_t i = 0; i < shape.items; ++i) {
     const auto item = this->context.NextId("item");
     const auto target = "/sheets/" + item;
     job.items.push_back(item);
-    items.push_back(json::object{
-        {"id", item}, {"path", target}, {"body", "q83v"}, {"tokens", 10}});
+    items.push_back(MakeItem(item, target, shape));
     this->context.checker.RecordItem(item,
                                      {job.key.organisation, target, job.id});
   }
-  const auto body = json::serialize(json::object{{"requests", items}});
+  job.submission = json::serialize(json::object{{"requests", items}});
   for (std::size_t i = 0; i < kSubmissionAttempts; ++i) {
-    CallRequest request{"POST", "/sheets/", MakeHeaders(job.id, job.key.key),
-                        body};
-    const auto response = co_await CallOnce(this->context.RandomDaemon(),
-                                            std::move(request), kCallTimeout);
-    this->context.checker.RecordSubmission(job.id, response.status);
-    if (response.status == code::kAccepted) {
+    const auto status = co_await this->SendSubmission(job);
+    if (status == code::kAccepted) {
       this->jobs.push_back(std::move(job));
-      co_return;
+      co_return &this->jobs.back();
     }
     co_await Pause(milliseconds(300));
   }
+  co_return nullptr;
+}
+
+asio::awaitable<unsigned> JobCaller::SendSubmission(const AcceptedJob& job) {
+  CallRequest request{"POST", "/sheets/", MakeHeaders(job.id, job.key.key),
+                      job.submission};
+  const auto response = co_await CallOnce(this->context.RandomDaemon(),
+                                          std::move(request), kCallTimeout);
+  this->context.checker.RecordSubmission(job.id, response.status);
+  co_return response.status;
+}
+
+asio::awaitable<void> JobCaller::End(AcceptedJob& job) {
+  job.end_requested = true;
+  CallRequest request{"DELETE",
+                      fmt::format("/gypsumtrack/lots/{}", job.id),
+                      MakeHeaders(this->context.NextId("end"), job.key.key),
+                      {}};
+  const auto response = co_await CallOnce(this->context.RandomDaemon(),
+                                          std::move(request), kCallTimeout);
+  this->CheckExists(job, response.status);
+  if (response.status != code::kOk) co_return;
+  job.ended = true;
+  this->context.checker.RecordEnd(job.id, this->context.clock.now());
+}
+
+void JobCaller::CheckExists(const AcceptedJob& job, unsigned status) {
+  if (status != code::kNotFound && status != code::kGone) return;
+  this->context.checker.AddViolation(
+      fmt::format("accepted job {} is missing", job.id));
 }
 
 asio::awaitable<void> JobCaller::Read(AcceptedJob& job) {
@@ -209,10 +288,7 @@
       {}};
   const auto response = co_await CallOnce(this->context.RandomDaemon(),
                                           std::move(request), kCallTimeout);
-  if (response.status == code::kNotFound || response.status == code::kGone) {
-    this->context.checker.AddViolation(
-        fmt::format("accepted job {} is missing", job.id));
-  }
+  this->CheckExists(job, response.status);
   if (response.status != code::kOk || !response.complete) co_return;
   this->CheckResults(job, after, response.body);
 }
--- a/packages/testing/soak/soak_callers.h
+++ b/packages/testing/soak/soak_callers.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
+#include <list>
 #include <map>
 #include <random>
 #include <string>
@@ -53,17 +54,30 @@
 struct AcceptedJob {
   std::string id;
   CallerKey key;
+  /// The body of the submission.
+  std::string submission;
   std::vector<std::string> items;
   /// The result at each position, as JSON text, when it was first read.
   std::vector<std::string> seen_results;
+  /// A caller has asked for its end, so it need not become complete.
+  bool end_requested = false;
+  /// A daemon has acknowledged its end.
+  bool ended = false;
   /// Whether all results were read.
   bool complete() const {  // NOLINT
     return this->seen_results.size() == this->items.size();
   }
 };
 
-/// Submits jobs and reads their results, each time at a random daemon. Not
-/// thread-safe.
+/// The items of a job.
+struct JobShape {
+  std::size_t items = 0;
+  /// The pause of an endpoint before each event; 0 for its own.
+  std::uint64_t event_pause_millis = 0;
+};
+
+/// Submits jobs, reads their results and ends them, each time at a random
+/// daemon. Not thread-safe.
 class JobCaller {
  public:
   /// `context` must outlive the caller.
@@ -71,15 +85,24 @@
 
   /// Submits jobs and reads results until stopped.
   boost::asio::awaitable<void> Run();
-  /// Reads each job until it is complete or `until` has passed, and adds a
-  /// violation for each incomplete job.
+  /// Submits jobs that take long and ends each after up to 6 s, until stopped.
+  boost::asio::awaitable<void> RunAndEndJobs();
+  /// Reads each job until it is complete, or ends it if that was begun, until
+  /// `until` has passed. Adds a violation for each job that remains.
   boost::asio::awaitable<void> ReadAllResults(base::Instant until);
   /// The number of jobs that were accepted.
   std::size_t jobs_accepted() const { return this->jobs.size(); }  // NOLINT
 
  private:
-  /// Submits a job, with retries until one submission is accepted.
-  boost::asio::awaitable<void> Submit();
+  /// Submits a job, with retries until one submission is accepted. Returns
+  /// nullptr if none is; the job is valid as long as this object.
+  boost::asio::awaitable<AcceptedJob*> Submit(JobShape shape);
+  /// Sends the submission of a job once and returns the status.
+  boost::asio::awaitable<unsigned> SendSubmission(const AcceptedJob& job);
+  /// Asks once for the end of a job.
+  boost::asio::awaitable<void> End(AcceptedJob& job);
+  /// Adds a violation if the status says that an accepted job doesn't exist.
+  void CheckExists(const AcceptedJob& job, unsigned status);
   /// Reads one page of results.
   boost::asio::awaitable<void> Read(AcceptedJob& job);
   /// Checks a page of results that starts at position `after`, and stores those
@@ -88,7 +111,7 @@
                     const std::string& body);
 
   CallerContext& context;
-  std::vector<AcceptedJob> jobs;
+  std::list<AcceptedJob> jobs;
 };
 
 }  // namespace gypsumtrack::testing
--- a/packages/testing/soak/soak_fixture.cc
+++ b/packages/testing/soak/soak_fixture.cc
@@ -155,7 +155,10 @@
       .daemons = addresses,
       .keys = {{"club", kFirstKey}, {"guild", kSecondKey}},
       .random = std::mt19937(static_cast<std::uint32_t>(this->options.seed))});
-  this->jobs = std::make_unique<JobCaller>(*this->caller_context);
+  for (std::size_t i = 0; i <= this->options.ending_callers; ++i) {
+    this->job_callers.push_back(
+        std::make_unique<JobCaller>(*this->caller_context));
+  }
 }
 
 std::vector<std::string> SoakFixture::Run() {
@@ -171,23 +174,45 @@
     const auto endpoint_runs = endpoint.engine->runs();
     runs.insert(runs.end(), endpoint_runs.begin(), endpoint_runs.end());
   }
-  auto violations = this->checker.Check(runs, RateLimits());
-  fmt::print("seed {}: {} requests, {} jobs, {} runs, {} violations\n",
+  const auto find_sender = [this](const EngineRun& run) {
+    const auto age = this->clock.now() - run.at;
+    const auto at =
+        std::chrono::time_point_cast<milliseconds>(this->clock.wall() - age);
+    return FindItemSender(this->options.directory, run.request_id, at);
+  };
+  auto violations = this->checker.Check(runs, RateLimits(), find_sender);
+  fmt::print("seed {}: {} requests, {}, {} runs, {} violations\n",
              this->options.seed, this->checker.request_count(),
-             this->jobs->jobs_accepted(), runs.size(), violations.size());
+             this->CountJobs(), runs.size(), violations.size());
   return violations;
 }
 
+std::string SoakFixture::CountJobs() const {
+  std::size_t accepted = 0;
+  for (const auto& caller : this->job_callers) {
+    accepted += caller->jobs_accepted();
+  }
+  return fmt::format("{} jobs, {} of them ended", accepted,
+                     this->checker.ended_job_count());
+}
+
+void SoakFixture::StartCallers() {
+  for (std::size_t i = 0; i < this->options.callers; ++i) {
+    this->Spawn(RunStreamCaller(*this->caller_context));
+  }
+  this->Spawn(this->job_callers.front()->Run());
+  for (std::size_t i = 1; i < this->job_callers.size(); ++i) {
+    this->Spawn(this->job_callers[i]->RunAndEndJobs());
+  }
+}
+
 asio::awaitable<void> SoakFixture::RunScenario() {
   this->Spawn(this->SuperviseDaemons());
   const bool started =
       co_await this->AwaitReady(this->clock.now() + seconds(20));
   if (!started) this->checker.AddViolation("daemons not ready after start");
   co_await Pause(kTrafficDelay);
-  for (std::size_t i = 0; i < this->options.callers; ++i) {
-    this->Spawn(RunStreamCaller(*this->caller_context));
-  }
-  this->Spawn(this->jobs->Run());
+  this->StartCallers();
   co_await this->InjectFaults(this->clock.now() + this->options.fault_duration);
   this->ClearFaults();
   this->Log("calm");
@@ -201,7 +226,10 @@
   this->caller_context->stopped = true;
   co_await Pause(kResponseBound);
   this->CheckServed(fault_free_start);
-  co_await this->jobs->ReadAllResults(this->clock.now() + kJobsBound);
+  const auto jobs_until = this->clock.now() + kJobsBound;
+  for (const auto& caller : this->job_callers) {
+    co_await caller->ReadAllResults(jobs_until);
+  }
   this->supervising = false;
   this->daemons.clear();
   this->context.stop();
@@ -260,6 +288,8 @@
       if (daemon.resume_at <= now) {
         daemon.resume_at = base::kNever;
         daemon.process->Signal(SIGCONT);
+        this->checker.RecordDisruptionEnd(daemon.process->name(),
+                                          Disruption::kProcess, now);
       }
       if (daemon.kill_at <= now && daemon.process->running()) {
         daemon.kill_at = base::kNever;
@@ -269,6 +299,11 @@
       if (daemon.start_at <= now) {
         daemon.start_at = base::kNever;
         daemon.process->Start();
+        // The start is a disruption itself.
+        this->checker.RecordDisruption(daemon.process->name(),
+                                       Disruption::kProcess, now);
+        this->checker.RecordDisruptionEnd(daemon.process->name(),
+                                          Disruption::kProcess, now);
       }
     }
     co_await Pause(kSupervisePeriod);
@@ -281,6 +316,8 @@
   const auto now = this->clock.now();
   for (auto& daemon : this->daemons) {
     daemon.store_proxy->SetFault(ProxyFault::kNone);
+    this->checker.RecordDisruptionEnd(daemon.process->name(),
+                                      Disruption::kStore, now);
     if (daemon.resume_at != base::kNever) daemon.resume_at = now;
   }
   for (auto& endpoint : this->endpoints) {
@@ -312,7 +349,12 @@
   if (!daemon.process->running()) return;
   const auto now = this->clock.now();
   const auto& name = daemon.process->name();
-  switch (this->random() % 4) {
+  const auto fault = this->random() % 4;
+  // A reload excuses nothing.
+  if (fault < 3) {
+    this->checker.RecordDisruption(name, Disruption::kProcess, now);
+  }
+  switch (fault) {
     case 0:
       this->Log("kill " + name);
       daemon.process->Kill();
@@ -346,6 +388,15 @@
                         kProxyFaultNames.Name(fault)));
   if (fault == ProxyFault::kNone) proxy.ResetConnections();
   proxy.SetFault(fault);
+  // A delay cuts nothing off.
+  const auto& name = this->daemons[number].process->name();
+  const auto now = this->clock.now();
+  if (fault != ProxyFault::kDelay) {
+    this->checker.RecordDisruption(name, Disruption::kStore, now);
+  }
+  if (fault == ProxyFault::kDelay || fault == ProxyFault::kNone) {
+    this->checker.RecordDisruptionEnd(name, Disruption::kStore, now);
+  }
 }
 
 void SoakFixture::InjectStoreFault() {
--- a/packages/testing/soak/soak_fixture.h
+++ b/packages/testing/soak/soak_fixture.h
@@ -25,6 +25,8 @@
   std::size_t daemons = 4;
   std::size_t endpoints = 3;
   std::size_t callers = 24;
+  /// Callers that end their jobs.
+  std::size_t ending_callers = 4;
   /// How long faults are injected.
   base::Duration fault_duration = std::chrono::seconds(12);
 };
@@ -62,6 +64,10 @@
  private:
   /// Starts a coroutine; an exception that it throws leaves Run().
   void Spawn(boost::asio::awaitable<void> coroutine);
+  /// Starts all callers of streams and jobs.
+  void StartCallers();
+  /// The number of jobs that were accepted, and of those that were ended.
+  std::string CountJobs() const;
   /// Runs callers, injects faults, clears them, and checks the recovery.
   boost::asio::awaitable<void> RunScenario();
   /// Polls until all daemons report ready in the same round. Returns false if
@@ -111,7 +117,8 @@
   std::vector<SoakEndpoint> endpoints;
   std::vector<SoakDaemon> daemons;
   std::unique_ptr<CallerContext> caller_context;
-  std::unique_ptr<JobCaller> jobs;
+  /// The first lets its jobs run, the others end theirs.
+  std::vector<std::unique_ptr<JobCaller>> job_callers;
   std::mt19937 random;
   std::uint64_t rules_version = 1;
   bool has_second_key = true;
--- a/packages/testing/src/site_standin.cc
+++ b/packages/testing/src/site_standin.cc
@@ -342,6 +342,7 @@
   run.target = request.target;
   run.after_event = NumberHeader(request, "Last-Event-Id");
   run.deadline_millis = NumberHeader(request, "X-Gypsumtrack-Deadline-Ms");
+  run.event_pause_millis = NumberHeader(request, "X-Event-Pause-Ms");
   run.at = base::SystemClock().now();
   ResponseHead head;
   head.headers = this->CommonHeaders(run.request_id);
@@ -395,6 +396,9 @@
     const std::lock_guard lock(this->mutex);
     pause = this->event_pause;
   }
+  if (run.event_pause_millis > 0) {
+    pause = std::chrono::milliseconds(run.event_pause_millis);
+  }
   for (auto id = run.after_event + 1; id <= kEvents; ++id) {
     if (pause > base::Duration::zero()) co_await gateway::Pause(pause);
     if (breaks_between_events && id == 3) {
--- /dev/null
+++ b/packages/testing/test/daemon_process_test.cc
@@ -0,0 +1,53 @@
+#include "../soak/daemon_process.h"
+
+#include <catch2/catch.hpp>
+#include <filesystem>
+#include <fstream>
+
+namespace gypsumtrack::testing {
+namespace {
+
+/// A directory with the logs of two daemons, removed at the end.
+struct LogDirectory {
+  std::filesystem::path path =
+      std::filesystem::temp_directory_path() / "gypsumtrack-sender-test";
+
+  LogDirectory() {
+    std::filesystem::create_directories(this->path);
+    std::ofstream(this->path / "vm-0.log")
+        << "time=2026-12-04T10:00:00.100Z event=item_sent job=j item=i "
+           "endpoint=e\n"
+           "time=2026-12-04T10:00:00.400Z event=item_ended job=j item=i "
+           "outcome=x\n"
+           "time=2026-12-04T10:00:00.500Z event=item_sent job=j item=i "
+           "endpoint=e\n";
+    std::ofstream(this->path / "vm-1.log")
+        << "time=2026-12-04T10:00:00.300Z event=item_sent job=j item=i "
+           "endpoint=e\n"
+           "time=2026-12-04T10:00:00.350Z event=item_sent job=j item=i2 "
+           "endpoint=e\n";
+  }
+  ~LogDirectory() { std::filesystem::remove_all(this->path); }
+  LogDirectory(const LogDirectory&) = delete;
+  LogDirectory& operator=(const LogDirectory&) = delete;
+
+  std::optional<std::string> Find(int millis) const {
+    const base::WallTime second{
+        std::chrono::sys_days(std::chrono::year(2026) / 12 / 4) +
+        std::chrono::hours(10)};
+    return FindItemSender(this->path.string(), "i",
+                          second + std::chrono::milliseconds(millis));
+  }
+};
+
+TEST_CASE("the sender of an item is the daemon that started it last") {
+  const LogDirectory logs;
+  CHECK(logs.Find(99) == std::nullopt);
+  CHECK(logs.Find(100) == "vm-0");
+  CHECK(logs.Find(300) == "vm-1");
+  CHECK(logs.Find(499) == "vm-1");
+  CHECK(logs.Find(2000) == "vm-0");
+}
+
+}  // namespace
+}  // namespace gypsumtrack::testing
--- /dev/null
+++ b/packages/testing/test/invariant_checker_test.cc
@@ -0,0 +1,74 @@
+#include "../soak/invariant_checker.h"
+
+#include <catch2/catch.hpp>
+
+namespace gypsumtrack::testing {
+namespace {
+
+using std::chrono::milliseconds;
+
+base::Instant At(int millis) { return base::Instant(milliseconds(millis)); }
+
+/// A checker of one job with one item, whose end is acknowledged at 10 s.
+struct EndedJob {
+  InvariantChecker checker;
+
+  EndedJob() {
+    this->checker.RecordItem("item-1", {"club", "/sheets/item-1", "job-1"});
+    this->checker.RecordEnd("job-1", At(10000));
+  }
+
+  /// Returns the violations if the item reaches an endpoint at `millis`.
+  std::vector<std::string> CheckRunAt(
+      int millis, const std::optional<std::string>& sender) const {
+    EngineRun run;
+    run.request_id = "item-1";
+    run.organisation = "club";
+    run.target = "/sheets/item-1";
+    run.at = At(millis);
+    return this->checker.Check({run}, {},
+                               [&sender](const EngineRun&) { return sender; });
+  }
+};
+
+TEST_CASE("an item may reach an endpoint until 3 s after the end of its job") {
+  EndedJob job;
+  CHECK(job.CheckRunAt(9000, "vm-0").empty());
+  CHECK(job.CheckRunAt(13000, "vm-0").empty());
+  const auto violations = job.CheckRunAt(13001, "vm-0");
+  REQUIRE(violations.size() == 1);
+  CHECK(violations.front() ==
+        "item item-1 of job-1 ran 3001 ms after the end of the job, from vm-0");
+
+  SECTION("also if its sender isn't known") {
+    CHECK(job.CheckRunAt(13001, std::nullopt).size() == 1);
+  }
+  SECTION("counted from the first acknowledgement") {
+    job.checker.RecordEnd("job-1", At(12000));
+    CHECK(job.CheckRunAt(13001, "vm-0").size() == 1);
+  }
+  SECTION("unless the daemon that sent it was disrupted") {
+    job.checker.RecordDisruption("vm-0", Disruption::kProcess, At(12000));
+    CHECK(job.CheckRunAt(60000, "vm-0").empty());
+    CHECK(job.CheckRunAt(60000, "vm-1").size() == 1);
+    CHECK(job.CheckRunAt(60000, std::nullopt).size() == 1);
+
+    SECTION("until 4 s after the disruption") {
+      job.checker.RecordDisruptionEnd("vm-0", Disruption::kProcess, At(14000));
+      CHECK(job.CheckRunAt(18000, "vm-0").empty());
+      CHECK(job.CheckRunAt(18001, "vm-0").size() == 1);
+    }
+    SECTION("and the end of another kind of disruption doesn't end it") {
+      job.checker.RecordDisruption("vm-0", Disruption::kStore, At(13000));
+      job.checker.RecordDisruptionEnd("vm-0", Disruption::kStore, At(14000));
+      CHECK(job.CheckRunAt(60000, "vm-0").empty());
+    }
+  }
+  SECTION("and a later disruption doesn't excuse it") {
+    job.checker.RecordDisruption("vm-0", Disruption::kProcess, At(13002));
+    CHECK(job.CheckRunAt(13001, "vm-0").size() == 1);
+  }
+}
+
+}  // namespace
+}  // namespace gypsumtrack::testing
