Find the sender of an item in spite of rounded clocks

Cause: the soak looks up which daemon sent an item that came too late by the time of its run, but the logs are in whole milliseconds and the run's time is converted from another clock.

Change: the lookup accepts a start up to 20 ms later. The bound on items and the excuses are as before; an item without a sender still counts as a violation.

Ran: the tests of the lookup and of the checker, passed.

--- a/packages/testing/soak/daemon_process.cc
+++ b/packages/testing/soak/daemon_process.cc
@@ -19,6 +19,9 @@
 
 constexpr int kCallersPort = 18689;
 constexpr int kReadyPort = 18687;
+/// Logs are in whole milliseconds of the calendar, which isn't read together
+/// with the monotonic clock and may be slewed against it.
+constexpr auto kClockTolerance = std::chrono::milliseconds(20);
 
 std::string DescribeExit(int status) {
   if (WIFSIGNALED(status)) return fmt::format("signal {}", WTERMSIG(status));
@@ -101,7 +104,8 @@
 
 std::optional<std::string> FindItemSender(const std::string& directory,
                                           const std::string& item,
-                                          base::WallTime at) {
+                                          base::WallTime sent_by) {
+  const auto at = sent_by + kClockTolerance;
   // Each line starts with its time, in a form that sorts by time.
   const auto limit =
       fmt::format("time={:%Y-%m-%dT%H:%M:%S}.{:03}Z",
--- a/packages/testing/soak/daemon_process.h
+++ b/packages/testing/soak/daemon_process.h
@@ -70,10 +70,11 @@
 };
 
 /// Returns the name of the daemon whose log names the last start of the item at
-/// or before `at`, or nullopt if there is none. `directory` holds the logs.
+/// or before `sent_by`, within 20 ms, or nullopt if there is none. `directory`
+/// holds the logs.
 std::optional<std::string> FindItemSender(const std::string& directory,
                                           const std::string& item,
-                                          base::WallTime at);
+                                          base::WallTime sent_by);
 
 }  // namespace gypsumtrack::testing
 
--- a/packages/testing/test/daemon_process_test.cc
+++ b/packages/testing/test/daemon_process_test.cc
@@ -42,10 +42,11 @@
 
 TEST_CASE("the sender of an item is the daemon that started it last") {
   const LogDirectory logs;
-  CHECK(logs.Find(99) == std::nullopt);
-  CHECK(logs.Find(100) == "vm-0");
-  CHECK(logs.Find(300) == "vm-1");
-  CHECK(logs.Find(499) == "vm-1");
+  CHECK(logs.Find(79) == std::nullopt);
+  CHECK(logs.Find(80) == "vm-0");
+  CHECK(logs.Find(279) == "vm-0");
+  CHECK(logs.Find(280) == "vm-1");
+  CHECK(logs.Find(479) == "vm-1");
   CHECK(logs.Find(2000) == "vm-0");
 }
 
