Split access, responses and service events from the online service

Change: online_access finds what a caller may call, online_responses sends complete responses and events, service_events maps results to statistics. Code was moved as it stood; behaviour is the same.

--- a/packages/gateway/src/online_service.cc
+++ b/packages/gateway/src/online_service.cc
@@ -1,17 +1,18 @@
 #include "gypsumtrack/gateway/online_service.h"
 
 #include <algorithm>
-#include <boost/beast/core/string.hpp>
 #include <memory>
 #include <tuple>
 #include <utility>
 
 #include "caller_headers.h"
 #include "generation.h"
-#include "gypsumtrack/base/hash.h"
 #include "gypsumtrack/gateway/error_reply.h"
 #include "gypsumtrack/gateway/idempotency_store.h"
+#include "online_access.h"
 #include "online_replies.h"
+#include "online_responses.h"
+#include "service_events.h"
 
 namespace gypsumtrack::gateway {
 namespace {
@@ -23,23 +24,6 @@
 /// which has their prefix cached.
 constexpr std::size_t kAffinityBytes = 256;
 
-/// Access that a request was granted: organisation and rule.
-struct Grant {
-  std::string key_hash;
-  base::Organisation organisation;
-  policy::Rule rule;
-  /// Granted by an open rule, without a key.
-  bool open = false;
-};
-
-/// Service or model, method and path that a request needs access to.
-struct AccessTarget {
-  base::Service service;
-  base::Model model;
-  std::string method;
-  std::string path;
-};
-
 /// A request to a service without a model, as it is sent to the endpoint.
 struct ServiceCall {
   base::Service service;
@@ -48,99 +32,6 @@
   std::string body;
 };
 
-/// Returns the head of a complete response that the gateway generates.
-ResponseHead MakeResponseHead(std::string content_type) {
-  ResponseHead head;
-  head.headers.push_back({"Content-Type", std::move(content_type)});
-  head.headers.push_back(
-      {kRunStateHeader,
-       std::string(policy::kRunStateNames.Name(policy::RunState::kRan))});
-  return head;
-}
-
-ResponseHead MakeStreamHead() {
-  auto head = MakeResponseHead("text/event-stream");
-  head.headers.push_back({"Cache-Control", "no-cache"});
-  return head;
-}
-
-StoredResponse ToStoredResponse(const EndpointResult& result) {
-  StoredResponse response;
-  response.status = result.head.status;
-  response.body = result.body;
-  for (const auto& header : result.head.headers) {
-    if (boost::beast::iequals(header.name, "Content-Type")) {
-      response.content_type = header.value;
-    }
-  }
-  return response;
-}
-
-/// Responds to a request whose idempotency key was used before or can't be
-/// looked up.
-asio::awaitable<void> SendStoredOutcome(Exchange& exchange, Intent intent) {
-  ErrorReply reply;
-  switch (intent.state) {
-    case IntentState::kNew:
-    case IntentState::kCompleted: {
-      ResponseHead head = MakeResponseHead(intent.response.content_type);
-      head.status = intent.response.status;
-      std::ignore = co_await exchange.Send(std::move(head),
-                                           std::move(intent.response.body));
-      co_return;
-    }
-    case IntentState::kOutcomeUnknown:
-      reply = {409, "outcome_unknown",
-               "A request with this idempotency key may have run.",
-               policy::RunState::kUnknown, 1};
-      break;
-    case IntentState::kKeyReused:
-      reply = {422, "idempotency_key_reused",
-               "The idempotency key belongs to another request."};
-      break;
-    case IntentState::kStoreUnavailable:
-      reply = {503, "store_unavailable",
-               "The outcome can't be kept now, so the request isn't run.",
-               policy::RunState::kNotRun, 1};
-      break;
-  }
-  co_await SendError(exchange, std::move(reply));
-}
-
-/// Returns a server-sent event.
-std::string FormatEvent(std::string_view data) {
-  return "data: " + std::string(data) + "\n\n";
-}
-
-telemetry::ServiceEvent ServiceEventOf(AdmissionDecision decision) {
-  switch (decision) {
-    case AdmissionDecision::kAdmitted:
-      return telemetry::ServiceEvent::kServed;
-    case AdmissionDecision::kOverRate:
-      return telemetry::ServiceEvent::kRefusedOverRate;
-    case AdmissionDecision::kIsolated:
-      return telemetry::ServiceEvent::kRefusedIsolated;
-    case AdmissionDecision::kNotReady:
-      return telemetry::ServiceEvent::kRefusedNoShare;
-  }
-  return telemetry::ServiceEvent::kFailed;
-}
-
-telemetry::ServiceEvent ServiceEventOf(const DispatchResult& result) {
-  constexpr unsigned kFirstServerError = 500;
-  if (result.outcome == DispatchOutcome::kNotPermitted) {
-    return telemetry::ServiceEvent::kRefusedCaller;
-  }
-  if (result.outcome == DispatchOutcome::kResponded) {
-    return result.last.head.status < kFirstServerError
-               ? telemetry::ServiceEvent::kServed
-               : telemetry::ServiceEvent::kFailed;
-  }
-  return result.run == policy::RunState::kNotRun
-             ? telemetry::ServiceEvent::kRefusedOverload
-             : telemetry::ServiceEvent::kFailed;
-}
-
 }  // namespace
 
 class OnlineService::State {
@@ -148,6 +39,7 @@
   State(const Runtime& runtime, OnlineHooks hooks)
       : runtime(runtime),
         hooks(std::move(hooks)),
+        access(this->hooks.access, runtime.settings.fleet_secret),
         request_dispatcher(runtime, this->hooks.fleet),
         idempotency_store(runtime) {}
 
@@ -161,12 +53,6 @@
   asio::awaitable<std::optional<std::string>> ReadBody(Exchange& exchange);
   asio::awaitable<std::optional<Grant>> Admit(Exchange& exchange,
                                               AccessTarget target);
-  base::Outcome<Grant> FindGrant(const RequestHead& request,
-                                 const AccessTarget& target) const;
-  std::string KeyHash(const RequestHead& request) const;
-  /// Returns whether the grant's key is still valid, since keys can be
-  /// withdrawn while a request waits.
-  bool IsStillGranted(const Grant& grant) const;
   void Record(const Grant& grant, telemetry::ServiceEvent event,
               base::Duration first_byte) const;
   void RecordResult(const Grant& grant, const DispatchResult& result,
@@ -178,7 +64,6 @@
   asio::awaitable<void> SendGenerationResult(Exchange& exchange,
                                              const Generation& generation,
                                              const DispatchResult& result);
-  asio::awaitable<void> SendResponse(Exchange& exchange, DispatchResult result);
   asio::awaitable<DispatchResult> DispatchServiceCall(Exchange& exchange,
                                                       const Grant& grant,
                                                       const ServiceCall& call);
@@ -190,54 +75,11 @@
 
   const Runtime& runtime;
   OnlineHooks hooks;
+  OnlineAccess access;
   Dispatcher request_dispatcher;
   IdempotencyStore idempotency_store;
 };
 
-std::string OnlineService::State::KeyHash(const RequestHead& request) const {
-  const auto key = FindCallerKey(request);
-  if (key.empty()) return {};
-  return base::HmacSha256Hex(this->runtime.settings.fleet_secret, key);
-}
-
-base::Outcome<Grant> OnlineService::State::FindGrant(
-    const RequestHead& request, const AccessTarget& target) const {
-  const auto access = this->hooks.access();
-  if (!access) {
-    return base::Error(base::Errc::kUnavailable,
-                       "This VM has no configuration yet.");
-  }
-  const policy::AccessRequest access_request{target.service, target.model,
-                                             target.method, target.path};
-  Grant grant;
-  if (const auto* rule = access->FindOpenRule(access_request)) {
-    grant.open = true;
-    grant.rule = *rule;
-    return grant;
-  }
-  grant.key_hash = this->KeyHash(request);
-  const auto organisation = access->FindOrganisation(grant.key_hash);
-  if (!organisation) {
-    return base::Error(base::Errc::kUnauthorized,
-                       "The request carries no valid key.");
-  }
-  const auto* rule = access->FindRule(*organisation, access_request);
-  if (rule == nullptr) {
-    return base::Error(base::Errc::kForbidden,
-                       "No rule lets the organisation call this.");
-  }
-  grant.organisation = *organisation;
-  grant.rule = *rule;
-  return grant;
-}
-
-bool OnlineService::State::IsStillGranted(const Grant& grant) const {
-  if (grant.open) return true;
-  const auto access = this->hooks.access();
-  return access &&
-         access->FindOrganisation(grant.key_hash) == grant.organisation;
-}
-
 asio::awaitable<std::optional<std::string>> OnlineService::State::ReadBody(
     Exchange& exchange) {
   auto body = co_await exchange.ReadBody(this->runtime.settings.max_body_bytes);
@@ -253,7 +95,7 @@
 
 asio::awaitable<std::optional<Grant>> OnlineService::State::Admit(
     Exchange& exchange, AccessTarget target) {
-  auto grant = this->FindGrant(exchange.request(), target);
+  auto grant = this->access.Find(exchange.request(), target);
   if (!grant.ok()) {
     auto refusal = AccessErrorReply(grant.error());
     co_await SendError(exchange, std::move(refusal));
@@ -297,7 +139,7 @@
   request.deadline = exchange.deadline();
   request.cancel = std::make_shared<CallCancellation>();
   request.still_permitted = [this, grant] {
-    return this->IsStillGranted(grant);
+    return this->access.IsStillGranted(grant);
   };
   exchange.OnCallerDisconnect([cancel = request.cancel] { cancel->Cancel(); });
   return request;
@@ -373,7 +215,7 @@
       result.outcome == DispatchOutcome::kResponded && generation.is_complete();
   if (!exchange.response_started()) {
     if (!is_complete && result.outcome == DispatchOutcome::kResponded) {
-      co_await this->SendResponse(exchange, result);
+      co_await SendEndpointResponse(exchange, result);
     } else if (!is_complete) {
       auto reply = DispatchErrorReply(result, this->runtime.clock.now());
       co_await SendError(exchange, std::move(reply));
@@ -395,16 +237,6 @@
   exchange.Abort();
 }
 
-asio::awaitable<void> OnlineService::State::SendResponse(
-    Exchange& exchange, DispatchResult result) {
-  auto headers = CallerResponseHeaders(result.last.head.headers);
-  headers.push_back(
-      {kRunStateHeader, std::string(policy::kRunStateNames.Name(result.run))});
-  ResponseHead head{result.last.head.status, std::move(headers)};
-  std::ignore =
-      co_await exchange.Send(std::move(head), std::move(result.last.body));
-}
-
 asio::awaitable<void> OnlineService::State::CallService(Exchange& exchange) {
   const auto& head = exchange.request();
   const auto rest = head.path.substr(kServicePrefix.size());
@@ -457,7 +289,7 @@
 asio::awaitable<void> OnlineService::State::SendResult(Exchange& exchange,
                                                        DispatchResult result) {
   if (result.outcome == DispatchOutcome::kResponded) {
-    co_await this->SendResponse(exchange, std::move(result));
+    co_await SendEndpointResponse(exchange, std::move(result));
   } else if (result.last.outcome == CallOutcome::kCancelled) {
     exchange.Abort();
   } else {
@@ -495,8 +327,9 @@
 asio::awaitable<void> OnlineService::State::ListModels(Exchange& exchange) {
   const auto access = this->hooks.access();
   const auto organisation =
-      access ? access->FindOrganisation(this->KeyHash(exchange.request()))
-             : std::nullopt;
+      access
+          ? access->FindOrganisation(this->access.KeyHash(exchange.request()))
+          : std::nullopt;
   if (!organisation) {
     auto reply = UnauthorizedReply();
     co_await SendError(exchange, std::move(reply));
