--- a/packages/gateway/src/admin_service.cc
+++ b/packages/gateway/src/admin_service.cc
@@ -1,14 +1,13 @@
 #include "gypsumtrack/gateway/admin_service.h"
 
 #include <algorithm>
-#include <boost/url/param.hpp>
-#include <boost/url/parse_query.hpp>
 #include <memory>
 #include <utility>
 
 #include "gypsumtrack/base/hash.h"
 #include "gypsumtrack/base/log.h"
 #include "gypsumtrack/peer/config_codec.h"
+#include "query_parameters.h"
 
 namespace gypsumtrack::gateway {
 namespace {
@@ -45,17 +44,6 @@
   return base::ConstantTimeEqual(header->substr(kBearerPrefix.size()), token);
 }
 
-std::map<std::string, std::string> ParseQuery(const std::string& query) {
-  std::map<std::string, std::string> parameters;
-  const auto parsed = boost::urls::parse_query(query);
-  if (!parsed) return parameters;
-  for (const auto& parameter : *parsed) {
-    const boost::urls::param decoded{parameter};
-    parameters[decoded.key] = decoded.value;
-  }
-  return parameters;
-}
-
 std::string PathAfterPrefix(const std::string& path,
                             const std::string& prefix) {
   auto tail = path.substr(std::min(prefix.size(), path.size()));
--- a/packages/gateway/src/batch_service.cc
+++ b/packages/gateway/src/batch_service.cc
@@ -4,21 +4,19 @@
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/url/parse_query.hpp>
-#include <charconv>
-#include <map>
 #include <utility>
 
 #include "batch_admin.h"
 #include "batch_progress.h"
 #include "batch_reply.h"
+#include "batch_submission.h"
 #include "gypsumtrack/base/hash.h"
 #include "gypsumtrack/base/log.h"
 #include "gypsumtrack/gateway/batch_runner.h"
 #include "gypsumtrack/gateway/batch_upload.h"
 #include "gypsumtrack/gateway/http_server.h"
-#include "gypsumtrack/gateway/rfc3339.h"
 #include "gypsumtrack/gateway/store_await.h"
+#include "query_parameters.h"
 
 namespace gypsumtrack::gateway {
 namespace {
@@ -28,49 +26,13 @@
 constexpr base::Logger kLog{"batch"};
 constexpr std::string_view kBatchesPath = "/v1/batches";
 constexpr std::string_view kBearerPrefix = "Bearer ";
-constexpr std::string_view kDefaultItemPath = "/v1/completions";
 constexpr base::Duration kStoreRequestTimeout = std::chrono::seconds(5);
 /// Time reserved before the caller's deadline for sending the response.
 constexpr base::Duration kResponseReserve = std::chrono::seconds(1);
-constexpr auto kDefaultRetention = std::chrono::hours(24 * 7);
-constexpr auto kMaxRetention = std::chrono::hours(24 * 90);
 constexpr std::uint32_t kMaxPageRows = 500;
 /// Random bytes in the uid of a job.
 constexpr std::size_t kUidBytes = 12;
 
-using Query = std::map<std::string, std::string>;
-
-Query ParseQuery(const std::string& text) {
-  Query query;
-  const auto parsed = boost::urls::parse_query(text);
-  if (!parsed) return query;
-  for (const auto& param : *parsed) {
-    query[param.key.decode()] = param.value.decode();
-  }
-  return query;
-}
-
-std::string GetParam(const Query& query, const std::string& name) {
-  const auto found = query.find(name);
-  return found == query.end() ? "" : found->second;
-}
-
-std::uint64_t GetNumberParam(const Query& query, const std::string& name,
-                             std::uint64_t fallback) {
-  const auto text = GetParam(query, name);
-  std::uint64_t number = 0;
-  const auto* end = text.data() + text.size();
-  const auto parsed = std::from_chars(text.data(), end, number);
-  if (text.empty() || parsed.ec != std::errc() || parsed.ptr != end) {
-    return fallback;
-  }
-  return number;
-}
-
-base::Error Invalid(std::string text) {
-  return {base::Errc::kInvalid, std::move(text)};
-}
-
 /// Job id and subpath of `/v1/batches/{id}/{subpath}`.
 struct JobPath {
   std::string id;
@@ -108,8 +70,6 @@
 
  private:
   base::Outcome<base::Organisation> Authenticate(const RequestHead& head) const;
-  base::Outcome<policy::BatchJob> ParseJob(
-      const RequestHead& head, const base::Organisation& organisation) const;
   awaitable<void> Refuse(Exchange& exchange, const base::Error& error,
                          policy::RunState run = policy::RunState::kNotRun);
   awaitable<base::Outcome<policy::BatchJob>> FindJob(
@@ -150,56 +110,6 @@
   return base::Error(base::Errc::kUnauthorized, "no valid key");
 }
 
-/// Creates a job from the parameters of a submission. Its uid, digest and
-/// counts are set later, from the body. Errors: kInvalid, and kForbidden if no
-/// access rule allows the job.
-base::Outcome<policy::BatchJob> BatchService::State::ParseJob(
-    const RequestHead& head, const base::Organisation& organisation) const {
-  const auto query = ParseQuery(head.query);
-  policy::BatchJob job;
-  job.organisation = organisation;
-  const auto* key = head.Find("Idempotency-Key");
-  job.id.text = key != nullptr ? *key : GetParam(query, "id");
-  if (!policy::IsJobId(job.id.text)) {
-    return Invalid("id or Idempotency-Key: expected 1 to 128 of A-Za-z0-9._-");
-  }
-  job.service.text = GetParam(query, "service");
-  job.model.text = GetParam(query, "model");
-  if (job.service.empty() && job.model.empty()) {
-    return Invalid("service or model: expected one of them");
-  }
-  job.path = GetParam(query, "path");
-  if (job.path.empty()) job.path = kDefaultItemPath;
-  const auto due = ParseRfc3339(GetParam(query, "due"));
-  if (!due) return Invalid("due: expected a time such as 2026-12-01T08:00:00Z");
-  job.due_at = *due;
-  job.accepted_at = this->runtime->clock.wall();
-  job.keep_until = std::max(job.due_at, job.accepted_at) + kDefaultRetention;
-  if (const auto text = GetParam(query, "keep_until"); !text.empty()) {
-    const auto keep = ParseRfc3339(text);
-    if (!keep || *keep <= job.due_at ||
-        *keep > job.accepted_at + kMaxRetention) {
-      return Invalid("keep_until: expected a time after due, within 90 days");
-    }
-    job.keep_until = *keep;
-  }
-  policy::AccessRequest request;
-  request.service = job.service;
-  request.model = job.model;
-  request.method = "POST";
-  request.path = job.path;
-  const auto snapshot = this->hooks.access();
-  const auto* rule = snapshot->FindRule(organisation, request);
-  if (rule == nullptr || !rule->bulk) {
-    return base::Error(base::Errc::kForbidden,
-                       "no rule allows this work in bulk");
-  }
-  if (job.service.empty()) job.service = rule->id.service;
-  job.idempotent = rule->idempotent;
-  job.share = rule->share;
-  return job;
-}
-
 awaitable<void> BatchService::State::Refuse(Exchange& exchange,
                                             const base::Error& error,
                                             policy::RunState run) {
@@ -237,7 +147,7 @@
     more = !part->empty();
     bytes += part->size();
     if (bytes > this->runtime->settings.max_batch_bytes) {
-      co_return Invalid("the body is too large");
+      co_return base::Error(base::Errc::kInvalid, "the body is too large");
     }
     auto chunks = more ? splitter.Append(*part) : splitter.Finish();
     if (!chunks.ok()) co_return chunks.error();
@@ -249,7 +159,8 @@
       }
     }
   }
-  if (splitter.digest().empty()) co_return Invalid("the body has no items");
+  if (splitter.digest().empty())
+    co_return base::Error(base::Errc::kInvalid, "the body has no items");
   co_return splitter.digest();
 }
 
@@ -258,7 +169,9 @@
   if (!organisation.ok()) {
     co_return co_await this->Refuse(exchange, organisation.error());
   }
-  auto job = this->ParseJob(exchange.request(), *organisation);
+  auto job =
+      ParseSubmission(exchange.request(), *organisation, *this->hooks.access(),
+                      this->runtime->clock.wall());
   if (!job.ok()) co_return co_await this->Refuse(exchange, job.error());
   const auto known = co_await this->FindJob(*organisation, job->id.text,
                                             this->StoreDeadline());
@@ -361,7 +274,7 @@
   base::TableScan scan;
   scan.prefix = policy::JobPrefix(organisation);
   scan.limit = kMaxPageRows;
-  scan.after = GetParam(ParseQuery(exchange.request().query), "after");
+  scan.after = GetParameter(ParseQuery(exchange.request().query), "after");
   if (!scan.after.empty()) scan.after = scan.prefix + scan.after;
   const auto page =
       co_await ScanTable(this->runtime->platform, scan, this->StoreDeadline());
@@ -412,8 +325,8 @@
 awaitable<void> BatchService::State::SendResults(Exchange& exchange,
                                                  policy::BatchJob job) {
   const auto query = ParseQuery(exchange.request().query);
-  const auto from = GetNumberParam(query, "from", 0);
-  const auto to = std::min(GetNumberParam(query, "to", job.items), job.items);
+  const auto from = GetNumber(query, "from", 0);
+  const auto to = std::min(GetNumber(query, "to", job.items), job.items);
   base::TableScan scan;
   scan.prefix = policy::ResultPrefix(job.uid);
   scan.limit = kMaxPageRows;
