Don't log a job as running that was lost while it was taken over

job_taken_over said outcome=running after job_not_run of the same job: the loading of a job returned success though the job wasn't taken.

--- a/packages/gateway/src/serving/job_service.cc
+++ b/packages/gateway/src/serving/job_service.cc
@@ -217,9 +217,9 @@
               &route);
   }
 
-  /// Runs a job of which this daemon has become the owner, unless the job has
-  /// ended or has been taken over since.
-  void Own(const JobKey& key, const FoundJob& found,
+  /// Runs a job of which this daemon has become the owner. Returns false if the
+  /// job has ended or has been taken over since.
+  bool Own(const JobKey& key, const FoundJob& found,
            std::vector<SubmittedItem> items, const LoadedJob& loaded,
            std::uint64_t owner_version, const policy::RouteRule* route) {
     const auto lost =
@@ -229,7 +229,7 @@
                      {{"job", key.job.text},
                       {"reason", policy::kJobLossReasonNames.Name(*lost)},
                       {"owner_version", owner_version}});
-      return;
+      return false;
     }
     policy::JobRunOptions options;
     if (route != nullptr) options.max_failures = route->max_runs;
@@ -248,6 +248,7 @@
     }
     this->cached_rows[key] = found.row;
     this->runner->Add(job);
+    return true;
   }
 
   void LogAcceptance(const JobKey& key, const JobAcceptance& acceptance,
@@ -544,7 +545,9 @@
     const auto rules = this->context.store_view.Current()->rules;
     const auto* route =
         rules ? policy::FindRouteByName(*rules, found->row.route) : nullptr;
-    this->Own(key, *found, std::move(*items), *loaded, owner_version, route);
+    const bool runs = this->Own(key, *found, std::move(*items), *loaded,
+                                owner_version, route);
+    if (!runs) co_return base::Error(base::Errc::kNotFound, "lost meanwhile");
     co_return base::Done{};
   }
 
