--- a/packages/gateway/test/serving/job_runner_test.cc
+++ b/packages/gateway/test/serving/job_runner_test.cc
@@ -1,6 +1,5 @@
 #include "../../src/serving/job_runner.h"
 
-#include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
 #include <functional>
 #include <memory>
@@ -9,6 +8,7 @@
 
 #include "gypsumtrack/testing/memory_row_store.h"
 #include "run_coroutine.h"
+#include "serving_fixture.h"
 
 namespace gypsumtrack::gateway {
 namespace {
@@ -22,25 +22,9 @@
 class JobRunnerFixture {
  public:
   JobRunnerFixture()
-      : store_view(this->context.get_executor(), this->clock, this->client, {},
-                   [] {}),
-        endpoint_client(this->context.get_executor(), this->clock, {}),
-        serving{.settings = {},
-                .self = {"vm-1", 1},
-                .wire = {},
-                .clock = this->clock,
-                .executor = this->context.get_executor(),
-                .store = this->client,
-                .store_view = this->store_view,
-                .client = this->endpoint_client,
-                .registry = this->registry,
-                .metrics = ServingMetrics(this->registry),
-                .endpoints = policy::EndpointRegistry({}),
-                .quota = policy::FleetQuota({}),
-                .batch_starts = policy::BatchStartLimiter({}),
-                .random = std::minstd_rand(1)},
+      : daemon(this->client, "vm-1", {}),
         runner(std::make_shared<JobRunner>(
-            this->serving,
+            this->daemon.serving,
             JobStore{this->runner_client, this->clock, {"vm-1", 1}})),
         job(this->AcceptJobOfTwoItems()) {
     this->runner->owners_confirmed_at = [] { return base::Instant{}; };
@@ -67,12 +51,6 @@
     return run;
   }
 
-  /// Carries out what is ready on the daemon's thread.
-  void Poll() {
-    this->context.restart();
-    this->context.poll();
-  }
-
   void EndElsewhere() {
     REQUIRE(RunCoroutine(EndJob(this->other, kKey, base::kNever)).ok());
   }
@@ -87,11 +65,7 @@
   base::Clock clock = base::SystemClock();
   JobStore self{this->client, this->clock, {"vm-1", 1}};
   JobStore other{this->client, this->clock, {"vm-2", 1}};
-  boost::asio::io_context context;
-  telemetry::Registry registry;
-  StoreViewService store_view;
-  EndpointClient endpoint_client;
-  ServingContext serving;
+  ServingFixture daemon;
   std::shared_ptr<JobRunner> runner;
   std::shared_ptr<CallCancellation> cancel =
       std::make_shared<CallCancellation>();
@@ -135,61 +109,61 @@
 // Guards against an item that runs on, and others that start, at a daemon that
 // isn't the owner any more, until its first item completes.
 TEST_CASE("a daemon learns that it lost a job when it saves partial output") {
-  JobRunnerFixture daemon;
+  JobRunnerFixture fixture;
   SECTION("the job runs on while the daemon owns it") {
-    daemon.SavePartialOutput();
-    CHECK(daemon.rows.Table(layout::kPartialTable).size() == 1);
-    CHECK(daemon.runner->Find(kKey) == daemon.job);
-    CHECK_FALSE(daemon.cancel->cancelled());
+    fixture.SavePartialOutput();
+    CHECK(fixture.rows.Table(layout::kPartialTable).size() == 1);
+    CHECK(fixture.runner->Find(kKey) == fixture.job);
+    CHECK_FALSE(fixture.cancel->cancelled());
   }
   SECTION("the job runs on if the store is unavailable") {
-    daemon.rows.SetFaults({.down = true});
-    daemon.SavePartialOutput();
-    CHECK(daemon.runner->Find(kKey) == daemon.job);
-    CHECK_FALSE(daemon.cancel->cancelled());
+    fixture.rows.SetFaults({.down = true});
+    fixture.SavePartialOutput();
+    CHECK(fixture.runner->Find(kKey) == fixture.job);
+    CHECK_FALSE(fixture.cancel->cancelled());
   }
   SECTION("the job runs on if the response is lost") {
-    daemon.rows.SetFaults({.lose_answers = 1});
-    daemon.SavePartialOutput();
-    CHECK(daemon.runner->Find(kKey) == daemon.job);
-    CHECK_FALSE(daemon.cancel->cancelled());
+    fixture.rows.SetFaults({.lose_answers = 1});
+    fixture.SavePartialOutput();
+    CHECK(fixture.runner->Find(kKey) == fixture.job);
+    CHECK_FALSE(fixture.cancel->cancelled());
   }
   SECTION("the job is dropped if it has ended") {
-    daemon.EndElsewhere();
-    daemon.SavePartialOutput();
-    CHECK(daemon.runner->Find(kKey) == nullptr);
-    CHECK(daemon.cancel->cancelled());
+    fixture.EndElsewhere();
+    fixture.SavePartialOutput();
+    CHECK(fixture.runner->Find(kKey) == nullptr);
+    CHECK(fixture.cancel->cancelled());
   }
   SECTION("the job is dropped if another daemon has taken it over") {
-    REQUIRE(
-        RunCoroutine(TakeOver(daemon.other, kKey, daemon.job->owner_version)));
-    daemon.SavePartialOutput();
-    CHECK(daemon.runner->Find(kKey) == nullptr);
-    CHECK(daemon.cancel->cancelled());
+    REQUIRE(RunCoroutine(
+        TakeOver(fixture.other, kKey, fixture.job->owner_version)));
+    fixture.SavePartialOutput();
+    CHECK(fixture.runner->Find(kKey) == nullptr);
+    CHECK(fixture.cancel->cancelled());
   }
 }
 
 // Guards against a job that stands still and is loaded anew because an earlier
 // run of it here learns late that it lost the job.
 TEST_CASE("a late outcome of an earlier run doesn't end a later one") {
-  JobRunnerFixture daemon;
-  daemon.runner->Drop(kKey, "test");
-  const auto version = daemon.job->owner_version;
+  JobRunnerFixture fixture;
+  fixture.runner->Drop(kKey, "test");
+  const auto version = fixture.job->owner_version;
   // All results are listed, so that the run sends the call that finishes it.
-  daemon.hold_transactions = true;
-  daemon.AddRun(version, {"a", "b"});
-  daemon.Poll();
-  REQUIRE(daemon.held_transaction != nullptr);
+  fixture.hold_transactions = true;
+  fixture.AddRun(version, {"a", "b"});
+  fixture.daemon.Poll();
+  REQUIRE(fixture.held_transaction != nullptr);
   // Another daemon takes the job over, and this one takes it back.
-  daemon.runner->Drop(kKey, "owned-elsewhere");
-  const auto taken = RunCoroutine(TakeOver(daemon.other, kKey, version));
+  fixture.runner->Drop(kKey, "owned-elsewhere");
+  const auto taken = RunCoroutine(TakeOver(fixture.other, kKey, version));
   REQUIRE(taken);
-  const auto taken_back = RunCoroutine(TakeOver(daemon.self, kKey, *taken));
+  const auto taken_back = RunCoroutine(TakeOver(fixture.self, kKey, *taken));
   REQUIRE(taken_back);
-  const auto later_run = daemon.AddRun(*taken_back, {"a"});
-  daemon.held_transaction();
-  daemon.Poll();
-  CHECK(daemon.runner->Find(kKey) == later_run);
+  const auto later_run = fixture.AddRun(*taken_back, {"a"});
+  fixture.held_transaction();
+  fixture.daemon.Poll();
+  CHECK(fixture.runner->Find(kKey) == later_run);
   CHECK_FALSE(later_run->dropped);
 }
 
