--- a/packages/gateway/src/serving/serving_daemon.cc
+++ b/packages/gateway/src/serving/serving_daemon.cc
@@ -197,6 +197,7 @@
     if (!view->has_endpoints) return;
     this->serving.endpoints.ReplaceEntries(view->endpoints,
                                            view->store_recovered_at, now);
+    this->endpoints_applied = true;
     this->RemoveExpiredEndpoints(now);
     for (const auto& each : view->endpoints) {
       this->endpoints_by_hash[HashName(each.id.text)] = each.id;
@@ -211,7 +212,8 @@
 
   bool IsReady() const {
     const auto view = this->store_view.Current();
-    return !this->serving.shutting_down && view->rules && view->has_endpoints &&
+    return !this->serving.shutting_down && view->rules &&
+           this->endpoints_applied &&
            this->serving.StoreViewAge() < kMaxReadyViewAge;
   }
 
@@ -494,6 +496,9 @@
   /// admitted by then.
   GossipMessage last_gossip;
   std::uint64_t last_gossip_admitted = 0;
+  /// Whether the endpoints of a store view are in use. They are read on another
+  /// thread, which publishes them a moment before.
+  bool endpoints_applied = false;
   bool callers_drained = false;
   bool last_ready = false;
 };
