Log the limits that endpoints name in their responses

The logs show how many requests each VM sends to an endpoint, which tells the hypotheses on batch items and on a limit kept by each VM alone, but not whether and when an endpoint named a limit. Nothing decides by it yet.

A response without the header ends the limit only if the endpoint itself sent it and its request was sent after the limit was last named.

--- a/packages/gateway/include/gypsumtrack/gateway/serving/wire.h
+++ b/packages/gateway/include/gypsumtrack/gateway/serving/wire.h
@@ -63,6 +63,9 @@
   bool leaving = false;
   /// The load that the endpoint reports.
   std::optional<policy::EndpointReport> report;
+  /// The number of requests a second that the endpoint accepts from all daemons
+  /// together, for as long as its responses say so.
+  std::optional<double> rate_limit;
 };
 
 /// An item of a job as submitted.
--- a/packages/gateway/src/serving/send_to_endpoint.cc
+++ b/packages/gateway/src/serving/send_to_endpoint.cc
@@ -34,11 +34,32 @@
   return policy::AttemptResult::kUnknown;
 }
 
-/// Records what the head of a response reports about its endpoint.
+/// Records the limit that a response to a request sent at `sent_at` names.
+void RecordRateLimit(ServingContext& context,
+                     const policy::EndpointEntry& endpoint,
+                     const ResponseMetadata& response, base::Instant sent_at) {
+  // Only a response of the endpoint itself to a run shows that it has no limit.
+  const bool shows_limit =
+      response.rate_limit || (response.has_seal && !response.not_run);
+  if (!shows_limit) return;
+  const bool changed = context.endpoints.OnRateLimit(
+      endpoint.id, endpoint.incarnation, response.rate_limit, sent_at,
+      context.clock.now());
+  if (!changed) return;
+  base::LogEvent("endpoint_limit",
+                 {{"endpoint", endpoint.id.text},
+                  {"incarnation", endpoint.incarnation},
+                  {"limited", response.rate_limit ? 1 : 0},
+                  {"per_second", response.rate_limit.value_or(0)}});
+}
+
+/// Records what the head of a response to a request sent at `sent_at` reports
+/// about its endpoint.
 void RecordReports(ServingContext& context,
                    const policy::EndpointEntry& endpoint,
-                   const ResponseMetadata& response) {
+                   const ResponseMetadata& response, base::Instant sent_at) {
   const auto now = context.clock.now();
+  RecordRateLimit(context, endpoint, response, sent_at);
   if (response.report) {
     context.endpoints.OnReport(endpoint.id, *response.report, now);
   }
@@ -96,8 +117,9 @@
   context.endpoints.OnAttemptStarted(endpoint.id, kind);
   // The head of a stream arrives long before its end, so what it reports is
   // recorded at once.
-  call.on_head = [&context, &endpoint](const ResponseHead& head) {
-    RecordReports(context, endpoint, context.wire.read_response(head));
+  const auto sent_at = context.clock.now();
+  call.on_head = [&context, &endpoint, sent_at](const ResponseHead& head) {
+    RecordReports(context, endpoint, context.wire.read_response(head), sent_at);
   };
   auto result = co_await context.client.Call(std::move(call));
   const auto now = context.clock.now();
--- a/packages/policy/include/gypsumtrack/policy/serving/endpoint_registry.h
+++ b/packages/policy/include/gypsumtrack/policy/serving/endpoint_registry.h
@@ -181,6 +181,14 @@
   bool OnLeaving(const base::EndpointId& id, std::uint64_t incarnation,
                  base::Instant now);
 
+  /// Records the limit that this incarnation of the endpoint names in a
+  /// response that shows whether it has one, or none. `sent_at` is when the
+  /// request was sent: a response to an earlier request doesn't end a limit
+  /// that was named since. Returns whether the limit has changed.
+  bool OnRateLimit(const base::EndpointId& id, std::uint64_t incarnation,
+                   std::optional<double> per_second, base::Instant sent_at,
+                   base::Instant now);
+
   // Queries.
 
   /// Chooses the endpoint at which an online request is expected to start
@@ -241,6 +249,10 @@
     base::Instant reported_at{};
     /// Total load of this daemon when the report was received.
     std::uint32_t own_at_report = 0;
+    /// Requests a second that the endpoint accepts from all daemons together.
+    std::optional<double> rate_limit;
+    /// When a response named the limit last.
+    base::Instant limit_named_at{};
   };
   /// An incarnation of an endpoint that has reported that it shuts down.
   struct Leaving {
--- a/packages/policy/src/serving/endpoint_registry.cc
+++ b/packages/policy/src/serving/endpoint_registry.cc
@@ -179,6 +179,19 @@
   return is_new;
 }
 
+bool EndpointRegistry::OnRateLimit(const base::EndpointId& id,
+                                   std::uint64_t incarnation,
+                                   std::optional<double> per_second,
+                                   base::Instant sent_at, base::Instant now) {
+  const auto found = this->states.find(id);
+  if (found == this->states.end()) return false;
+  auto& state = found->second;
+  if (state.entry.incarnation != incarnation) return false;
+  if (!per_second && sent_at < state.limit_named_at) return false;
+  if (per_second) state.limit_named_at = now;
+  return std::exchange(state.rate_limit, per_second) != per_second;
+}
+
 bool EndpointRegistry::Accepts(const State& state) const {
   if (state.entry.draining) return false;
   const auto found = this->leaving.find(state.entry.id);
