--- a/packages/testing/include/gypsumtrack/testing/site_standin.h
+++ b/packages/testing/include/gypsumtrack/testing/site_standin.h
@@ -102,6 +102,9 @@
   void SetEventPause(base::Duration pause);
   /// Sets whether all its responses report that it leaves.
   void SetLeaving(bool is_leaving);
+  /// Sets the value of the header in which all its responses name the requests
+  /// a second that it accepts; empty for none.
+  void SetRateLimit(const std::string& per_second);
   /// Ends the engine, as a crash does, when it begins to write an answer on a
   /// prompt with this part.
   void SetCrashingPart(const std::string& part);
@@ -132,6 +135,7 @@
   EngineFaults faults;
   base::Duration event_pause{0};
   bool leaving = false;
+  std::string rate_limit;
   std::string crashing_part;
   bool has_crashed = false;
   std::vector<EngineRun> recorded_runs;
--- a/packages/testing/src/site_standin.cc
+++ b/packages/testing/src/site_standin.cc
@@ -317,6 +317,11 @@
   this->leaving = is_leaving;
 }
 
+void EngineStandin::SetRateLimit(const std::string& per_second) {
+  const std::lock_guard lock(this->mutex);
+  this->rate_limit = per_second;
+}
+
 void EngineStandin::SetCrashingPart(const std::string& part) {
   const std::lock_guard lock(this->mutex);
   this->crashing_part = part;
@@ -342,6 +347,8 @@
   std::vector<gateway::Header> headers{
       {"X-Gypsumtrack-Request-Id", request_id}};
   if (this->leaving) headers.push_back({"Server-Leaving", "1"});
+  if (!this->rate_limit.empty())
+    headers.push_back({"Server-Limit", this->rate_limit});
   return headers;
 }
 
