Keep the limits that endpoints name, by turns of all daemons

Cause: nothing read the limit, and no daemon alone could keep it: up to eight VMs sent to one endpoint, and a third of the requests were batch items.

The endpoint registry, which all dispatch asks, now keeps what an incarnation has reported (leaving, limit) in one place. A limited endpoint is chosen only in a turn of this daemon: time is cut into slots, one for each request that the endpoint accepts, which belong to the daemons in the order of their names. That needs no message, and turns that aren't used within a second are lost, so no burst of all daemons builds up. Weighed against counts by gossip as for the organisations' rates: those allow bursts of one request per daemon in a round, which in a fleet of 300 is many times the limit.

--- a/packages/gateway/include/gypsumtrack/gateway/serving/fleet_service.h
+++ b/packages/gateway/include/gypsumtrack/gateway/serving/fleet_service.h
@@ -69,6 +69,9 @@
   /// has the smallest VM name of all lease holders. For a short time this may
   /// be true at two daemons.
   bool IsCollector() const;
+  /// Returns whether this daemon is among the registered ones that it has read,
+  /// so that those that were registered before it are known too.
+  bool KnowsFleet() const;
   /// Returns this daemon.
   const base::VmId& self() const { return this->own.vm; }  // NOLINT
   /// Returns this daemon as it registers itself.
--- a/packages/gateway/src/serving/fleet_service.cc
+++ b/packages/gateway/src/serving/fleet_service.cc
@@ -267,6 +267,10 @@
   return holders;
 }
 
+bool FleetService::KnowsFleet() const {
+  return this->registered.contains(this->self().name);
+}
+
 bool FleetService::IsCollector() const {
   const auto holders = this->LeaseHolders();
   const auto collector = std::min_element(
--- a/packages/gateway/src/serving/send_to_endpoint.cc
+++ b/packages/gateway/src/serving/send_to_endpoint.cc
@@ -114,10 +114,10 @@
     ServingContext& context, policy::EndpointEntry endpoint,
     policy::WorkKind kind, EndpointCall call) {
   context.metrics.attempts.Add();
-  context.endpoints.OnAttemptStarted(endpoint.id, kind);
+  const auto sent_at = context.clock.now();
+  context.endpoints.OnAttemptStarted(endpoint.id, kind, sent_at);
   // The head of a stream arrives long before its end, so what it reports is
   // recorded at once.
-  const auto sent_at = context.clock.now();
   call.on_head = [&context, &endpoint, sent_at](const ResponseHead& head) {
     RecordReports(context, endpoint, context.wire.read_response(head), sent_at);
   };
--- a/packages/gateway/src/serving/serving_daemon.cc
+++ b/packages/gateway/src/serving/serving_daemon.cc
@@ -224,6 +224,22 @@
     for (const auto& peer : peers) names.push_back(peer.vm.name);
     this->serving.quota.SetPeers(names, this->clock.now());
     this->gossip->SetPeers(peers);
+    this->UpdateFleetPosition();
+  }
+
+  /// Does nothing while the other daemons have never been read.
+  void UpdateFleetPosition() {
+    if (!this->fleet->KnowsFleet()) return;
+    const auto now = this->clock.now();
+    const auto peers = this->serving.quota.PeerNames();
+    policy::FleetPosition position;
+    position.index = static_cast<std::size_t>(std::count_if(
+        peers.begin(), peers.end(),
+        [this](const auto& name) { return name < this->serving.self.name; }));
+    position.daemon_count = peers.size() + 1;
+    position.wall_offset =
+        this->clock.wall().time_since_epoch() - now.time_since_epoch();
+    this->serving.endpoints.SetFleetPosition(position, now);
   }
 
   std::optional<GossipMessage> MakeGossipMessage(const GossipDue& due) {
--- a/packages/policy/include/gypsumtrack/policy/serving/endpoint_registry.h
+++ b/packages/policy/include/gypsumtrack/policy/serving/endpoint_registry.h
@@ -12,9 +12,11 @@
 
 #include "gypsumtrack/base/names.h"
 #include "gypsumtrack/base/time.h"
+#include "gypsumtrack/policy/serving/rate_turns.h"
 
-/// Chooses endpoints for requests by their known load, their recent failures
-/// and the capacity that is left for batch items.
+/// Chooses endpoints for requests by their known load, their recent failures,
+/// what they report of themselves and the capacity that is left for batch
+/// items.
 namespace gypsumtrack::policy {
 
 /// An endpoint as it describes itself.
@@ -166,8 +168,13 @@
   /// Replaces the loads that a peer puts on endpoints by a full list of them.
   void SetPeerLoads(const std::string& peer, EndpointLoads loads,
                     base::Instant now);
-  /// Counts an attempt that this daemon starts.
-  void OnAttemptStarted(const base::EndpointId& id, WorkKind kind);
+  /// Records this daemon's place in the fleet. Without it, endpoints that have
+  /// named a limit get no requests.
+  void SetFleetPosition(const FleetPosition& position, base::Instant now);
+  /// Counts an attempt that this daemon starts, also against a limit that the
+  /// endpoint has named.
+  void OnAttemptStarted(const base::EndpointId& id, WorkKind kind,
+                        base::Instant now);
   /// Ends an attempt that was counted, and records what it showed.
   void OnAttemptEnded(const base::EndpointId& id, WorkKind kind,
                       AttemptResult result, base::Instant now);
@@ -249,14 +256,20 @@
     base::Instant reported_at{};
     /// Total load of this daemon when the report was received.
     std::uint32_t own_at_report = 0;
-    /// Requests a second that the endpoint accepts from all daemons together.
+  };
+  /// What an incarnation of an endpoint has reported that restricts the
+  /// requests it gets. Kept while its entry is missing, because it may be
+  /// listed again.
+  struct Restrictions {
+    std::uint64_t incarnation = 0;
+    /// It shuts down soon.
+    bool leaving = false;
+    /// Requests a second that it accepts from all daemons together.
     std::optional<double> rate_limit;
+    /// This daemon's part of them; set while there is a limit.
+    std::optional<RateTurns> turns;
     /// When a response named the limit last.
     base::Instant limit_named_at{};
-  };
-  /// An incarnation of an endpoint that has reported that it shuts down.
-  struct Leaving {
-    std::uint64_t incarnation = 0;
     /// When the incarnation has certainly ended.
     base::Instant forgotten_at{};
   };
@@ -296,6 +309,16 @@
   /// Whether the endpoint may serve the request, regardless of failures and
   /// load.
   bool Matches(const State& state, const EndpointQuery& query) const;
+  /// Returns what this incarnation has reported, or null.
+  const Restrictions* FindRestrictions(const EndpointEntry& entry) const;
+  /// The same, newly created if it has reported nothing yet. Null if another
+  /// incarnation of the endpoint is listed.
+  Restrictions* MakeRestrictions(const base::EndpointId& id,
+                                 std::uint64_t incarnation, base::Instant now);
+  /// Whether the endpoint has named a limit.
+  bool IsLimited(const State& state) const;
+  /// Whether the limit of the endpoint, if any, allows a request now.
+  bool LimitAllows(const State& state, base::Instant now) const;
   /// Whether the endpoint is to be avoided because of failures.
   bool Avoided(const State& state, base::Instant now) const;
   base::Duration DistanceCost(const base::Location& from,
@@ -311,8 +334,9 @@
                                             base::Instant now) const;
 
   EndpointRegistryOptions options;
+  FleetPosition fleet_position;
   std::map<base::EndpointId, State> states;
-  std::map<base::EndpointId, Leaving> leaving;
+  std::map<base::EndpointId, Restrictions> restrictions;
   /// Keyed by VM name.
   std::unordered_map<std::string, PeerLoads> peers;
 };
--- a/packages/policy/include/gypsumtrack/policy/serving/fleet_quota.h
+++ b/packages/policy/include/gypsumtrack/policy/serving/fleet_quota.h
@@ -119,6 +119,9 @@
   /// Returns the tokens left in this daemon's copy of the organisation's
   /// bucket, negative after too many admissions by peers; 0 without a limit.
   double Tokens(const base::Organisation& organisation) const;
+  /// Returns the VM names of the peers that may admit requests: those listed,
+  /// and others that have sent a message lately. Not sorted.
+  std::vector<std::string> PeerNames() const;
   /// Returns an estimate of when a request of the organisation will be
   /// admitted.
   base::Instant NextAdmissionTime(const base::Organisation& organisation,
--- a/packages/policy/src/serving/endpoint_registry.cc
+++ b/packages/policy/src/serving/endpoint_registry.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "gypsumtrack/base/hash.h"
+
 namespace gypsumtrack::policy {
 namespace {
 
@@ -24,9 +26,11 @@
 /// endpoint to be avoided. A single bad response may be caused by a caller's
 /// connection or a late packet.
 constexpr std::uint32_t kBadResponsesToAvoid = 2;
-/// Time after its report that an incarnation of an endpoint ends in any case:
-/// some serve for many seconds after they were told to drain.
-constexpr base::Duration kLeavingRetention = std::chrono::minutes(10);
+/// Time after its last report that an incarnation of an endpoint ends in any
+/// case: some serve for many seconds after they were told to drain.
+constexpr base::Duration kRestrictionsRetention = std::chrono::minutes(10);
+/// A larger change of the time of day between two updates is a step.
+constexpr base::Duration kMaxClockDrift = std::chrono::milliseconds(200);
 
 }  // namespace
 
@@ -70,7 +74,7 @@
     if (state.expires_at <= now) removed.push_back(id);
   }
   for (const auto& id : removed) this->states.erase(id);
-  std::erase_if(this->leaving, [&](const auto& each) {
+  std::erase_if(this->restrictions, [&](const auto& each) {
     return each.second.forgotten_at <= now;
   });
   return removed;
@@ -107,12 +111,29 @@
   });
 }
 
+void EndpointRegistry::SetFleetPosition(const FleetPosition& position,
+                                        base::Instant now) {
+  const auto clock_step =
+      std::chrono::abs(position.wall_offset - this->fleet_position.wall_offset);
+  this->fleet_position = position;
+  if (clock_step <= kMaxClockDrift) return;
+  for (auto& [id, known] : this->restrictions) {
+    if (known.turns) known.turns->Restart(position, now);
+  }
+}
+
 void EndpointRegistry::OnAttemptStarted(const base::EndpointId& id,
-                                        WorkKind kind) {
+                                        WorkKind kind, base::Instant now) {
   const auto found = this->states.find(id);
   if (found == this->states.end()) return;
-  auto& own = found->second.own;
-  ++(kind == WorkKind::kOnline ? own.online : own.batch);
+  auto& state = found->second;
+  ++(kind == WorkKind::kOnline ? state.own.online : state.own.batch);
+  const auto known = this->restrictions.find(id);
+  const bool is_limited =
+      known != this->restrictions.end() &&
+      known->second.incarnation == state.entry.incarnation &&
+      known->second.turns;
+  if (is_limited) known->second.turns->TakeTurn(this->fleet_position, now);
 }
 
 void EndpointRegistry::OnAttemptEnded(const base::EndpointId& id, WorkKind kind,
@@ -172,31 +193,67 @@
 
 bool EndpointRegistry::OnLeaving(const base::EndpointId& id,
                                  std::uint64_t incarnation, base::Instant now) {
-  const auto found = this->leaving.find(id);
-  const bool is_new =
-      found == this->leaving.end() || found->second.incarnation != incarnation;
-  this->leaving[id] = {incarnation, now + kLeavingRetention};
-  return is_new;
+  auto* known = this->MakeRestrictions(id, incarnation, now);
+  if (known == nullptr) return false;
+  return !std::exchange(known->leaving, true);
 }
 
 bool EndpointRegistry::OnRateLimit(const base::EndpointId& id,
                                    std::uint64_t incarnation,
                                    std::optional<double> per_second,
                                    base::Instant sent_at, base::Instant now) {
-  const auto found = this->states.find(id);
-  if (found == this->states.end()) return false;
-  auto& state = found->second;
-  if (state.entry.incarnation != incarnation) return false;
-  if (!per_second && sent_at < state.limit_named_at) return false;
-  if (per_second) state.limit_named_at = now;
-  return std::exchange(state.rate_limit, per_second) != per_second;
+  const bool has_reported = this->restrictions.contains(id);
+  if (!per_second && !has_reported) return false;
+  auto* known = this->MakeRestrictions(id, incarnation, now);
+  if (known == nullptr) return false;
+  if (!per_second && sent_at < known->limit_named_at) return false;
+  if (per_second) known->limit_named_at = now;
+  if (known->rate_limit == per_second) return false;
+  known->rate_limit = per_second;
+  known->turns.reset();
+  if (per_second) {
+    known->turns.emplace(*per_second, base::Hash64(id.text),
+                         this->fleet_position, now);
+  }
+  return true;
+}
+
+EndpointRegistry::Restrictions* EndpointRegistry::MakeRestrictions(
+    const base::EndpointId& id, std::uint64_t incarnation, base::Instant now) {
+  const auto listed = this->states.find(id);
+  const bool is_outdated = listed != this->states.end() &&
+                           listed->second.entry.incarnation != incarnation;
+  if (is_outdated) return nullptr;
+  auto& known = this->restrictions[id];
+  if (known.incarnation != incarnation) known = {.incarnation = incarnation};
+  known.forgotten_at = now + kRestrictionsRetention;
+  return &known;
+}
+
+const EndpointRegistry::Restrictions* EndpointRegistry::FindRestrictions(
+    const EndpointEntry& entry) const {
+  const auto found = this->restrictions.find(entry.id);
+  const bool is_known = found != this->restrictions.end() &&
+                        found->second.incarnation == entry.incarnation;
+  return is_known ? &found->second : nullptr;
+}
+
+bool EndpointRegistry::IsLimited(const State& state) const {
+  const auto* known = this->FindRestrictions(state.entry);
+  return known != nullptr && known->turns;
+}
+
+bool EndpointRegistry::LimitAllows(const State& state,
+                                   base::Instant now) const {
+  const auto* known = this->FindRestrictions(state.entry);
+  return known == nullptr || !known->turns ||
+         known->turns->HasTurn(this->fleet_position, now);
 }
 
 bool EndpointRegistry::Accepts(const State& state) const {
   if (state.entry.draining) return false;
-  const auto found = this->leaving.find(state.entry.id);
-  return found == this->leaving.end() ||
-         found->second.incarnation != state.entry.incarnation;
+  const auto* known = this->FindRestrictions(state.entry);
+  return known == nullptr || !known->leaving;
 }
 
 EndpointLoad EndpointRegistry::LoadOf(const State& state,
@@ -282,7 +339,7 @@
   choice.status = ChoiceStatus::kNoCapacity;
   std::vector<Candidate> candidates;
   for (const auto* state : usable) {
-    if (now < state->busy_until) continue;
+    if (now < state->busy_until || !this->LimitAllows(*state, now)) continue;
     const auto load = this->LoadOf(*state, now).total();
     const auto capacity =
         state->entry.slots + this->options.max_queued_requests;
@@ -358,6 +415,7 @@
   for (const auto* state : this->UsableEndpoints(query, now)) {
     choice.status = ChoiceStatus::kNoCapacity;
     if (now < state->busy_until || this->Avoided(*state, now)) continue;
+    if (!this->LimitAllows(*state, now)) continue;
     const auto load = this->LoadOf(*state, now).total();
     if (load + 1 + reserved_slots > state->entry.slots) continue;
     candidates.push_back({this->Cost(*state, query, now), state});
@@ -395,9 +453,12 @@
   std::uint32_t slots = 0;
   for (const auto& [id, state] : this->states) {
     if (state.entry.service != service || !this->Accepts(state)) continue;
-    if (this->Avoided(state, now)) continue;
+    if (this->Avoided(state, now) || !this->LimitAllows(state, now)) continue;
     const auto occupied = this->LoadOf(state, now).total() + reserved_slots;
-    if (occupied < state.entry.slots) slots += state.entry.slots - occupied;
+    if (occupied >= state.entry.slots) continue;
+    const auto free = state.entry.slots - occupied;
+    // Of a limited endpoint only the request of this turn is certain.
+    slots += this->IsLimited(state) ? 1 : free;
   }
   return slots;
 }
--- a/packages/policy/src/serving/fleet_quota.cc
+++ b/packages/policy/src/serving/fleet_quota.cc
@@ -300,6 +300,12 @@
   return found == this->buckets.end() ? 0 : found->second.tokens;
 }
 
+std::vector<std::string> FleetQuota::PeerNames() const {
+  std::vector<std::string> names;
+  for (const auto& [name, peer] : this->peers) names.push_back(name);
+  return names;
+}
+
 base::Instant FleetQuota::NextAdmissionTime(
     const base::Organisation& organisation, base::Instant now) const {
   const auto found = this->buckets.find(organisation);
--- a/packages/policy/test/serving/batch_start_limiter_test.cc
+++ b/packages/policy/test/serving/batch_start_limiter_test.cc
@@ -162,7 +162,8 @@
       const auto choice =
           daemon.registry.ChooseBatch(query, reserved, this->now);
       if (choice.status != ChoiceStatus::kChosen) return;
-      daemon.registry.OnAttemptStarted(choice.endpoint.id, WorkKind::kBatch);
+      daemon.registry.OnAttemptStarted(choice.endpoint.id, WorkKind::kBatch,
+                                       this->now);
       daemon.running.push_back({choice.endpoint.id, this->now});
       --daemon.waiting;
     }
--- a/packages/policy/test/serving/endpoint_registry_test.cc
+++ b/packages/policy/test/serving/endpoint_registry_test.cc
@@ -46,7 +46,8 @@
 
 void StartAttempts(EndpointRegistry& registry, const std::string& id, int count,
                    WorkKind kind = WorkKind::kOnline) {
-  for (int i = 0; i < count; ++i) registry.OnAttemptStarted(Id(id), kind);
+  for (int i = 0; i < count; ++i)
+    registry.OnAttemptStarted(Id(id), kind, kStart);
 }
 
 TEST_CASE("an online request goes to the endpoint where it starts soonest") {
@@ -127,7 +128,7 @@
   SECTION("the report of an endpoint includes load that no peer reported") {
     registry.OnReport(Id("b"), {6, 1}, kStart);
     CHECK(registry.Load(Id("b"), kStart).total() == 7);
-    registry.OnAttemptStarted(Id("b"), WorkKind::kOnline);
+    registry.OnAttemptStarted(Id("b"), WorkKind::kOnline, kStart);
     CHECK(registry.Load(Id("b"), kStart).total() == 8);
     CHECK(registry.Load(Id("b"), kStart + seconds(1)).total() == 1);
   }
@@ -155,7 +156,8 @@
     for (int i = 0; i < 2; ++i) {
       query.random_value = random();
       in_progress.push_back(registry.ChooseOnline(query, kStart).endpoint);
-      registry.OnAttemptStarted(in_progress.back().id, WorkKind::kOnline);
+      registry.OnAttemptStarted(in_progress.back().id, WorkKind::kOnline,
+                                kStart);
       if (idle.erase(in_progress.back().address) == 0) ++connections;
     }
     // Endpoints close connections that are idle for a while: only those of this
@@ -251,7 +253,7 @@
     const auto id = choose(*daemons[daemon], query, now);
     ++sent;
     if (++loads[id] > 8) ++to_full;
-    daemons[daemon]->OnAttemptStarted(id, WorkKind::kOnline);
+    daemons[daemon]->OnAttemptStarted(id, WorkKind::kOnline, now);
     running.emplace(now + kRunTime, Running{daemon, id});
   }
   return static_cast<double>(to_full) / sent;
@@ -284,7 +286,7 @@
       {MakeEndpoint("a", kOwnDomain), MakeEndpoint("b", kOtherDomain)}, {},
       kStart);
   const auto fail = [&](AttemptResult result, base::Instant now) {
-    registry.OnAttemptStarted(Id("a"), WorkKind::kOnline);
+    registry.OnAttemptStarted(Id("a"), WorkKind::kOnline, kStart);
     registry.OnAttemptEnded(Id("a"), WorkKind::kOnline, result, now);
   };
   SECTION("an unreachable endpoint is avoided at once") {
@@ -303,7 +305,7 @@
     fail(AttemptResult::kUnreachable, kStart);
     fail(AttemptResult::kUnreachable, kStart + seconds(1));
     const auto later = kStart + seconds(4);
-    registry.OnAttemptStarted(Id("a"), WorkKind::kOnline);
+    registry.OnAttemptStarted(Id("a"), WorkKind::kOnline, kStart);
     CHECK(registry.ChooseOnline(MakeQuery(), later).endpoint.id == Id("b"));
     registry.OnAttemptEnded(Id("a"), WorkKind::kOnline, AttemptResult::kSuccess,
                             later);
@@ -311,7 +313,7 @@
   }
   SECTION("endpoints are used when nearly all of them seem to fail") {
     fail(AttemptResult::kUnreachable, kStart);
-    registry.OnAttemptStarted(Id("b"), WorkKind::kOnline);
+    registry.OnAttemptStarted(Id("b"), WorkKind::kOnline, kStart);
     registry.OnAttemptEnded(Id("b"), WorkKind::kOnline,
                             AttemptResult::kUnreachable, kStart);
     CHECK(registry.ChooseOnline(MakeQuery(), kStart).status ==
@@ -406,6 +408,104 @@
   }
 }
 
+TEST_CASE("an endpoint that names a limit gets this daemon's part of it") {
+  constexpr double kPerSecond = 1;
+  EndpointRegistry registry({});
+  const std::vector<EndpointEntry> entries = {
+      MakeEndpoint("limited", kOwnDomain), MakeEndpoint("far", kOtherRegion)};
+  registry.ReplaceEntries(entries, {}, kStart);
+  registry.SetFleetPosition({.index = 0, .daemon_count = 2}, kStart);
+  auto now = kStart;
+  const auto chosen = [&] {
+    return registry.ChooseOnline(MakeQuery(), now).endpoint.id;
+  };
+  // The turns come at full seconds: begin between two of them.
+  now += milliseconds(500);
+  // Requests of this daemon that the limited endpoint gets in that time.
+  const auto send_for = [&](base::Duration duration) {
+    int sent = 0;
+    for (const auto until = now + duration; now < until;
+         now += milliseconds(10)) {
+      if (chosen() != Id("limited")) continue;
+      registry.OnAttemptStarted(Id("limited"), WorkKind::kOnline, now);
+      registry.OnAttemptEnded(Id("limited"), WorkKind::kOnline,
+                              AttemptResult::kSuccess, now);
+      ++sent;
+    }
+    return sent;
+  };
+  CHECK(registry.OnRateLimit(Id("limited"), 1, kPerSecond, now, now));
+  CHECK_FALSE(registry.OnRateLimit(Id("limited"), 1, kPerSecond, now, now));
+  SECTION("the others get the rest") {
+    CHECK(chosen() == Id("far"));
+    CHECK(send_for(seconds(20)) == 10);
+  }
+  SECTION("items have no other part of it") {
+    int started = 0;
+    for (const auto until = now + seconds(20); now < until;
+         now += milliseconds(10)) {
+      const auto choice = registry.ChooseBatch(MakeQuery(), 0, now);
+      const auto free = registry.CountFreeSlots(kService, 0, now);
+      const bool is_limited = choice.endpoint.id == Id("limited");
+      CHECK(free == (is_limited ? 9 : 8));
+      if (!is_limited) continue;
+      registry.OnAttemptStarted(Id("limited"), WorkKind::kBatch, now);
+      registry.OnAttemptEnded(Id("limited"), WorkKind::kBatch,
+                              AttemptResult::kSuccess, now);
+      ++started;
+    }
+    CHECK(started == 10);
+  }
+  SECTION("a response to an earlier request doesn't end the limit") {
+    CHECK_FALSE(registry.OnRateLimit(Id("limited"), 1, std::nullopt,
+                                     now - seconds(1), now + seconds(1)));
+    CHECK(send_for(seconds(20)) == 10);
+  }
+  SECTION("a response to a later request does") {
+    now += seconds(1);
+    CHECK(registry.OnRateLimit(Id("limited"), 1, std::nullopt, now, now));
+    CHECK(send_for(seconds(1)) == 100);
+  }
+  SECTION("it stays in force after its entry was removed and listed again") {
+    registry.ReplaceEntries({MakeEndpoint("far", kOtherRegion)}, {}, now);
+    registry.RemoveExpired(now);
+    registry.ReplaceEntries(entries, {}, now);
+    CHECK(send_for(seconds(20)) == 10);
+  }
+  SECTION("the next incarnation has no limit") {
+    auto restarted = MakeEndpoint("limited", kOwnDomain);
+    restarted.incarnation = 2;
+    registry.ReplaceEntries({restarted}, {}, now);
+    CHECK(send_for(seconds(1)) == 100);
+    SECTION("whatever a late response of the one before names") {
+      CHECK_FALSE(registry.OnRateLimit(Id("limited"), 1, kPerSecond, now, now));
+      CHECK(send_for(seconds(1)) == 100);
+    }
+  }
+  SECTION("a step of the time of day costs no more than a turn") {
+    CHECK(send_for(seconds(10)) == 5);
+    registry.SetFleetPosition(
+        {.index = 0, .daemon_count = 2, .wall_offset = -seconds(3600)}, now);
+    const auto sent = send_for(seconds(10));
+    CHECK(sent >= 4);
+    CHECK(sent <= 5);
+  }
+  SECTION("without other endpoints, requests wait for the next turn") {
+    registry.ReplaceEntries({MakeEndpoint("limited", kOwnDomain)}, {}, now);
+    registry.RemoveExpired(now);
+    CHECK(registry.ChooseOnline(MakeQuery(), now).status ==
+          ChoiceStatus::kNoCapacity);
+    CHECK(send_for(seconds(20)) == 10);
+  }
+  SECTION("a daemon that doesn't know the fleet sends none") {
+    EndpointRegistry starting({});
+    starting.ReplaceEntries({MakeEndpoint("limited", kOwnDomain)}, {}, now);
+    starting.OnRateLimit(Id("limited"), 1, kPerSecond, now, now);
+    CHECK(starting.ChooseOnline(MakeQuery(), now + seconds(5)).status ==
+          ChoiceStatus::kNoCapacity);
+  }
+}
+
 TEST_CASE("batch items use idle slots and yield to online requests") {
   EndpointRegistry registry({});
   registry.ReplaceEntries({MakeEndpoint("a", kOwnDomain)}, {}, kStart);
@@ -413,7 +513,7 @@
     StartAttempts(registry, "a", 5, WorkKind::kBatch);
     CHECK(registry.ChooseBatch(MakeQuery(), 2, kStart).status ==
           ChoiceStatus::kChosen);
-    registry.OnAttemptStarted(Id("a"), WorkKind::kBatch);
+    registry.OnAttemptStarted(Id("a"), WorkKind::kBatch, kStart);
     CHECK(registry.ChooseBatch(MakeQuery(), 2, kStart).status ==
           ChoiceStatus::kNoCapacity);
     CHECK(registry.ChooseBatch(MakeQuery(), 0, kStart).status ==
