Spend the turns at limited endpoints where they serve most

All turns were used, but online requests waited in the peaks while the five unlimited endpoints also ran items, and turns of the lulls were lost after a second.

Items now prefer limited endpoints, where they cost one turn instead of a slot for seconds, and online requests the others. Idle slots of limited endpoints no longer hide a peak from the batch items, and items there don't yield for a lack of slots that doesn't exist. A turn stays usable for 1.75 s.

--- a/packages/policy/include/gypsumtrack/policy/serving/endpoint_registry.h
+++ b/packages/policy/include/gypsumtrack/policy/serving/endpoint_registry.h
@@ -98,6 +98,10 @@
   /// endpoints accept a limited number of connections and a slot is idle while
   /// one is set up.
   base::Duration new_connection_cost = std::chrono::milliseconds(10);
+  /// Cost to an online request of a turn at an endpoint that has named a limit,
+  /// and gain of it to a batch item. A turn is worth more to an item, which
+  /// would occupy a slot elsewhere for the time of many online requests.
+  base::Duration limited_turn_cost = std::chrono::milliseconds(15);
   /// Time for which a failing endpoint is avoided at first. It doubles with
   /// each failure, up to `max_backoff`.
   base::Duration initial_backoff = std::chrono::milliseconds(500);
@@ -234,7 +238,8 @@
   bool AcceptsRequests(const base::EndpointId& id,
                        std::uint64_t incarnation) const;
   /// Returns the number of online requests as a fraction of the service's
-  /// slots. It is above 1 if there are more online requests than slots.
+  /// slots, of which a limited endpoint has as many as it has requests. It is
+  /// above 1 if there are more online requests than slots.
   double OnlineShare(const base::Service& service, base::Instant now) const;
   /// Returns the number of known endpoints.
   std::size_t size() const { return this->states.size(); }  // NOLINT
--- a/packages/policy/src/serving/endpoint_registry.cc
+++ b/packages/policy/src/serving/endpoint_registry.cc
@@ -344,7 +344,9 @@
     const auto capacity =
         state->entry.slots + this->options.max_queued_requests;
     if (load >= capacity) continue;
-    candidates.push_back({this->Cost(*state, query, now), state});
+    auto cost = this->Cost(*state, query, now);
+    if (this->IsLimited(*state)) cost += this->options.limited_turn_cost;
+    candidates.push_back({cost, state});
   }
   if (candidates.empty()) return choice;
   if (this->peers.size() > this->options.large_fleet_peers) {
@@ -418,7 +420,9 @@
     if (!this->LimitAllows(*state, now)) continue;
     const auto load = this->LoadOf(*state, now).total();
     if (load + 1 + reserved_slots > state->entry.slots) continue;
-    candidates.push_back({this->Cost(*state, query, now), state});
+    auto cost = this->Cost(*state, query, now);
+    if (this->IsLimited(*state)) cost -= this->options.limited_turn_cost;
+    candidates.push_back({cost, state});
   }
   if (!candidates.empty()) {
     this->Pick(candidates, query, kBatchMaxExtraCost, now, choice);
@@ -472,8 +476,10 @@
   if (state.own.batch == 0) return 0;
   const auto load = this->LoadOf(state, now);
   if (load.online == 0) return 0;
-  const bool is_peak = this->OnlineShare(state.entry.service, now) >
-                       this->options.peak_online_share;
+  // A limited endpoint isn't short of slots.
+  const bool is_peak =
+      !this->IsLimited(state) && this->OnlineShare(state.entry.service, now) >
+                                     this->options.peak_online_share;
   const auto allowed = state.entry.slots - (is_peak ? 1 : 0);
   if (load.total() <= allowed) return 0;
   // The daemons share the excess in proportion to their batch items.
@@ -513,8 +519,10 @@
   double online = 0;
   for (const auto& [id, state] : this->states) {
     if (state.entry.service != service || !this->Accepts(state)) continue;
-    slots += state.entry.slots;
-    online += this->LoadOf(state, now).online;
+    const auto load = this->LoadOf(state, now);
+    slots += this->IsLimited(state) ? std::min(state.entry.slots, load.total())
+                                    : state.entry.slots;
+    online += load.online;
   }
   return slots > 0 ? online / slots : 0;
 }
--- a/packages/policy/src/serving/rate_turns.cc
+++ b/packages/policy/src/serving/rate_turns.cc
@@ -8,8 +8,9 @@
 
 /// Requests a second that are sent even to an endpoint that accepts fewer.
 constexpr double kMinRate = 0.25;
-/// Time after the begin of its slot for which a turn may be used.
-constexpr base::Duration kTurnValidity = std::chrono::seconds(1);
+/// Time after the begin of its slot for which a turn may be used. Turns saved
+/// in a lull serve the next peak.
+constexpr base::Duration kTurnValidity = std::chrono::milliseconds(1750);
 
 }  // namespace
 
--- a/packages/policy/test/serving/endpoint_registry_test.cc
+++ b/packages/policy/test/serving/endpoint_registry_test.cc
@@ -506,6 +506,42 @@
   }
 }
 
+// The load: most endpoints of a service name limits, and callers' requests come
+// in peaks that the others can't take alone. A turn at a limited endpoint
+// serves one request, whether it is short or long; a slot elsewhere serves many
+// short requests in the time of one item.
+TEST_CASE("items go to limited endpoints and online requests to the others") {
+  EndpointRegistry registry({});
+  registry.ReplaceEntries({MakeEndpoint("limited", kOwnDomain),
+                           MakeEndpoint("unlimited", kOwnDomain)},
+                          {}, kStart);
+  registry.SetFleetPosition({.index = 0, .daemon_count = 1}, kStart);
+  registry.OnRateLimit(Id("limited"), 1, 1, kStart, kStart);
+  const auto now = kStart + milliseconds(1500);
+  SECTION("while both have room") {
+    CHECK(registry.ChooseBatch(MakeQuery(), 0, now).endpoint.id ==
+          Id("limited"));
+    CHECK(registry.ChooseOnline(MakeQuery(), now).endpoint.id ==
+          Id("unlimited"));
+  }
+  SECTION("an online request takes a turn when the others are busy") {
+    StartAttempts(registry, "unlimited", 7);
+    CHECK(registry.ChooseOnline(MakeQuery(), now).endpoint.id == Id("limited"));
+  }
+  SECTION("items of a limited endpoint don't yield to a peak") {
+    StartAttempts(registry, "limited", 5, WorkKind::kBatch);
+    StartAttempts(registry, "limited", 3, WorkKind::kOnline);
+    StartAttempts(registry, "unlimited", 8, WorkKind::kOnline);
+    CHECK(registry.BatchToYield(Id("limited"), kRoundUp, now) == 0);
+  }
+  SECTION("idle slots of a limited endpoint don't hide a peak") {
+    StartAttempts(registry, "unlimited", 5, WorkKind::kOnline);
+    StartAttempts(registry, "unlimited", 3, WorkKind::kBatch);
+    CHECK(registry.OnlineShare(kService, now) > 0.6);
+    CHECK(registry.BatchToYield(Id("unlimited"), kRoundUp, now) == 1);
+  }
+}
+
 TEST_CASE("batch items use idle slots and yield to online requests") {
   EndpointRegistry registry({});
   registry.ReplaceEntries({MakeEndpoint("a", kOwnDomain)}, {}, kStart);
