Tell peers of the limits that endpoints name and end

A daemon learned of a limit, and that it had ended, only by its own requests. At the limit it has one turn in N / rate seconds, two minutes with 295 daemons and 2.5 requests a second, and so long would it go on keeping a limit that had ended. Gossip now carries the changes that a daemon has seen itself, for 3 s each. Reports are ordered by when they were true, so a late one doesn't undo a newer. The encoding is GN5: daemons of the version before share no loads with new ones.

--- a/packages/gateway/include/gypsumtrack/gateway/serving/gossip_message.h
+++ b/packages/gateway/include/gypsumtrack/gateway/serving/gossip_message.h
@@ -1,6 +1,7 @@
 #ifndef GYPSUMTRACK_GATEWAY_SERVING_GOSSIP_MESSAGE_H_
 #define GYPSUMTRACK_GATEWAY_SERVING_GOSSIP_MESSAGE_H_
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -24,6 +25,18 @@
 /// Returns the hash of a name. Thread-safe.
 NameHash HashName(std::string_view name);
 
+/// A change of an endpoint's limit, as in `policy::RateLimitChange`.
+struct LimitEntry {
+  NameHash endpoint = 0;
+  std::uint64_t incarnation = 0;
+  /// None if the limit has ended.
+  std::optional<double> per_second;
+  /// Time since the change was true, when the message was made.
+  std::chrono::milliseconds age{0};
+
+  bool operator==(const LimitEntry&) const = default;
+};
+
 /// The requests that a daemon has in progress and the number of requests that
 /// it has admitted since its start.
 struct GossipMessage {
@@ -52,12 +65,14 @@
   /// Number of requests that the sender has admitted since its start, by the
   /// hash of the organisation.
   std::vector<std::pair<NameHash, std::uint32_t>> admitted;
+  /// Limits of endpoints whose change the sender has seen lately.
+  std::vector<LimitEntry> limits;
 
   bool operator==(const GossipMessage&) const = default;
 };
 
-/// Maximum size of a datagram. If a message is larger, first loads and then
-/// counts are left out of it.
+/// Maximum size of a datagram. If a message is larger, first loads, then limits
+/// and then counts are left out of it.
 inline constexpr std::size_t kMaxDatagramBytes = 1400;
 
 /// Encodes the messages as datagrams of one or more messages each. Thread-safe.
--- a/packages/gateway/src/serving/gossip_message.cc
+++ b/packages/gateway/src/serving/gossip_message.cc
@@ -1,6 +1,8 @@
 #include "gypsumtrack/gateway/serving/gossip_message.h"
 
 #include <algorithm>
+#include <bit>
+#include <cmath>
 #include <limits>
 
 #include "gypsumtrack/base/hash.h"
@@ -9,10 +11,13 @@
 namespace {
 
 /// First bytes of a datagram; identifies the version of the encoding.
-constexpr std::string_view kMagic = "GN4";
-/// Encoded size of an entry of `loads` and of `admitted`.
+constexpr std::string_view kMagic = "GN5";
+/// Encoded size of an entry of `loads`, of `admitted` and of `limits`.
 constexpr std::size_t kLoadBytes = 6;
 constexpr std::size_t kAdmittedBytes = 8;
+constexpr std::size_t kLimitBytes = 22;
+/// Encoded instead of a rate for a limit that has ended.
+constexpr double kNoLimit = -1;
 /// Longer VM names are truncated.
 constexpr std::size_t kMaxNameBytes = 200;
 
@@ -96,6 +101,31 @@
   return static_cast<std::uint8_t>(std::min(number, kMax));
 }
 
+/// Larger ages are encoded as the largest possible one.
+std::uint16_t SaturatedAge(std::chrono::milliseconds age) {
+  constexpr std::int64_t kMax = std::numeric_limits<std::uint16_t>::max();
+  return static_cast<std::uint16_t>(
+      std::clamp<std::int64_t>(age.count(), 0, kMax));
+}
+
+void AppendLimit(std::string& bytes, const LimitEntry& limit) {
+  Append(bytes, limit.endpoint);
+  Append(bytes, limit.incarnation);
+  Append(bytes,
+         std::bit_cast<std::uint64_t>(limit.per_second.value_or(kNoLimit)));
+  Append(bytes, SaturatedAge(limit.age));
+}
+
+LimitEntry ReadLimit(Reader& reader) {
+  LimitEntry limit;
+  limit.endpoint = reader.Read<NameHash>();
+  limit.incarnation = reader.Read<std::uint64_t>();
+  const auto rate = std::bit_cast<double>(reader.Read<std::uint64_t>());
+  if (std::isfinite(rate) && rate >= 0) limit.per_second = rate;
+  limit.age = std::chrono::milliseconds(reader.Read<std::uint16_t>());
+  return limit;
+}
+
 std::string EncodeMessage(const GossipMessage& message) {
   constexpr auto kMaxMessageBytes = kMaxDatagramBytes - kMagic.size();
   std::string bytes;
@@ -110,7 +140,7 @@
   // Counts are encoded first, so that loads are left out if the message is too
   // large: limits depend on the counts, while loads only improve the choice of
   // endpoints.
-  const auto header_bytes = bytes.size() + 2 * sizeof(std::uint16_t);
+  const auto header_bytes = bytes.size() + 3 * sizeof(std::uint16_t);
   const auto admitted_count =
       std::min(message.admitted.size(),
                (kMaxMessageBytes - header_bytes) / kAdmittedBytes);
@@ -120,6 +150,13 @@
     Append(bytes, admitted->first);
     Append(bytes, admitted->second);
   }
+  const auto max_limits =
+      (kMaxMessageBytes - bytes.size() - 2 * sizeof(std::uint16_t)) /
+      kLimitBytes;
+  const auto limit_count = std::min(message.limits.size(), max_limits);
+  Append(bytes, static_cast<std::uint16_t>(limit_count));
+  for (std::size_t i = 0; i < limit_count; ++i)
+    AppendLimit(bytes, message.limits[i]);
   const auto max_loads =
       (kMaxMessageBytes - bytes.size() - sizeof(std::uint16_t)) / kLoadBytes;
   const auto load_count = std::min(message.loads.size(), max_loads);
@@ -146,6 +183,9 @@
     const auto name_hash = reader.Read<NameHash>();
     message.admitted.emplace_back(name_hash, reader.Read<std::uint32_t>());
   }
+  const auto limit_count = reader.Read<std::uint16_t>();
+  for (std::size_t i = 0; i < limit_count && !reader.failed(); ++i)
+    message.limits.push_back(ReadLimit(reader));
   const auto load_count = reader.Read<std::uint16_t>();
   for (std::size_t i = 0; i < load_count && !reader.failed(); ++i) {
     const auto name_hash = reader.Read<NameHash>();
--- a/packages/gateway/src/serving/send_to_endpoint.cc
+++ b/packages/gateway/src/serving/send_to_endpoint.cc
@@ -42,15 +42,18 @@
   const bool shows_limit =
       response.rate_limit || (response.has_seal && !response.not_run);
   if (!shows_limit) return;
+  const auto now = context.clock.now();
+  const policy::RateLimitReport report{response.rate_limit,
+                                       response.rate_limit ? now : sent_at};
   const bool changed = context.endpoints.OnRateLimit(
-      endpoint.id, endpoint.incarnation, response.rate_limit, sent_at,
-      context.clock.now());
+      endpoint.id, endpoint.incarnation, report, true, now);
   if (!changed) return;
   base::LogEvent("endpoint_limit",
                  {{"endpoint", endpoint.id.text},
                   {"incarnation", endpoint.incarnation},
                   {"limited", response.rate_limit ? 1 : 0},
-                  {"per_second", response.rate_limit.value_or(0)}});
+                  {"per_second", response.rate_limit.value_or(0)},
+                  {"source", "response"}});
 }
 
 /// Records what the head of a response to a request sent at `sent_at` reports
--- a/packages/gateway/src/serving/serving_daemon.cc
+++ b/packages/gateway/src/serving/serving_daemon.cc
@@ -48,6 +48,9 @@
 /// Maximum size of a response that isn't a stream. As much as a deployment lets
 /// callers send; a VM may have 140 MB in all.
 constexpr std::uint64_t kMaxResponseBytes = std::uint64_t{4} * 1024 * 1024;
+/// Longest usual time from making a gossip message to its receipt through two
+/// other daemons.
+constexpr base::Duration kMaxGossipDelay = std::chrono::milliseconds(600);
 /// Interval at which the settings are reloaded, since their file may change
 /// without a SIGHUP.
 constexpr base::Duration kReloadInterval = std::chrono::seconds(5);
@@ -253,14 +256,17 @@
         std::numeric_limits<std::uint16_t>::max();
     message.waiting_items = static_cast<std::uint16_t>(
         std::min(this->jobs->CountWaitingItems(), kMaxWaitingItems));
+    const auto now = this->clock.now();
+    for (const auto& change : this->serving.endpoints.OwnRateLimitChanges(now))
+      message.limits.push_back(MakeLimitEntry(change, now));
     const auto admitted = this->serving.quota.OwnAdmittedTotal();
     const bool unchanged =
         message == this->last_gossip && admitted == this->last_gossip_admitted;
     if (unchanged && !due.is_due) return std::nullopt;
     this->last_gossip = message;
     this->last_gossip_admitted = admitted;
-    const auto own_counts = this->serving.quota.NextCountsMessage(
-        this->clock.now(), due.reaches_all);
+    const auto own_counts =
+        this->serving.quota.NextCountsMessage(now, due.reaches_all);
     message.is_full = own_counts.is_full;
     message.wants_full = own_counts.wants_full;
     for (const auto& [name, count] : own_counts.counts) {
@@ -292,6 +298,37 @@
       }
     }
     this->serving.quota.OnPeerCounts(received.sender, counts, now);
+    for (const auto& limit : received.limits) this->OnPeerLimit(limit, now);
+  }
+
+  static LimitEntry MakeLimitEntry(const policy::RateLimitChange& change,
+                                   base::Instant now) {
+    LimitEntry entry;
+    entry.endpoint = HashName(change.endpoint.text);
+    entry.incarnation = change.incarnation;
+    entry.per_second = change.report.per_second;
+    entry.age = std::chrono::duration_cast<std::chrono::milliseconds>(
+        now - change.report.as_of);
+    return entry;
+  }
+
+  void OnPeerLimit(const LimitEntry& limit, base::Instant now) {
+    const auto found = this->endpoints_by_hash.find(limit.endpoint);
+    if (found == this->endpoints_by_hash.end()) return;
+    policy::RateLimitReport report;
+    report.per_second = limit.per_second;
+    // The message was made a moment ago. A limit named since must stay.
+    report.as_of = now - limit.age;
+    if (!report.per_second) report.as_of -= kMaxGossipDelay;
+    const bool changed = this->serving.endpoints.OnRateLimit(
+        found->second, limit.incarnation, report, false, now);
+    if (!changed) return;
+    base::LogEvent("endpoint_limit",
+                   {{"endpoint", found->second.text},
+                    {"incarnation", limit.incarnation},
+                    {"limited", report.per_second ? 1 : 0},
+                    {"per_second", report.per_second.value_or(0)},
+                    {"source", "peer"}});
   }
 
   // Servers.
--- a/packages/gateway/test/serving/gossip_message_test.cc
+++ b/packages/gateway/test/serving/gossip_message_test.cc
@@ -15,6 +15,10 @@
   for (std::uint32_t i = 0; i < entry_count; ++i) {
     message.loads.push_back({i * 7919, {i % 9, i % 5}});
     message.admitted.emplace_back(i * 104729, i * 1000);
+    if (i % 10 != 0) continue;
+    auto& limit = message.limits.emplace_back();
+    limit = {i * 7919, 1700000000000U + i, 2.7, std::chrono::milliseconds(i)};
+    if (i % 20 == 0) limit.per_second = std::nullopt;
   }
   return message;
 }
--- a/packages/policy/include/gypsumtrack/policy/serving/endpoint_registry.h
+++ b/packages/policy/include/gypsumtrack/policy/serving/endpoint_registry.h
@@ -66,6 +66,23 @@
   std::uint32_t waiting = 0;
 };
 
+/// What a response shows about the limit of its endpoint.
+struct RateLimitReport {
+  /// Requests a second that the endpoint accepts from all daemons together;
+  /// none if it has no limit.
+  std::optional<double> per_second;
+  /// For a limit, when the response was received; for none, when its request
+  /// was sent, because a limit that was named since is newer.
+  base::Instant as_of{};
+};
+
+/// A change of an endpoint's limit that a daemon has seen itself.
+struct RateLimitChange {
+  base::EndpointId endpoint;
+  std::uint64_t incarnation = 0;
+  RateLimitReport report;
+};
+
 /// What an attempt showed about its endpoint.
 enum class AttemptResult {
   kSuccess,        ///< the response was complete
@@ -192,12 +209,11 @@
   bool OnLeaving(const base::EndpointId& id, std::uint64_t incarnation,
                  base::Instant now);
 
-  /// Records the limit that this incarnation of the endpoint names in a
-  /// response that shows whether it has one, or none. `sent_at` is when the
-  /// request was sent: a response to an earlier request doesn't end a limit
-  /// that was named since. Returns whether the limit has changed.
+  /// Records what a response to this daemon or, if `is_own` is false, to a peer
+  /// shows about the limit of this incarnation. Older reports than the newest
+  /// one are ignored. Returns whether the limit has changed.
   bool OnRateLimit(const base::EndpointId& id, std::uint64_t incarnation,
-                   std::optional<double> per_second, base::Instant sent_at,
+                   const RateLimitReport& report, bool is_own,
                    base::Instant now);
 
   // Queries.
@@ -230,6 +246,10 @@
   /// Returns the loads that this daemon itself puts on endpoints, without those
   /// that are zero.
   EndpointLoads OwnLoads() const;
+  /// Returns the changes of limits that this daemon has seen itself lately, to
+  /// be sent to the peers: few of them send to an endpoint often enough to
+  /// learn in time that its limit has ended.
+  std::vector<RateLimitChange> OwnRateLimitChanges(base::Instant now) const;
   /// Returns the known load of all daemons at an endpoint, or zero for an
   /// unknown endpoint.
   EndpointLoad Load(const base::EndpointId& id, base::Instant now) const;
@@ -273,8 +293,10 @@
     std::optional<double> rate_limit;
     /// This daemon's part of them; set while there is a limit.
     std::optional<RateTurns> turns;
-    /// When a response named the limit last.
-    base::Instant limit_named_at{};
+    /// Of the newest report.
+    base::Instant limit_as_of{};
+    /// When this daemon itself last saw the limit change.
+    base::Instant own_change_at = base::Instant::min();
     /// When the incarnation has certainly ended.
     base::Instant forgotten_at{};
   };
--- a/packages/policy/src/serving/endpoint_registry.cc
+++ b/packages/policy/src/serving/endpoint_registry.cc
@@ -29,6 +29,8 @@
 /// Time after its last report that an incarnation of an endpoint ends in any
 /// case: some serve for many seconds after they were told to drain.
 constexpr base::Duration kRestrictionsRetention = std::chrono::minutes(10);
+/// Time for which a change of a limit is sent to the peers again and again.
+constexpr base::Duration kLimitChangeWindow = std::chrono::seconds(3);
 /// A larger change of the time of day between two updates is a step.
 constexpr base::Duration kMaxClockDrift = std::chrono::milliseconds(200);
 
@@ -200,24 +202,34 @@
 
 bool EndpointRegistry::OnRateLimit(const base::EndpointId& id,
                                    std::uint64_t incarnation,
-                                   std::optional<double> per_second,
-                                   base::Instant sent_at, base::Instant now) {
-  const bool has_reported = this->restrictions.contains(id);
-  if (!per_second && !has_reported) return false;
+                                   const RateLimitReport& report, bool is_own,
+                                   base::Instant now) {
+  if (!report.per_second && !this->restrictions.contains(id)) return false;
   auto* known = this->MakeRestrictions(id, incarnation, now);
-  if (known == nullptr) return false;
-  if (!per_second && sent_at < known->limit_named_at) return false;
-  if (per_second) known->limit_named_at = now;
-  if (known->rate_limit == per_second) return false;
-  known->rate_limit = per_second;
+  if (known == nullptr || report.as_of < known->limit_as_of) return false;
+  known->limit_as_of = report.as_of;
+  if (known->rate_limit == report.per_second) return false;
+  known->rate_limit = report.per_second;
+  if (is_own) known->own_change_at = now;
   known->turns.reset();
-  if (per_second) {
-    known->turns.emplace(*per_second, base::Hash64(id.text),
+  if (report.per_second) {
+    known->turns.emplace(*report.per_second, base::Hash64(id.text),
                          this->fleet_position, now);
   }
   return true;
 }
 
+std::vector<RateLimitChange> EndpointRegistry::OwnRateLimitChanges(
+    base::Instant now) const {
+  std::vector<RateLimitChange> changes;
+  for (const auto& [id, known] : this->restrictions) {
+    if (known.own_change_at < now - kLimitChangeWindow) continue;
+    changes.push_back(
+        {id, known.incarnation, {known.rate_limit, known.limit_as_of}});
+  }
+  return changes;
+}
+
 EndpointRegistry::Restrictions* EndpointRegistry::MakeRestrictions(
     const base::EndpointId& id, std::uint64_t incarnation, base::Instant now) {
   const auto listed = this->states.find(id);
--- a/packages/policy/test/serving/endpoint_registry_test.cc
+++ b/packages/policy/test/serving/endpoint_registry_test.cc
@@ -434,8 +434,13 @@
     }
     return sent;
   };
-  CHECK(registry.OnRateLimit(Id("limited"), 1, kPerSecond, now, now));
-  CHECK_FALSE(registry.OnRateLimit(Id("limited"), 1, kPerSecond, now, now));
+  const auto name_limit = [&](std::optional<double> per_second,
+                              base::Instant as_of) {
+    return registry.OnRateLimit(Id("limited"), 1, {per_second, as_of}, true,
+                                now);
+  };
+  CHECK(name_limit(kPerSecond, now));
+  CHECK_FALSE(name_limit(kPerSecond, now));
   SECTION("the others get the rest") {
     CHECK(chosen() == Id("far"));
     CHECK(send_for(seconds(20)) == 10);
@@ -457,15 +462,35 @@
     CHECK(started == 10);
   }
   SECTION("a response to an earlier request doesn't end the limit") {
-    CHECK_FALSE(registry.OnRateLimit(Id("limited"), 1, std::nullopt,
-                                     now - seconds(1), now + seconds(1)));
+    CHECK_FALSE(name_limit(std::nullopt, now - seconds(1)));
     CHECK(send_for(seconds(20)) == 10);
   }
   SECTION("a response to a later request does") {
     now += seconds(1);
-    CHECK(registry.OnRateLimit(Id("limited"), 1, std::nullopt, now, now));
+    CHECK(name_limit(std::nullopt, now));
     CHECK(send_for(seconds(1)) == 100);
   }
+  SECTION("peers learn of its begin and its end") {
+    EndpointRegistry peer({});
+    peer.ReplaceEntries(entries, {}, now);
+    const auto tell_peer = [&] {
+      for (const auto& change : registry.OwnRateLimitChanges(now))
+        peer.OnRateLimit(change.endpoint, change.incarnation, change.report,
+                         false, now);
+    };
+    const auto peer_chooses = [&] {
+      return peer.ChooseOnline(MakeQuery(), now).endpoint.id;
+    };
+    CHECK(peer_chooses() == Id("limited"));
+    tell_peer();
+    CHECK(peer_chooses() == Id("far"));
+    CHECK(peer.OwnRateLimitChanges(now).empty());
+    now += seconds(10);
+    CHECK(registry.OwnRateLimitChanges(now).empty());
+    CHECK(name_limit(std::nullopt, now));
+    tell_peer();
+    CHECK(peer_chooses() == Id("limited"));
+  }
   SECTION("it stays in force after its entry was removed and listed again") {
     registry.ReplaceEntries({MakeEndpoint("far", kOtherRegion)}, {}, now);
     registry.RemoveExpired(now);
@@ -478,7 +503,7 @@
     registry.ReplaceEntries({restarted}, {}, now);
     CHECK(send_for(seconds(1)) == 100);
     SECTION("whatever a late response of the one before names") {
-      CHECK_FALSE(registry.OnRateLimit(Id("limited"), 1, kPerSecond, now, now));
+      CHECK_FALSE(name_limit(kPerSecond, now));
       CHECK(send_for(seconds(1)) == 100);
     }
   }
@@ -500,7 +525,7 @@
   SECTION("a daemon that doesn't know the fleet sends none") {
     EndpointRegistry starting({});
     starting.ReplaceEntries({MakeEndpoint("limited", kOwnDomain)}, {}, now);
-    starting.OnRateLimit(Id("limited"), 1, kPerSecond, now, now);
+    starting.OnRateLimit(Id("limited"), 1, {kPerSecond, now}, true, now);
     CHECK(starting.ChooseOnline(MakeQuery(), now + seconds(5)).status ==
           ChoiceStatus::kNoCapacity);
   }
@@ -516,7 +541,7 @@
                            MakeEndpoint("unlimited", kOwnDomain)},
                           {}, kStart);
   registry.SetFleetPosition({.index = 0, .daemon_count = 1}, kStart);
-  registry.OnRateLimit(Id("limited"), 1, 1, kStart, kStart);
+  registry.OnRateLimit(Id("limited"), 1, {1, kStart}, true, kStart);
   const auto now = kStart + milliseconds(1500);
   SECTION("while both have room") {
     CHECK(registry.ChooseBatch(MakeQuery(), 0, now).endpoint.id ==
