--- a/packages/policy/test/serving/rate_turns_test.cc
+++ b/packages/policy/test/serving/rate_turns_test.cc
@@ -26,7 +26,7 @@
 class GreedyFleet {
  public:
   GreedyFleet(std::size_t daemon_count, double limit, std::uint32_t seed)
-      : limit(limit), random(seed) {
+      : random(seed) {
     for (std::size_t i = 0; i < daemon_count; ++i) {
       const FleetPosition position{i, daemon_count, kWallOffset};
       this->daemons.push_back({position, {limit, kSalt, position, kStart}});
@@ -81,7 +81,6 @@
     this->in_window.push_back(this->now);
   }
 
-  double limit;
   std::mt19937 random;
   std::vector<Daemon> daemons;
   std::deque<base::Instant> in_window{kStart};
