Log a fingerprint of requests

The logs couldn't tell a request that comes again under another id from other requests of its caller, nor whose request was refused for a part of its prompt. `sent` and `prompt_quarantined` name a digest of organisation, method, path and body, the latter also the organisation. Nothing decides by it yet.

--- a/packages/gateway/src/serving/relay_service.cc
+++ b/packages/gateway/src/serving/relay_service.cc
@@ -10,6 +10,7 @@
 #include "gypsumtrack/gateway/serving/row_store_await.h"
 #include "gypsumtrack/policy/serving/attempts.h"
 #include "gypsumtrack/policy/serving/event_splitter.h"
+#include "gypsumtrack/policy/serving/request_fingerprint.h"
 #include "send_to_endpoint.h"
 
 namespace gypsumtrack::gateway {
@@ -62,6 +63,9 @@
       co_return;
     }
     this->body = std::move(*read);
+    const auto& request = this->exchange.request();
+    this->fingerprint = policy::FingerprintOf(
+        this->organisation, request.method, request.path, this->body);
     if (const auto part = this->FindQuarantined()) {
       co_await this->RefuseQuarantined(*part);
       co_return;
@@ -217,8 +221,11 @@
   /// crashes endpoints.
   asio::awaitable<void> RefuseQuarantined(policy::QuarantinedPart part) {
     this->context.metrics.quarantined.Add();
-    base::LogEvent("prompt_quarantined", {{"request", this->facts.request_id},
-                                          {"part", part.part.text}});
+    base::LogEvent("prompt_quarantined",
+                   {{"request", this->facts.request_id},
+                    {"organisation", this->organisation.text},
+                    {"fingerprint", this->fingerprint.text},
+                    {"part", part.part.text}});
     Refusal refusal{status::kUnavailable, kQuarantinedCode, {}};
     refusal.retry_after = part.until - this->context.clock.wall();
     co_await SendRefusal(this->context, this->exchange, this->facts.request_id,
@@ -243,6 +250,7 @@
     const auto now = this->Now();
     base::LogEvent("sent", {{"request", this->facts.request_id},
                             {"organisation", this->organisation.text},
+                            {"fingerprint", this->fingerprint.text},
                             {"parts", FormatParts(this->facts.shared_parts)},
                             {"endpoint", choice.endpoint.id.text},
                             {"load", choice.known_load},
@@ -495,6 +503,8 @@
   const base::Instant deadline;
   std::shared_ptr<CallCancellation> cancel;
   std::string body;
+  /// Set once the body was read.
+  policy::RequestFingerprint fingerprint;
   policy::AttemptTracker attempts;
   std::set<base::EndpointId> tried;
   policy::EventSplitter splitter;
