--- a/packages/testing/include/gypsumtrack/testing/site_standin.h
+++ b/packages/testing/include/gypsumtrack/testing/site_standin.h
@@ -75,6 +75,7 @@
   /// Value of X-Event-Pause-Ms, which a test sets: the pause before each event,
   /// or 0 for that of the engine.
   std::uint64_t event_pause_millis = 0;
+  std::string body;
   base::Instant at{};
 };
 
@@ -108,6 +109,9 @@
   /// Ends the engine, as a crash does, when it begins to write an answer on a
   /// prompt with this part.
   void SetCrashingPart(const std::string& part);
+  /// Ends the engine, as a crash does, after that many events of an answer to a
+  /// request with this body.
+  void SetCrashingBody(const std::string& body, std::uint64_t after_events);
   /// Whether it has crashed.
   bool crashed() const;  // NOLINT
   /// The requests that it ran, in order.
@@ -119,11 +123,16 @@
  private:
   /// Handles one HTTP request.
   boost::asio::awaitable<void> Serve(gateway::Exchange& exchange);
-  /// Whether the request crashes the engine; if so, records that it has.
-  bool CrashesOn(const gateway::RequestHead& request);
+  /// Whether the parts of the request's prompt crash the engine.
+  bool CrashesOn(const gateway::RequestHead& request) const;
   /// Returns the headers of every response.
   std::vector<gateway::Header> CommonHeaders(
       const std::string& request_id) const;
+  /// Closes the listener and all connections, as a crash does.
+  void Crash(gateway::Exchange& exchange);
+  /// Whether a request with this body crashes the engine once that many events
+  /// of its answer were sent.
+  bool CrashesAfter(const std::string& body, std::uint64_t events) const;
   /// Streams the events after `run.after_event`, with the given faults.
   boost::asio::awaitable<void> Stream(gateway::Exchange& exchange,
                                       EngineRun run, bool breaks_between_events,
@@ -137,6 +146,8 @@
   bool leaving = false;
   std::string rate_limit;
   std::string crashing_part;
+  std::string crashing_body;
+  std::uint64_t crashes_after_events = 0;
   bool has_crashed = false;
   std::vector<EngineRun> recorded_runs;
   std::unique_ptr<gateway::HttpServer> server;
--- a/packages/testing/src/site_standin.cc
+++ b/packages/testing/src/site_standin.cc
@@ -327,18 +327,39 @@
   this->crashing_part = part;
 }
 
+void EngineStandin::SetCrashingBody(const std::string& body,
+                                    std::uint64_t after_events) {
+  const std::lock_guard lock(this->mutex);
+  this->crashing_body = body;
+  this->crashes_after_events = after_events;
+}
+
+bool EngineStandin::CrashesAfter(const std::string& body,
+                                 std::uint64_t events) const {
+  const std::lock_guard lock(this->mutex);
+  return !this->crashing_body.empty() && body == this->crashing_body &&
+         events == this->crashes_after_events;
+}
+
+void EngineStandin::Crash(Exchange& exchange) {
+  {
+    const std::lock_guard lock(this->mutex);
+    this->has_crashed = true;
+  }
+  exchange.Abort();
+  this->server->Stop();
+}
+
 bool EngineStandin::crashed() const {
   const std::lock_guard lock(this->mutex);
   return this->has_crashed;
 }
 
-bool EngineStandin::CrashesOn(const RequestHead& request) {
+bool EngineStandin::CrashesOn(const RequestHead& request) const {
   const auto parts = TextHeader(request, "X-Gypsumtrack-Prompt-Prefix");
   const std::lock_guard lock(this->mutex);
-  const bool crashes = !this->crashing_part.empty() &&
-                       parts.find(this->crashing_part) != std::string::npos;
-  this->has_crashed = this->has_crashed || crashes;
-  return crashes;
+  return !this->crashing_part.empty() &&
+         parts.find(this->crashing_part) != std::string::npos;
 }
 
 std::vector<gateway::Header> EngineStandin::CommonHeaders(
@@ -369,6 +390,7 @@
   run.after_event = NumberHeader(request, "Last-Event-Id");
   run.deadline_millis = NumberHeader(request, "X-Gypsumtrack-Deadline-Ms");
   run.event_pause_millis = NumberHeader(request, "X-Event-Pause-Ms");
+  run.body = *body;
   run.at = base::SystemClock().now();
   ResponseHead head;
   head.headers = this->CommonHeaders(run.request_id);
@@ -402,9 +424,7 @@
     co_return;
   }
   if (this->CrashesOn(request)) {
-    exchange.Abort();
-    // Closes the listener and all other connections.
-    this->server->Stop();
+    this->Crash(exchange);
     co_return;
   }
   const bool breaks_between_events = consume_fault(&EngineFaults::break_off);
@@ -433,6 +453,10 @@
   }
   for (auto id = run.after_event + 1; id <= kEvents; ++id) {
     if (pause > base::Duration::zero()) co_await gateway::Pause(pause);
+    if (this->CrashesAfter(run.body, id - 1)) {
+      this->Crash(exchange);
+      co_return;
+    }
     if (breaks_between_events && id == 3) {
       exchange.Abort();
       co_return;
