--- a/packages/gateway/include/gypsumtrack/gateway/serving/serving_context.h
+++ b/packages/gateway/include/gypsumtrack/gateway/serving/serving_context.h
@@ -49,17 +49,18 @@
   telemetry::LatencyHistogram& job_acceptance;
 };
 
-/// Hooks that tell of the runs of prompts and protect endpoints from those that
-/// crash them. Empty until the crash service has started.
-struct PromptHooks {
-  /// Returns the part that is in quarantine, if any.
-  std::function<std::optional<policy::QuarantinedPart>(
-      const std::vector<base::PromptPart>& parts)>
+/// Hooks that tell of the runs of requests and protect endpoints from those
+/// that crash them. Empty until the crash service has started.
+struct CrashHooks {
+  /// Returns the suspect that is in quarantine, if any.
+  std::function<std::optional<policy::QuarantinedSuspect>(
+      const std::vector<policy::CrashSuspect>& suspects)>
       find_quarantined;
-  /// A run got the first event of its answer, or a whole answer.
-  std::function<void(const std::vector<base::PromptPart>& parts)> on_progress;
-  /// The connection of a run closed before the first event of its answer.
-  std::function<void(const std::vector<base::PromptPart>& parts,
+  /// A run with these suspects made progress.
+  std::function<void(const std::vector<policy::CrashSuspect>& suspects)>
+      on_progress;
+  /// The connection of a run closed before these suspects made progress.
+  std::function<void(const std::vector<policy::CrashSuspect>& suspects,
                      const std::string& request_id,
                      const policy::EndpointEntry& endpoint)>
       on_lost;
@@ -82,7 +83,7 @@
   policy::EndpointRegistry endpoints;
   policy::FleetQuota quota;
   policy::BatchStartLimiter batch_starts;
-  PromptHooks prompts;
+  CrashHooks crash_hooks;
   std::minstd_rand random;
   /// Set once the daemon has been asked to stop.
   bool shutting_down = false;
--- a/packages/gateway/include/gypsumtrack/gateway/serving/store_layout.h
+++ b/packages/gateway/include/gypsumtrack/gateway/serving/store_layout.h
@@ -28,7 +28,7 @@
 /// | result     | organisation | job/position  | the owner                   |
 /// | partial    | organisation | job           | the owner, periodically     |
 /// | submission | organisation | job           | the accepting daemon, once  |
-/// | crash      |              | part/VM       | that VM, after crashes      |
+/// | crash      |              | suspect/VM    | that VM, after crashes      |
 ///
 /// All functions are thread-safe. The parsers return kInvalid if the value
 /// isn't a JSON object with the expected fields.
@@ -120,8 +120,8 @@
 base::RowRange ResultRange(const base::Organisation& organisation,
                            const base::JobId& job, std::size_t from);
 
-/// Key of a report in the crash table. It holds a hash of the part, whose own
-/// name may be longer than a key.
+/// Key of a report in the crash table. It holds a hash of the suspect, whose
+/// own id may be longer than a key.
 std::string CrashReportRowKey(const policy::CrashReportKey& key);
 /// Serializes a report on crashes.
 std::string SerializeCrashReport(const policy::CrashReport& report);
--- a/packages/gateway/src/serving/crash_service.cc
+++ b/packages/gateway/src/serving/crash_service.cc
@@ -61,34 +61,34 @@
   }
 
  private:
-  /// A run whose connection closed before the first event of its answer.
+  /// A run whose connection closed before its suspects made progress.
   struct LostRun {
-    std::vector<base::PromptPart> parts;
+    std::vector<policy::CrashSuspect> suspects;
     std::string request_id;
     policy::EndpointEntry endpoint;
   };
 
   void SetHooks() {
-    auto& hooks = this->context.prompts;
-    hooks.find_quarantined =
-        [this](const std::vector<base::PromptPart>& parts) {
-          return this->quarantine.Find(parts, this->context.clock.wall());
-        };
-    hooks.on_progress = [this](const std::vector<base::PromptPart>& parts) {
-      this->quarantine.OnProgress(parts, this->context.clock.now(),
+    using Suspects = std::vector<policy::CrashSuspect>;
+    auto& hooks = this->context.crash_hooks;
+    hooks.find_quarantined = [this](const Suspects& suspects) {
+      return this->quarantine.Find(suspects, this->context.clock.wall());
+    };
+    hooks.on_progress = [this](const Suspects& suspects) {
+      this->quarantine.OnProgress(suspects, this->context.clock.now(),
                                   this->context.NextRandom());
     };
-    hooks.on_lost = [this](const std::vector<base::PromptPart>& parts,
+    hooks.on_lost = [this](const Suspects& suspects,
                            const std::string& request_id,
                            const policy::EndpointEntry& endpoint) {
-      this->OnLost({parts, request_id, endpoint});
+      this->OnLost({suspects, request_id, endpoint});
     };
   }
 
   // Crashes.
 
   void OnLost(LostRun run) {
-    if (run.parts.empty() || this->probe_count >= kMaxProbes) return;
+    if (run.suspects.empty() || this->probe_count >= kMaxProbes) return;
     ++this->probe_count;
     auto probe = [self = this->shared_from_this(), run = std::move(run)] {
       return self->Probe(run);
@@ -105,11 +105,12 @@
     if (!refused) co_return;
     this->context.metrics.crashed_runs.Add();
     base::LogEvent("run_crashed", {{"request", run.request_id},
-                                   {"parts", FormatParts(run.parts)},
+                                   {"suspects", FormatSuspects(run.suspects)},
                                    {"endpoint", run.endpoint.id.text},
                                    {"incarnation", run.endpoint.incarnation}});
     this->quarantine.OnCrash(
-        run.parts, {run.endpoint.id, run.endpoint.incarnation, run.request_id},
+        run.suspects,
+        {run.endpoint.id, run.endpoint.incarnation, run.request_id},
         this->context.clock.wall(), this->context.clock.now());
     // Written at once: each further request with the part costs an endpoint.
     co_await this->WriteReports();
@@ -152,35 +153,45 @@
       }
       this->keys_by_row[row.at.key] = report->key;
       LogReport(*report, row.version);
-      const auto part = report->key.part;
+      const auto suspect = report->key.suspect;
       this->quarantine.ApplyReport(std::move(*report), row.version);
-      this->LogQuarantine(part);
+      this->LogQuarantine(suspect);
     }
   }
 
   void ApplyRemoval(const std::string& row_key) {
     const auto found = this->keys_by_row.find(row_key);
     if (found == this->keys_by_row.end()) return;
-    base::LogEvent("crash_report_removed", {{"part", found->second.part.text},
-                                            {"vm", found->second.daemon}});
+    const auto& suspect = found->second.suspect;
+    base::LogEvent("crash_report_removed",
+                   {{"kind", policy::kSuspectKindNames.Name(suspect.kind)},
+                    {"suspect", suspect.id},
+                    {"vm", found->second.daemon}});
     this->quarantine.ApplyRemoval(found->second);
-    this->logged_parts.erase(found->second.part);
+    this->logged_suspects.erase(suspect);
     this->keys_by_row.erase(found);
   }
 
-  void LogQuarantine(const base::PromptPart& part) {
+  void LogQuarantine(const policy::CrashSuspect& suspect) {
     const bool is_quarantined =
-        this->quarantine.Find({part}, this->context.clock.wall()).has_value();
-    if (!is_quarantined || !this->logged_parts.insert(part).second) return;
-    base::LogEvent("part_quarantined", {{"part", part.text}});
+        this->quarantine.Find({suspect}, this->context.clock.wall())
+            .has_value();
+    if (!is_quarantined || !this->logged_suspects.insert(suspect).second)
+      return;
+    base::LogEvent("quarantined",
+                   {{"kind", policy::kSuspectKindNames.Name(suspect.kind)},
+                    {"suspect", suspect.id}});
   }
 
   static void LogReport(const policy::CrashReport& report,
                         std::uint64_t version) {
-    base::LogEvent("crash_report", {{"part", report.key.part.text},
-                                    {"vm", report.key.daemon},
-                                    {"runs", report.runs.size()},
-                                    {"row_version", version}});
+    const auto& suspect = report.key.suspect;
+    base::LogEvent("crash_report",
+                   {{"kind", policy::kSuspectKindNames.Name(suspect.kind)},
+                    {"suspect", suspect.id},
+                    {"vm", report.key.daemon},
+                    {"runs", report.runs.size()},
+                    {"row_version", version}});
   }
 
   asio::awaitable<void> Loop() {
@@ -240,10 +251,12 @@
       const auto reply =
           co_await Transact(this->context.store, std::move(removal),
                             this->context.clock.now() + kCallTimeout);
-      base::LogEvent("crash_report_cleared",
-                     {{"part", key.part.text},
-                      {"vm", key.daemon},
-                      {"removed", reply.ok() && reply->applied ? 1 : 0}});
+      base::LogEvent(
+          "crash_report_cleared",
+          {{"kind", policy::kSuspectKindNames.Name(key.suspect.kind)},
+           {"suspect", key.suspect.id},
+           {"vm", key.daemon},
+           {"removed", reply.ok() && reply->applied ? 1 : 0}});
     }
   }
 
@@ -257,14 +270,14 @@
   bool writing = false;
   /// Whether the last attempt to write reports failed.
   bool write_failed = false;
-  /// Parts whose quarantine was logged.
-  std::set<base::PromptPart> logged_parts;
+  /// Suspects whose quarantine was logged.
+  std::set<policy::CrashSuspect> logged_suspects;
 };
 
 CrashService::CrashService(ServingContext& serving, const FleetService& fleet)
     : context(serving), state(std::make_shared<State>(serving, fleet)) {}
 
-CrashService::~CrashService() { this->context.prompts = {}; }
+CrashService::~CrashService() { this->context.crash_hooks = {}; }
 
 void CrashService::Start() { this->state->Start(); }
 
--- a/packages/gateway/src/serving/job_runner.cc
+++ b/packages/gateway/src/serving/job_runner.cc
@@ -282,7 +282,7 @@
   if (choice.status != policy::ChoiceStatus::kChosen) return false;
   const auto start = job->run.StartNextItem(now, [&](std::size_t index) {
     const auto& parts = job->items[index].shared_parts;
-    return !FindQuarantinedPart(this->context, parts);
+    return !FindQuarantined(this->context, policy::ToSuspects(parts));
   });
   if (!start) return false;
   --starts;
@@ -314,6 +314,8 @@
                                          policy::EndpointEntry endpoint,
                                          std::string host) {
   const auto& item = job->items[start.index];
+  // An item is never a request that crashes endpoints by itself.
+  const auto suspects = policy::ToSuspects(item.shared_parts);
   policy::EventSplitter splitter;
   policy::EventArrivalLimit arrival_limit;
   EndpointCall call;
@@ -331,7 +333,8 @@
   call.progress_timeout = kItemIdleTimeout;
   call.cancel = job->running[start.index].cancel;
   const auto events_before = job->run.event_count(start.index);
-  call.on_part = [this, job, start, events_before, &splitter, &arrival_limit](
+  call.on_part = [this, job, start, events_before, &suspects, &splitter,
+                  &arrival_limit](
                      const ResponseHead& head,
                      std::string_view part) -> asio::awaitable<base::Status> {
     base::Status status = base::Done{};
@@ -350,8 +353,7 @@
     }
     const bool has_first = count_before == events_before &&
                            job->run.event_count(start.index) > events_before;
-    if (has_first)
-      ReportProgress(this->context, job->items[start.index].shared_parts);
+    if (has_first) ReportFirstEvent(this->context, suspects);
     const bool in_time = arrival_limit.OnPart(
         !events.empty(), this->context.clock.now(), kItemIdleTimeout);
     if (status.ok() && (!in_time || splitter.event_too_long())) {
@@ -371,7 +373,7 @@
   const auto result = co_await SendToEndpoint(
       this->context, endpoint, policy::WorkKind::kBatch, std::move(call));
   const auto events = job->run.event_count(start.index);
-  ReportRunEnd(this->context, item.shared_parts, item.id, endpoint, result,
+  ReportRunEnd(this->context, suspects, item.id, endpoint, result,
                events - events_before);
   const auto outcome = cancel->cancelled()
                            ? policy::ItemRunOutcome::kInterrupted
--- a/packages/gateway/src/serving/relay_service.cc
+++ b/packages/gateway/src/serving/relay_service.cc
@@ -29,8 +29,15 @@
 /// kMinProgressTimeout if that is longer.
 constexpr int kMaxEventGaps = 3;
 constexpr base::Duration kMinProgressTimeout = std::chrono::milliseconds(1000);
-/// Error code of requests with a part in their prompt that crashes endpoints.
-constexpr const char* kQuarantinedCode = "prompt_crashes_endpoints";
+/// Error codes of requests that crash endpoints, by themselves or by a part of
+/// their prompt.
+constexpr const char* kBadRequestCode = "request_crashes_endpoints";
+constexpr const char* kBadPromptCode = "prompt_crashes_endpoints";
+
+const char* ErrorCodeFor(const policy::CrashSuspect& suspect) {
+  return suspect.kind == policy::SuspectKind::kRequest ? kBadRequestCode
+                                                       : kBadPromptCode;
+}
 
 /// Relays one request, with retries, and its response.
 class RequestRelay {
@@ -64,10 +71,13 @@
     }
     this->body = std::move(*read);
     const auto& request = this->exchange.request();
-    this->fingerprint = policy::FingerprintOf(
+    const auto fingerprint = policy::FingerprintOf(
         this->organisation, request.method, request.path, this->body);
-    if (const auto part = this->FindQuarantined()) {
-      co_await this->RefuseQuarantined(*part);
+    this->fingerprint = fingerprint;
+    this->suspects = policy::ToSuspects(this->facts.shared_parts);
+    this->suspects.push_back({policy::SuspectKind::kRequest, fingerprint.text});
+    if (const auto found = FindQuarantined(this->context, this->suspects)) {
+      co_await this->RefuseQuarantined(*found);
       co_return;
     }
     if (!this->context.quota.TryAdmit(this->organisation,
@@ -129,8 +139,8 @@
     }
     const bool allowed = co_await this->CheckStillAllowed();
     if (!allowed) co_return false;
-    if (const auto part = this->FindQuarantined()) {
-      co_await this->EndQuarantined(*part);
+    if (const auto found = FindQuarantined(this->context, this->suspects)) {
+      co_await this->EndQuarantined(*found);
       co_return false;
     }
     const auto result = co_await this->Send(choice);
@@ -213,34 +223,33 @@
     co_return false;
   }
 
-  std::optional<policy::QuarantinedPart> FindQuarantined() const {
-    return FindQuarantinedPart(this->context, this->facts.shared_parts);
-  }
-
-  /// Refuses a request that no endpoint ran, because a part of its prompt
+  /// Refuses a request that no endpoint ran, because it or a part of its prompt
   /// crashes endpoints.
-  asio::awaitable<void> RefuseQuarantined(policy::QuarantinedPart part) {
+  asio::awaitable<void> RefuseQuarantined(policy::QuarantinedSuspect found) {
     this->context.metrics.quarantined.Add();
-    base::LogEvent("prompt_quarantined",
-                   {{"request", this->facts.request_id},
-                    {"organisation", this->organisation.text},
-                    {"fingerprint", this->fingerprint.text},
-                    {"part", part.part.text}});
-    Refusal refusal{status::kUnavailable, kQuarantinedCode, {}};
-    refusal.retry_after = part.until - this->context.clock.wall();
+    base::LogEvent(
+        "prompt_quarantined",
+        {{"request", this->facts.request_id},
+         {"organisation", this->organisation.text},
+         {"fingerprint", this->fingerprint.text},
+         {"kind", policy::kSuspectKindNames.Name(found.suspect.kind)},
+         {"suspect", found.suspect.id}});
+    Refusal refusal{status::kUnavailable, ErrorCodeFor(found.suspect), {}};
+    refusal.retry_after = found.until - this->context.clock.wall();
     co_await SendRefusal(this->context, this->exchange, this->facts.request_id,
                          std::move(refusal));
   }
 
-  /// Ends a request whose prompt was put in quarantine since it was admitted.
-  asio::awaitable<void> EndQuarantined(policy::QuarantinedPart part) {
+  /// Ends a request that was put in quarantine since it was admitted.
+  asio::awaitable<void> EndQuarantined(policy::QuarantinedSuspect found) {
+    const std::string code = ErrorCodeFor(found.suspect);
     if (this->response_started) {
-      this->AbortResponse(kQuarantinedCode);
+      this->AbortResponse(code);
     } else if (this->attempts.may_have_run()) {
-      co_await this->Fail(status::kBadGateway, kQuarantinedCode);
+      co_await this->Fail(status::kBadGateway, code);
     } else {
       this->context.quota.ReturnToken(this->organisation);
-      co_await this->RefuseQuarantined(std::move(part));
+      co_await this->RefuseQuarantined(std::move(found));
     }
   }
 
@@ -290,9 +299,8 @@
     auto result =
         co_await SendToEndpoint(this->context, choice.endpoint,
                                 policy::WorkKind::kOnline, std::move(call));
-    ReportRunEnd(this->context, this->facts.shared_parts,
-                 this->facts.request_id, choice.endpoint, result,
-                 this->attempt_events);
+    ReportRunEnd(this->context, this->suspects, this->facts.request_id,
+                 choice.endpoint, result, this->attempt_events);
     co_return result;
   }
 
@@ -352,7 +360,7 @@
     const bool is_comment = !event.id && event.data.empty();
     if (is_comment) return;
     if (this->attempt_events++ == 0)
-      ReportProgress(this->context, this->facts.shared_parts);
+      ReportFirstEvent(this->context, this->suspects);
   }
 
   /// Whether the stream of the current attempt may end here. One without a
@@ -505,6 +513,9 @@
   std::string body;
   /// Set once the body was read.
   policy::RequestFingerprint fingerprint;
+  /// What a crash of an endpoint may be blamed on: the request, and the parts
+  /// of its prompt. Set once the body was read.
+  std::vector<policy::CrashSuspect> suspects;
   policy::AttemptTracker attempts;
   std::set<base::EndpointId> tried;
   policy::EventSplitter splitter;
--- a/packages/gateway/src/serving/send_to_endpoint.cc
+++ b/packages/gateway/src/serving/send_to_endpoint.cc
@@ -78,39 +78,50 @@
 }  // namespace
 
 std::string FormatParts(const std::vector<base::PromptPart>& parts) {
+  return FormatSuspects(policy::ToSuspects(parts));
+}
+
+std::string FormatSuspects(const std::vector<policy::CrashSuspect>& suspects) {
   std::string text;
-  for (const auto& part : parts) {
+  for (const auto& suspect : suspects) {
     if (!text.empty()) text += ',';
-    text += part.text;
+    text += suspect.id;
     if (text.size() > kMaxLoggedPartsBytes) break;
   }
   return text.substr(0, kMaxLoggedPartsBytes);
 }
 
-std::optional<policy::QuarantinedPart> FindQuarantinedPart(
-    const ServingContext& context, const std::vector<base::PromptPart>& parts) {
-  if (!context.prompts.find_quarantined) return std::nullopt;
-  return context.prompts.find_quarantined(parts);
+std::optional<policy::QuarantinedSuspect> FindQuarantined(
+    const ServingContext& context,
+    const std::vector<policy::CrashSuspect>& suspects) {
+  if (!context.crash_hooks.find_quarantined) return std::nullopt;
+  return context.crash_hooks.find_quarantined(suspects);
 }
 
-void ReportProgress(const ServingContext& context,
-                    const std::vector<base::PromptPart>& parts) {
-  if (context.prompts.on_progress) context.prompts.on_progress(parts);
+void ReportFirstEvent(const ServingContext& context,
+                      const std::vector<policy::CrashSuspect>& suspects) {
+  if (!context.crash_hooks.on_progress) return;
+  context.crash_hooks.on_progress(
+      policy::SelectKind(suspects, policy::SuspectKind::kPromptPart));
 }
 
 void ReportRunEnd(const ServingContext& context,
-                  const std::vector<base::PromptPart>& parts,
+                  const std::vector<policy::CrashSuspect>& suspects,
                   const std::string& request_id,
                   const policy::EndpointEntry& endpoint,
                   const EndpointResult& result, std::uint64_t events) {
-  if (events > 0) return;  // Reported by its first event.
+  const auto& hooks = context.crash_hooks;
   const bool is_answered =
       result.outcome == CallOutcome::kComplete && result.head.status / 100 == 2;
-  if (is_answered) ReportProgress(context, parts);
+  if (is_answered && hooks.on_progress) hooks.on_progress(suspects);
   const bool is_lost = result.outcome == CallOutcome::kClosed &&
                        result.run != policy::RunState::kNotRun;
-  if (is_lost && context.prompts.on_lost)
-    context.prompts.on_lost(parts, request_id, endpoint);
+  if (!is_lost || !hooks.on_lost) return;
+  // An event clears the parts of a prompt, but not the request itself.
+  hooks.on_lost(
+      events == 0 ? suspects
+                  : policy::SelectKind(suspects, policy::SuspectKind::kRequest),
+      request_id, endpoint);
 }
 
 boost::asio::awaitable<EndpointResult> SendToEndpoint(
--- a/packages/gateway/src/serving/send_to_endpoint.h
+++ b/packages/gateway/src/serving/send_to_endpoint.h
@@ -16,16 +16,20 @@
 /// Thread-safe.
 std::string FormatParts(const std::vector<base::PromptPart>& parts);
 
-/// Returns the part that is in quarantine, if any. Must run on the context's
+/// The same for what a crash may be blamed on.
+std::string FormatSuspects(const std::vector<policy::CrashSuspect>& suspects);
+
+/// Returns the suspect that is in quarantine, if any. Must run on the context's
 /// thread, as must the functions below.
-std::optional<policy::QuarantinedPart> FindQuarantinedPart(
-    const ServingContext& context, const std::vector<base::PromptPart>& parts);
-/// Reports that a run of a prompt with these parts got an event.
-void ReportProgress(const ServingContext& context,
-                    const std::vector<base::PromptPart>& parts);
-/// Reports how a run of a prompt ended that got that many events.
+std::optional<policy::QuarantinedSuspect> FindQuarantined(
+    const ServingContext& context,
+    const std::vector<policy::CrashSuspect>& suspects);
+/// Reports that a run with these suspects got its first event.
+void ReportFirstEvent(const ServingContext& context,
+                      const std::vector<policy::CrashSuspect>& suspects);
+/// Reports how a run with these suspects ended that got that many events.
 void ReportRunEnd(const ServingContext& context,
-                  const std::vector<base::PromptPart>& parts,
+                  const std::vector<policy::CrashSuspect>& suspects,
                   const std::string& request_id,
                   const policy::EndpointEntry& endpoint,
                   const EndpointResult& result, std::uint64_t events);
--- a/packages/gateway/src/serving/store_layout.cc
+++ b/packages/gateway/src/serving/store_layout.cc
@@ -224,7 +224,9 @@
 }
 
 std::string CrashReportRowKey(const policy::CrashReportKey& key) {
-  return fmt::format("{:016x}/{}", base::Hash64(key.part.text), key.daemon);
+  const bool is_request = key.suspect.kind == policy::SuspectKind::kRequest;
+  return fmt::format("{}{:016x}/{}", is_request ? "request-" : "",
+                     base::Hash64(key.suspect.id), key.daemon);
 }
 
 std::string SerializeCrashReport(const policy::CrashReport& report) {
@@ -235,23 +237,34 @@
                                 {"request", run.request_id}});
   }
   return json::serialize(json::object{
-      {"part", report.key.part.text},
+      {policy::kSuspectKindNames.Name(report.key.suspect.kind),
+       report.key.suspect.id},
       {"vm", report.key.daemon},
       {"last_crash", report.last_crash_at.time_since_epoch().count()},
       {"runs", std::move(runs)}});
 }
 
+/// The field that names the suspect is called like its kind.
+std::optional<policy::CrashSuspect> ReadSuspect(const json::object& object) {
+  for (const auto kind :
+       {policy::SuspectKind::kPromptPart, policy::SuspectKind::kRequest}) {
+    const auto id = StringField(object, policy::kSuspectKindNames.Name(kind));
+    if (id) return policy::CrashSuspect{kind, *id};
+  }
+  return std::nullopt;
+}
+
 base::Outcome<policy::CrashReport> ParseCrashReport(std::string_view value) {
   const auto object = ParseObject(value);
-  const auto part = StringField(object, "part");
+  const auto suspect = ReadSuspect(object);
   const auto daemon = StringField(object, "vm");
   const auto last_crash = NumberField(object, "last_crash");
   const auto* runs = object.if_contains("runs");
   const bool has_runs = runs != nullptr && runs->is_array();
-  if (!part || !daemon || !last_crash || !has_runs)
+  if (!suspect || !daemon || !last_crash || !has_runs)
     return MalformedRow("crash");
   policy::CrashReport report;
-  report.key = {base::PromptPart(*part), *daemon};
+  report.key = {*suspect, *daemon};
   report.last_crash_at = base::WallTime(
       std::chrono::milliseconds(static_cast<std::int64_t>(*last_crash)));
   for (const auto& element : runs->as_array()) {
--- a/packages/gateway/test/serving/crash_service_test.cc
+++ b/packages/gateway/test/serving/crash_service_test.cc
@@ -14,6 +14,7 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 using Parts = std::vector<base::PromptPart>;
+using Suspects = std::vector<policy::CrashSuspect>;
 
 const Parts kParts{base::PromptPart("common"), base::PromptPart("bad")};
 const Parts kCommon{base::PromptPart("common")};
@@ -34,12 +35,13 @@
 
   /// A run at the daemon is lost before its first event.
   static void LoseRun(ServingFixture& daemon, const std::string& request,
-                      const std::string& endpoint, const std::string& address) {
+                      const std::string& endpoint, const std::string& address,
+                      const Suspects& suspects = policy::ToSuspects(kParts)) {
     policy::EndpointEntry entry;
     entry.id = base::EndpointId(endpoint);
     entry.incarnation = 1;
     entry.address = address;
-    daemon.serving.prompts.on_lost(kParts, request, entry);
+    daemon.serving.crash_hooks.on_lost(suspects, request, entry);
   }
 
   /// The address of a port on which nothing listens.
@@ -54,7 +56,12 @@
   }
 
   static bool IsQuarantined(const ServingFixture& daemon, const Parts& parts) {
-    return daemon.serving.prompts.find_quarantined(parts).has_value();
+    return IsQuarantined(daemon, policy::ToSuspects(parts));
+  }
+
+  static bool IsQuarantined(const ServingFixture& daemon,
+                            const Suspects& suspects) {
+    return daemon.serving.crash_hooks.find_quarantined(suspects).has_value();
   }
 
   std::size_t CountReports() const {
@@ -88,7 +95,7 @@
            CrashServiceFixture::IsQuarantined(fixture.second, kParts);
   });
   SECTION("and clear a part as soon as a run with it gets an event") {
-    fixture.second.serving.prompts.on_progress(kCommon);
+    fixture.second.serving.crash_hooks.on_progress(policy::ToSuspects(kCommon));
     fixture.RunUntil([&] {
       return !CrashServiceFixture::IsQuarantined(fixture.first, kCommon) &&
              !CrashServiceFixture::IsQuarantined(fixture.second, kCommon);
@@ -105,6 +112,31 @@
   }
 }
 
+TEST_CASE("daemons add up the crashes under a request that comes again") {
+  CrashServiceFixture fixture;
+  const auto closed = fixture.ClosedAddress();
+  const Suspects request{{policy::SuspectKind::kRequest, "f00d"}};
+  const Suspects part_of_that_name{{policy::SuspectKind::kPromptPart, "f00d"}};
+  const auto is_quarantined = [&](const ServingFixture& daemon) {
+    return CrashServiceFixture::IsQuarantined(daemon, request);
+  };
+  CrashServiceFixture::LoseRun(fixture.first, "r-1", "e-1", closed, request);
+  CrashServiceFixture::LoseRun(fixture.first, "r-1", "e-2", closed, request);
+  CrashServiceFixture::LoseRun(fixture.second, "r-2", "e-3", closed, request);
+  fixture.RunUntil([&] {
+    return is_quarantined(fixture.first) && is_quarantined(fixture.second);
+  });
+  CHECK_FALSE(
+      CrashServiceFixture::IsQuarantined(fixture.first, part_of_that_name));
+  SECTION("and clear it as soon as a run of it gets its whole answer") {
+    fixture.second.serving.crash_hooks.on_progress(request);
+    fixture.RunUntil([&] {
+      return !is_quarantined(fixture.first) && !is_quarantined(fixture.second);
+    });
+    CHECK(fixture.CountReports() == 0);
+  }
+}
+
 TEST_CASE("a lost run whose endpoint still listens isn't a crash") {
   CrashServiceFixture fixture;
   tcp::acceptor alive(fixture.first.context,
@@ -143,6 +175,8 @@
 TEST_CASE("a report that can't be read does no harm") {
   CHECK_FALSE(layout::ParseCrashReport("").ok());
   CHECK_FALSE(layout::ParseCrashReport(R"({"part":"a","vm":"b"})").ok());
+  CHECK_FALSE(
+      layout::ParseCrashReport(R"({"vm":"b","last_crash":1,"runs":[]})").ok());
   CHECK_FALSE(layout::ParseCrashReport(
                   R"({"part":"a","vm":"b","last_crash":1,"runs":[1]})")
                   .ok());
--- a/packages/gateway/test/serving/serving_fixture.h
+++ b/packages/gateway/test/serving/serving_fixture.h
@@ -38,7 +38,7 @@
                 .endpoints = policy::EndpointRegistry({}),
                 .quota = policy::FleetQuota({}),
                 .batch_starts = policy::BatchStartLimiter({}),
-                .prompts = {},
+                .crash_hooks = {},
                 .random = std::minstd_rand(1)},
         fleet(this->context.get_executor(), this->clock, row_store,
               Settings(vm_name), this->serving.self,
--- a/packages/policy/include/gypsumtrack/policy/serving/prompt_quarantine.h
+++ b/packages/policy/include/gypsumtrack/policy/serving/prompt_quarantine.h
@@ -6,29 +6,55 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <unordered_map>
 #include <utility>
 #include <vector>
 
+#include "gypsumtrack/base/enum_table.h"
 #include "gypsumtrack/base/names.h"
 #include "gypsumtrack/base/time.h"
 
-/// Finds parts of prompts that crash endpoints and puts them in quarantine, so
-/// that no further request with them is sent.
+/// Finds what crashes endpoints, a request that comes again and again or a part
+/// of prompts, and puts it in quarantine, so that nothing with it is sent.
 ///
 /// A crash takes along all requests that the endpoint was running. What tells
-/// them apart: the request that caused it never got an event of its answer. A
-/// part is suspected if runs with it ended by crashes of several endpoints
-/// before their first event, and cleared as soon as any run with it gets one.
-/// So a part that many sound requests share is never suspected for long, and
-/// a part that only crashes endpoints has nothing to clear it.
+/// them apart: a part that causes a crash never lets a run get an event of its
+/// answer, and a request that does never gets its whole answer. Either is
+/// suspected if its runs ended by crashes of several endpoints, and cleared as
+/// soon as a run makes that progress. So what sound requests share is never
+/// suspected for long, and what only crashes endpoints has nothing to clear it.
 ///
-/// Each daemon sees few of the crashes. It writes a report for each suspected
-/// part, all daemons read the reports of the others, and a daemon that has seen
-/// a run with the part get an event removes them.
+/// Each daemon sees few of the crashes. It writes a report for each suspect,
+/// all daemons read the reports of the others, and a daemon that has seen a run
+/// with the suspect make progress removes them.
 namespace gypsumtrack::policy {
 
-/// A run that an endpoint's crash ended before the first event of the answer.
+/// What a crash may be blamed on.
+enum class SuspectKind {
+  kPromptPart,  ///< a part of prompts; the id is that of the part
+  kRequest,     ///< a request that comes again; the id is its fingerprint
+};
+
+inline constexpr auto kSuspectKindNames =
+    base::MakeEnumTable<SuspectKind>({{SuspectKind::kPromptPart, "part"},
+                                      {SuspectKind::kRequest, "fingerprint"}});
+
+/// A part of prompts, or a request.
+struct CrashSuspect {
+  SuspectKind kind = SuspectKind::kPromptPart;
+  std::string id;
+
+  auto operator<=>(const CrashSuspect&) const = default;
+};
+
+/// Returns the parts of a prompt as suspects.
+std::vector<CrashSuspect> ToSuspects(
+    const std::vector<base::PromptPart>& parts);
+
+/// Returns the suspects of that kind.
+std::vector<CrashSuspect> SelectKind(const std::vector<CrashSuspect>& suspects,
+                                     SuspectKind kind);
+
+/// A run that an endpoint's crash ended.
 struct CrashedRun {
   base::EndpointId endpoint;
   std::uint64_t incarnation = 0;
@@ -37,16 +63,16 @@
   auto operator<=>(const CrashedRun&) const = default;
 };
 
-/// Identifies a report: one for each part and daemon.
+/// Identifies a report: one for each suspect and daemon.
 struct CrashReportKey {
-  base::PromptPart part;
+  CrashSuspect suspect;
   /// Name of the reporting daemon's VM.
   std::string daemon;
 
   auto operator<=>(const CrashReportKey&) const = default;
 };
 
-/// The crashed runs with a part that one daemon has seen.
+/// The crashed runs with a suspect that one daemon has seen.
 struct CrashReport {
   CrashReportKey key;
   std::set<CrashedRun> runs;
@@ -55,31 +81,31 @@
 
 /// Thresholds and times of PromptQuarantine.
 struct PromptQuarantineOptions {
-  /// A part is put in quarantine once this many endpoints have crashed,
+  /// A suspect is put in quarantine once this many endpoints have crashed,
   std::size_t min_endpoints = 3;
-  /// under this many requests.
-  std::size_t min_requests = 2;
-  /// Time from the last crash until requests with the part are sent again.
+  /// a part only if that was under this many requests.
+  std::size_t min_requests_of_part = 2;
+  /// Time from the last crash until requests with the suspect are sent again.
   base::Duration duration = std::chrono::minutes(10);
-  /// A run with the part that got an event this recently rules out that the
-  /// part caused a crash. Spares the reports on parts that many requests share.
+  /// Progress of a run with a part this recently rules out that it caused a
+  /// crash. Spares the reports on parts that many requests share.
   base::Duration progress_window = std::chrono::seconds(2);
-  /// Maximum delay before a daemon removes the reports on a part that it has
+  /// Maximum delay before a daemon removes the reports on a suspect that it has
   /// seen make progress. Spreads the daemons, so that few remove the same ones.
   base::Duration max_removal_delay = std::chrono::milliseconds(400);
-  /// Maximum number of parts about which something is remembered.
-  std::size_t max_parts = 4096;
+  /// Maximum number of suspects about which something is remembered.
+  std::size_t max_suspects = 4096;
   /// Maximum number of runs in one report.
   std::size_t max_runs_per_report = 8;
 };
 
-/// A part of a request that is in quarantine.
-struct QuarantinedPart {
-  base::PromptPart part;
+/// A suspect that is in quarantine.
+struct QuarantinedSuspect {
+  CrashSuspect suspect;
   base::WallTime until{};
 };
 
-/// The parts under suspicion, from the reports of all daemons. Not thread-safe.
+/// What is under suspicion, by the reports of all daemons. Not thread-safe.
 class PromptQuarantine {
  public:
   /// `self` is the name of this daemon's VM.
@@ -87,15 +113,15 @@
 
   // Commands.
 
-  /// Records that a run with these parts got an event, or its whole answer.
-  /// `random` is any number.
-  void OnProgress(const std::vector<base::PromptPart>& parts, base::Instant now,
+  /// Records that a run with these suspects made progress: for parts that it
+  /// got an event or its whole answer, for a request that it got its whole
+  /// answer. `random` is any number.
+  void OnProgress(const std::vector<CrashSuspect>& suspects, base::Instant now,
                   std::uint64_t random);
-  /// Records that the endpoint's crash ended a run with these parts before its
-  /// first event. `crashed_at` is the time of the crash.
-  void OnCrash(const std::vector<base::PromptPart>& parts,
-               const CrashedRun& run, base::WallTime crashed_at,
-               base::Instant now);
+  /// Records that the endpoint's crash ended a run with these suspects before
+  /// it made progress. `crashed_at` is the time of the crash.
+  void OnCrash(const std::vector<CrashSuspect>& suspects, const CrashedRun& run,
+               base::WallTime crashed_at, base::Instant now);
   /// Returns this daemon's reports that have changed since the last call, to be
   /// written to the store.
   std::vector<CrashReport> TakeChangedReports();
@@ -108,16 +134,16 @@
   /// Applies the removal of a report from the store.
   void ApplyRemoval(const CrashReportKey& key);
   /// Returns the reports to remove from the store, with the versions at which
-  /// they may be removed: those on parts that have made progress, and expired
-  /// ones of this daemon or, if `collects_all`, of all.
+  /// they may be removed: those on suspects that have made progress, and
+  /// expired ones of this daemon or, if `collects_all`, of all.
   std::vector<std::pair<CrashReportKey, std::uint64_t>> TakeReportsToRemove(
       bool collects_all, base::Instant now, base::WallTime wall);
 
   // Queries.
 
-  /// The first of the parts that is in quarantine.
-  std::optional<QuarantinedPart> Find(
-      const std::vector<base::PromptPart>& parts, base::WallTime wall) const;
+  /// The first of these that is in quarantine.
+  std::optional<QuarantinedSuspect> Find(
+      const std::vector<CrashSuspect>& suspects, base::WallTime wall) const;
   /// Whether a report has to be written or removed.
   bool has_pending_reports() const;  // NOLINT
 
@@ -127,7 +153,7 @@
     base::WallTime last_crash_at{};
     std::uint64_t version = 0;
   };
-  struct Suspect {
+  struct Evidence {
     /// As in the store, keyed by daemon.
     std::map<std::string, StoredReport> reports;
     /// Crashed runs that this daemon has seen, written or not.
@@ -138,16 +164,18 @@
     base::Instant remove_at = base::kNever;
   };
 
-  /// When the newest crash under the part was; unset if too few were reported
-  /// for a quarantine.
-  std::optional<base::WallTime> QuarantinedSince(const Suspect& suspect) const;
+  /// When the newest crash under the suspect was; unset if too few were
+  /// reported for a quarantine.
+  std::optional<base::WallTime> QuarantinedSince(
+      SuspectKind kind, const Evidence& evidence) const;
+  void RememberProgress(const CrashSuspect& part, base::Instant now);
   void ForgetOldProgress(base::Instant now);
 
   std::string self;
   PromptQuarantineOptions options;
-  std::map<base::PromptPart, Suspect> suspects;
-  /// When a run with the part last got an event.
-  std::unordered_map<base::PromptPart, base::Instant> progress;
+  std::map<CrashSuspect, Evidence> known;
+  /// When a run with the part last made progress.
+  std::map<CrashSuspect, base::Instant> progress;
 };
 
 }  // namespace gypsumtrack::policy
--- a/packages/policy/src/serving/prompt_quarantine.cc
+++ b/packages/policy/src/serving/prompt_quarantine.cc
@@ -1,6 +1,7 @@
 #include "gypsumtrack/policy/serving/prompt_quarantine.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace gypsumtrack::policy {
 namespace {
@@ -12,130 +13,155 @@
 
 }  // namespace
 
+std::vector<CrashSuspect> ToSuspects(
+    const std::vector<base::PromptPart>& parts) {
+  std::vector<CrashSuspect> suspects;
+  for (const auto& part : parts)
+    suspects.push_back({SuspectKind::kPromptPart, part.text});
+  return suspects;
+}
+
+std::vector<CrashSuspect> SelectKind(const std::vector<CrashSuspect>& suspects,
+                                     SuspectKind kind) {
+  std::vector<CrashSuspect> selected;
+  std::copy_if(suspects.begin(), suspects.end(), std::back_inserter(selected),
+               [&](const auto& each) { return each.kind == kind; });
+  return selected;
+}
+
 PromptQuarantine::PromptQuarantine(std::string self_name,
                                    PromptQuarantineOptions quarantine_options)
     : self(std::move(self_name)), options(quarantine_options) {}
 
-void PromptQuarantine::OnProgress(const std::vector<base::PromptPart>& parts,
+void PromptQuarantine::OnProgress(const std::vector<CrashSuspect>& suspects,
                                   base::Instant now, std::uint64_t random) {
-  for (const auto& part : parts) {
-    if (this->progress.size() >= this->options.max_parts)
-      this->ForgetOldProgress(now);
-    this->progress[part] = now;
-    const auto found = this->suspects.find(part);
-    if (found == this->suspects.end()) continue;
-    auto& suspect = found->second;
-    suspect.own_runs.clear();
-    suspect.own_changed = false;
-    if (suspect.reports.empty()) {
-      this->suspects.erase(found);
+  for (const auto& suspect : suspects) {
+    // Each request has a fingerprint of its own, which seldom matters again.
+    if (suspect.kind == SuspectKind::kPromptPart)
+      this->RememberProgress(suspect, now);
+    const auto found = this->known.find(suspect);
+    if (found == this->known.end()) continue;
+    auto& evidence = found->second;
+    evidence.own_runs.clear();
+    evidence.own_changed = false;
+    if (evidence.reports.empty()) {
+      this->known.erase(found);
       continue;
     }
-    if (suspect.remove_at != base::kNever) continue;
+    if (evidence.remove_at != base::kNever) continue;
     const auto spread =
         static_cast<std::uint64_t>(this->options.max_removal_delay.count());
-    suspect.remove_at =
+    evidence.remove_at =
         now + base::Duration(static_cast<std::int64_t>(random % (spread + 1)));
   }
 }
 
+void PromptQuarantine::RememberProgress(const CrashSuspect& part,
+                                        base::Instant now) {
+  if (this->progress.size() >= this->options.max_suspects)
+    this->ForgetOldProgress(now);
+  this->progress[part] = now;
+}
+
 void PromptQuarantine::ForgetOldProgress(base::Instant now) {
   std::erase_if(this->progress, [&](const auto& each) {
     return now - each.second > this->options.progress_window;
   });
   // Forgetting too much only causes reports that progress will remove.
-  if (this->progress.size() >= this->options.max_parts) this->progress.clear();
+  if (this->progress.size() >= this->options.max_suspects)
+    this->progress.clear();
 }
 
-void PromptQuarantine::OnCrash(const std::vector<base::PromptPart>& parts,
+void PromptQuarantine::OnCrash(const std::vector<CrashSuspect>& suspects,
                                const CrashedRun& run, base::WallTime crashed_at,
                                base::Instant now) {
-  for (const auto& part : parts) {
-    const auto made_progress = this->progress.find(part);
+  for (const auto& suspect : suspects) {
+    const auto made_progress = this->progress.find(suspect);
     if (made_progress != this->progress.end() &&
         now - made_progress->second <= this->options.progress_window) {
       continue;
     }
-    const bool is_known = this->suspects.contains(part);
-    if (!is_known && this->suspects.size() >= this->options.max_parts) continue;
-    auto& suspect = this->suspects[part];
-    if (suspect.own_runs.size() >= this->options.max_runs_per_report) {
-      suspect.own_runs.erase(suspect.own_runs.begin());
+    const bool is_known = this->known.contains(suspect);
+    if (!is_known && this->known.size() >= this->options.max_suspects) continue;
+    auto& evidence = this->known[suspect];
+    if (evidence.own_runs.size() >= this->options.max_runs_per_report) {
+      evidence.own_runs.erase(evidence.own_runs.begin());
     }
-    suspect.own_runs.insert(run);
-    suspect.last_own_crash_at = std::max(suspect.last_own_crash_at, crashed_at);
-    suspect.own_changed = true;
+    evidence.own_runs.insert(run);
+    evidence.last_own_crash_at =
+        std::max(evidence.last_own_crash_at, crashed_at);
+    evidence.own_changed = true;
   }
 }
 
 std::vector<CrashReport> PromptQuarantine::TakeChangedReports() {
   std::vector<CrashReport> changed;
-  for (auto& [part, suspect] : this->suspects) {
-    if (!suspect.own_changed) continue;
-    suspect.own_changed = false;
+  for (auto& [suspect, evidence] : this->known) {
+    if (!evidence.own_changed) continue;
+    evidence.own_changed = false;
     changed.push_back(
-        {{part, this->self}, suspect.own_runs, suspect.last_own_crash_at});
+        {{suspect, this->self}, evidence.own_runs, evidence.last_own_crash_at});
   }
   return changed;
 }
 
 void PromptQuarantine::OnWriteFailed(const std::vector<CrashReport>& reports) {
   for (const auto& report : reports) {
-    const auto found = this->suspects.find(report.key.part);
-    if (found == this->suspects.end()) continue;
+    const auto found = this->known.find(report.key.suspect);
+    if (found == this->known.end()) continue;
     found->second.own_changed = !found->second.own_runs.empty();
   }
 }
 
 void PromptQuarantine::ForgetReports() {
-  for (auto& [part, suspect] : this->suspects) suspect.reports.clear();
-  std::erase_if(this->suspects,
+  for (auto& [suspect, evidence] : this->known) evidence.reports.clear();
+  std::erase_if(this->known,
                 [](const auto& each) { return each.second.own_runs.empty(); });
 }
 
 void PromptQuarantine::ApplyReport(CrashReport report, std::uint64_t version) {
-  const bool is_known = this->suspects.contains(report.key.part);
-  if (!is_known && this->suspects.size() >= this->options.max_parts) return;
-  auto& suspect = this->suspects[report.key.part];
-  suspect.reports[report.key.daemon] = {std::move(report.runs),
-                                        report.last_crash_at, version};
+  const bool is_known = this->known.contains(report.key.suspect);
+  if (!is_known && this->known.size() >= this->options.max_suspects) return;
+  auto& evidence = this->known[report.key.suspect];
+  evidence.reports[report.key.daemon] = {std::move(report.runs),
+                                         report.last_crash_at, version};
 }
 
 void PromptQuarantine::ApplyRemoval(const CrashReportKey& key) {
-  const auto found = this->suspects.find(key.part);
-  if (found == this->suspects.end()) return;
-  auto& suspect = found->second;
-  const auto removed = suspect.reports.extract(key.daemon);
+  const auto found = this->known.find(key.suspect);
+  if (found == this->known.end()) return;
+  auto& evidence = found->second;
+  const auto removed = evidence.reports.extract(key.daemon);
   if (key.daemon == this->self && !removed.empty()) {
     // Crashes that were reported before the removal are cleared with it.
-    for (const auto& run : removed.mapped().runs) suspect.own_runs.erase(run);
-    suspect.own_changed = !suspect.own_runs.empty();
+    for (const auto& run : removed.mapped().runs) evidence.own_runs.erase(run);
+    evidence.own_changed = !evidence.own_runs.empty();
   }
-  if (suspect.reports.empty()) suspect.remove_at = base::kNever;
-  if (suspect.reports.empty() && suspect.own_runs.empty())
-    this->suspects.erase(found);
+  if (evidence.reports.empty()) evidence.remove_at = base::kNever;
+  if (evidence.reports.empty() && evidence.own_runs.empty())
+    this->known.erase(found);
 }
 
 std::vector<std::pair<CrashReportKey, std::uint64_t>>
 PromptQuarantine::TakeReportsToRemove(bool collects_all, base::Instant now,
                                       base::WallTime wall) {
   std::vector<std::pair<CrashReportKey, std::uint64_t>> removals;
-  for (auto& [part, suspect] : this->suspects) {
-    const bool is_cleared = suspect.remove_at <= now;
-    if (is_cleared) suspect.remove_at = base::kNever;
-    for (const auto& [daemon, report] : suspect.reports) {
+  for (auto& [suspect, evidence] : this->known) {
+    const bool is_cleared = evidence.remove_at <= now;
+    if (is_cleared) evidence.remove_at = base::kNever;
+    for (const auto& [daemon, report] : evidence.reports) {
       const bool is_expired =
           wall >= Expiry(report.last_crash_at, this->options.duration);
       const bool collects = collects_all || daemon == this->self;
       if (is_cleared || (is_expired && collects))
-        removals.push_back({{part, daemon}, report.version});
+        removals.push_back({{suspect, daemon}, report.version});
     }
   }
   return removals;
 }
 
 std::optional<base::WallTime> PromptQuarantine::QuarantinedSince(
-    const Suspect& suspect) const {
+    SuspectKind kind, const Evidence& evidence) const {
   std::set<std::pair<base::EndpointId, std::uint64_t>> endpoints;
   std::set<std::string> requests;
   std::optional<base::WallTime> newest;
@@ -147,33 +173,36 @@
     }
     newest = std::max(newest.value_or(last_crash_at), last_crash_at);
   };
-  for (const auto& [daemon, report] : suspect.reports) {
+  for (const auto& [daemon, report] : evidence.reports) {
     add(report.runs, report.last_crash_at);
   }
-  if (!suspect.own_runs.empty())
-    add(suspect.own_runs, suspect.last_own_crash_at);
-  const bool is_quarantined = endpoints.size() >= this->options.min_endpoints &&
-                              requests.size() >= this->options.min_requests;
+  if (!evidence.own_runs.empty())
+    add(evidence.own_runs, evidence.last_own_crash_at);
+  const bool has_requests =
+      kind == SuspectKind::kRequest ||
+      requests.size() >= this->options.min_requests_of_part;
+  const bool is_quarantined =
+      endpoints.size() >= this->options.min_endpoints && has_requests;
   return is_quarantined ? newest : std::nullopt;
 }
 
-std::optional<QuarantinedPart> PromptQuarantine::Find(
-    const std::vector<base::PromptPart>& parts, base::WallTime wall) const {
-  if (this->suspects.empty()) return std::nullopt;
-  for (const auto& part : parts) {
-    const auto found = this->suspects.find(part);
-    if (found == this->suspects.end()) continue;
-    const auto since = this->QuarantinedSince(found->second);
+std::optional<QuarantinedSuspect> PromptQuarantine::Find(
+    const std::vector<CrashSuspect>& suspects, base::WallTime wall) const {
+  if (this->known.empty()) return std::nullopt;
+  for (const auto& suspect : suspects) {
+    const auto found = this->known.find(suspect);
+    if (found == this->known.end()) continue;
+    const auto since = this->QuarantinedSince(suspect.kind, found->second);
     if (!since) continue;
     const auto until = Expiry(*since, this->options.duration);
-    if (wall < until) return QuarantinedPart{part, until};
+    if (wall < until) return QuarantinedSuspect{suspect, until};
   }
   return std::nullopt;
 }
 
 bool PromptQuarantine::has_pending_reports() const {
   return std::any_of(
-      this->suspects.begin(), this->suspects.end(), [](const auto& each) {
+      this->known.begin(), this->known.end(), [](const auto& each) {
         return each.second.own_changed || each.second.remove_at != base::kNever;
       });
 }
--- a/packages/policy/test/serving/prompt_quarantine_test.cc
+++ b/packages/policy/test/serving/prompt_quarantine_test.cc
@@ -11,12 +11,21 @@
 using std::chrono::minutes;
 using std::chrono::seconds;
 
-using Parts = std::vector<base::PromptPart>;
+using Suspects = std::vector<CrashSuspect>;
 
 const base::Instant kStart(seconds(10));
 const base::WallTime kWall(minutes(1'000'000));
-const base::PromptPart kCommon("c0");
-const base::PromptPart kBad("bad");
+
+CrashSuspect Part(const std::string& id) {
+  return {SuspectKind::kPromptPart, id};
+}
+
+CrashSuspect Request(const std::string& fingerprint) {
+  return {SuspectKind::kRequest, fingerprint};
+}
+
+const CrashSuspect kCommon = Part("c0");
+const CrashSuspect kBad = Part("bad");
 
 CrashedRun Run(const std::string& endpoint, const std::string& request) {
   return {base::EndpointId(endpoint), 1, request};
@@ -72,7 +81,7 @@
   }
   SECTION("once other daemons have seen the rest") {
     crash(second, "e-3", "r-2");
-    CHECK(first.Find({kBad}, kWall)->part == kBad);
+    CHECK(first.Find({kBad}, kWall)->suspect == kBad);
     CHECK(second.Find({kCommon, kBad}, kWall));
     SECTION("until some time after the last crash") {
       CHECK(first.Find({kBad}, kWall)->until == kWall + minutes(10));
@@ -84,7 +93,7 @@
       table.Remove(second, false, kStart, kWall);
       CHECK_FALSE(first.Find({kCommon}, kWall));
       CHECK_FALSE(second.Find({kCommon}, kWall));
-      CHECK(first.Find({kCommon, kBad}, kWall)->part == kBad);
+      CHECK(first.Find({kCommon, kBad}, kWall)->suspect == kBad);
     }
     SECTION("also at a daemon that starts later") {
       PromptQuarantine third("vm-3", {});
@@ -106,6 +115,35 @@
   }
 }
 
+TEST_CASE("a request that crashes several endpoints is put in quarantine") {
+  const Suspects parts{kCommon, Request("f1")};
+  PromptQuarantine daemon("vm-1", {});
+  const auto crash = [&](const std::string& endpoint) {
+    daemon.OnCrash({Request("f1")}, Run(endpoint, "r-1"), kWall, kStart);
+  };
+  crash("e-1");
+  crash("e-2");
+  CHECK_FALSE(daemon.Find(parts, kWall));
+  SECTION("not by another crash of the same endpoint") {
+    crash("e-2");
+    CHECK_FALSE(daemon.Find(parts, kWall));
+  }
+  SECTION("by the third endpoint, though its parts are sound") {
+    crash("e-3");
+    CHECK(daemon.Find(parts, kWall)->suspect == Request("f1"));
+    CHECK_FALSE(daemon.Find({kCommon, Request("f2")}, kWall));
+    SECTION("and other requests with its parts clear only these") {
+      daemon.OnProgress({kCommon}, kStart, 0);
+      CHECK(daemon.Find(parts, kWall));
+    }
+  }
+  SECTION("not if it was answered meanwhile") {
+    daemon.OnProgress({kCommon, Request("f1")}, kStart, 0);
+    crash("e-3");
+    CHECK_FALSE(daemon.Find(parts, kWall));
+  }
+}
+
 TEST_CASE("reports that no longer matter leave the store") {
   PromptQuarantine first("vm-1", {});
   PromptQuarantine second("vm-2", {});
@@ -160,8 +198,14 @@
   CHECK(daemon.TakeChangedReports().size() == 1);
 }
 
-/// Endpoints that crash when they begin to write an answer on kBad, before
-/// daemons that choose among them at random. Time advances in steps.
+/// The requests that crash endpoints.
+enum class BadRequests {
+  kWithPart,  ///< all that have the part kBad, no two alike
+  kRepeated,  ///< one that comes again; sound requests share all its parts
+};
+
+/// Endpoints that crash when they begin to write an answer to a bad request,
+/// before daemons that choose among them at random. Time advances in steps.
 class CrashingFleet {
  public:
   static constexpr int kDaemons = 12;
@@ -175,7 +219,8 @@
   static constexpr base::Duration kReportDelay = milliseconds(60);
   static constexpr int kAttempts = 2;
 
-  explicit CrashingFleet(unsigned seed) : random(seed) {
+  CrashingFleet(BadRequests bad_requests, unsigned seed)
+      : bad_requests(bad_requests), random(seed) {
     for (int i = 0; i < kDaemons; ++i) {
       this->daemons.push_back(std::make_unique<PromptQuarantine>(
           "vm-" + std::to_string(i), PromptQuarantineOptions{}));
@@ -192,8 +237,8 @@
       this->now += kStep;
       this->EndRuns();
       this->ExchangeReports();
-      if (this->Chance(80)) this->Send(this->SoundParts());
-      if (this->Chance(bad_rate)) this->Send({kCommon, kBad});
+      if (this->Chance(80)) this->Send(this->SoundParts(), false);
+      if (this->Chance(bad_rate)) this->Send(this->BadParts(), true);
     }
   }
 
@@ -205,7 +250,9 @@
 
  private:
   struct Active {
-    Parts parts;
+    /// The parts of the prompt, and the request.
+    Suspects suspects;
+    bool is_bad = false;
     std::string request;
     std::size_t daemon = 0;
     int attempt = 0;
@@ -224,30 +271,36 @@
            rate_per_second * step_seconds;
   }
 
-  Parts SoundParts() {
-    Parts parts{base::PromptPart("c" + std::to_string(this->random() % 3))};
+  Suspects SoundParts() {
+    Suspects parts{Part("c" + std::to_string(this->random() % 3))};
     if (this->random() % 4 == 0) {
-      parts.emplace_back("rare" + std::to_string(this->random() % 40));
+      parts.push_back(Part("rare" + std::to_string(this->random() % 40)));
     }
     return parts;
   }
 
+  Suspects BadParts() const {
+    if (this->bad_requests == BadRequests::kWithPart) return {kCommon, kBad};
+    return {kCommon};
+  }
+
   base::WallTime Wall() const {
     return kWall + std::chrono::duration_cast<milliseconds>(
                        this->now.time_since_epoch());
   }
 
-  void Send(Parts parts) {
-    Active run{std::move(parts), "r-" + std::to_string(++this->request_count),
-               this->random() % kDaemons};
-    if (run.parts.back() != kBad) ++this->sound_sent;
-    this->Attempt(std::move(run));
+  void Send(Suspects suspects, bool is_bad) {
+    const auto id = "r-" + std::to_string(++this->request_count);
+    const bool comes_again =
+        is_bad && this->bad_requests == BadRequests::kRepeated;
+    suspects.push_back(Request(comes_again ? "bad" : id));
+    if (!is_bad) ++this->sound_sent;
+    this->Attempt({std::move(suspects), is_bad, id, this->random() % kDaemons});
   }
 
   void Attempt(Active run) {
-    const bool is_bad = run.parts.back() == kBad;
-    if (this->daemons[run.daemon]->Find(run.parts, this->Wall())) {
-      if (!is_bad) ++this->sound_refused;
+    if (this->daemons[run.daemon]->Find(run.suspects, this->Wall())) {
+      if (!run.is_bad) ++this->sound_refused;
       return;
     }
     std::vector<std::size_t> live;
@@ -255,7 +308,7 @@
       if (this->endpoints[i].back_at <= this->now) live.push_back(i);
     }
     if (live.empty()) return;
-    if (is_bad) ++this->bad_sent;
+    if (run.is_bad) ++this->bad_sent;
     ++run.attempt;
     run.started = this->now;
     run.has_event = false;
@@ -270,20 +323,26 @@
       bool crashes_now = false;
       std::erase_if(endpoint.runs, [&](Active& run) {
         const auto age = this->now - run.started;
-        const bool is_bad = run.parts.back() == kBad;
-        crashes_now = crashes_now || (is_bad && age >= kCrashAfter);
-        if (!is_bad && !run.has_event && age >= kFirstEvent) {
+        crashes_now = crashes_now || (run.is_bad && age >= kCrashAfter);
+        if (run.is_bad) return false;
+        if (!run.has_event && age >= kFirstEvent) {
           run.has_event = true;
-          this->daemons[run.daemon]->OnProgress(run.parts, this->now,
-                                                this->random());
+          this->Progress(run,
+                         SelectKind(run.suspects, SuspectKind::kPromptPart));
         }
-        return !is_bad && age >= kAnswer;
+        if (age < kAnswer) return false;
+        this->Progress(run, run.suspects);
+        return true;
       });
       if (crashes_now) this->Crash(i, retries);
     }
     for (auto& run : retries) this->Attempt(std::move(run));
   }
 
+  void Progress(const Active& run, const Suspects& suspects) {
+    this->daemons[run.daemon]->OnProgress(suspects, this->now, this->random());
+  }
+
   void Crash(std::size_t index, std::vector<Active>& retries) {
     auto& endpoint = this->endpoints[index];
     ++this->crashes;
@@ -292,10 +351,11 @@
     for (auto& run : std::exchange(endpoint.runs, {})) {
       auto crashed_run = crash;
       crashed_run.request_id = run.request;
-      if (!run.has_event) {
-        this->daemons[run.daemon]->OnCrash(run.parts, crashed_run, this->Wall(),
-                                           this->now);
-      }
+      const auto suspects =
+          run.has_event ? SelectKind(run.suspects, SuspectKind::kRequest)
+                        : run.suspects;
+      this->daemons[run.daemon]->OnCrash(suspects, crashed_run, this->Wall(),
+                                         this->now);
       if (run.attempt < kAttempts) retries.push_back(std::move(run));
     }
     ++endpoint.incarnation;
@@ -311,6 +371,7 @@
     }
   }
 
+  const BadRequests bad_requests;
   std::mt19937 random;
   base::Instant now = kStart;
   base::Instant exchange_at{};
@@ -322,9 +383,12 @@
 
 // Load pattern: a few requests a second, no two alike and at any daemon, have a
 // part that crashes the endpoint, which runs sound requests beside.
-TEST_CASE("one part of prompts that crashes endpoints costs few of them") {
+// Or it is one request that comes again.
+TEST_CASE("what crashes endpoints costs few of them") {
+  const auto bad_requests =
+      GENERATE(BadRequests::kWithPart, BadRequests::kRepeated);
   for (unsigned seed = 1; seed <= 20; ++seed) {
-    CrashingFleet fleet(seed);
+    CrashingFleet fleet(bad_requests, seed);
     fleet.Play(seconds(5), 0);
     REQUIRE(fleet.crashes == 0);
     fleet.Play(seconds(10), 6);
