Blame no part for the crashes of one request

Cause: each repeat has an id of its own and counted as another request, so one request sufficed to put its parts in quarantine, and the refused requests couldn't clear them.

Crashed runs now name their request by its fingerprint, and a part is blamed only if no single request was at all of the crashed endpoints. Sound requests that ran beside it are at no others, so they don't count against the part either.

--- a/packages/gateway/include/gypsumtrack/gateway/serving/serving_context.h
+++ b/packages/gateway/include/gypsumtrack/gateway/serving/serving_context.h
@@ -59,9 +59,10 @@
   /// A run with these suspects made progress.
   std::function<void(const std::vector<policy::CrashSuspect>& suspects)>
       on_progress;
-  /// The connection of a run closed before these suspects made progress.
+  /// The connection of a run closed before these suspects made progress. Runs
+  /// of the same request or item have the same `request`.
   std::function<void(const std::vector<policy::CrashSuspect>& suspects,
-                     const std::string& request_id,
+                     const std::string& request,
                      const policy::EndpointEntry& endpoint)>
       on_lost;
 };
--- a/packages/gateway/src/serving/crash_service.cc
+++ b/packages/gateway/src/serving/crash_service.cc
@@ -64,7 +64,8 @@
   /// A run whose connection closed before its suspects made progress.
   struct LostRun {
     std::vector<policy::CrashSuspect> suspects;
-    std::string request_id;
+    /// Equal for runs of the same request or item.
+    std::string request;
     policy::EndpointEntry endpoint;
   };
 
@@ -78,10 +79,9 @@
       this->quarantine.OnProgress(suspects, this->context.clock.now(),
                                   this->context.NextRandom());
     };
-    hooks.on_lost = [this](const Suspects& suspects,
-                           const std::string& request_id,
+    hooks.on_lost = [this](const Suspects& suspects, const std::string& request,
                            const policy::EndpointEntry& endpoint) {
-      this->OnLost({suspects, request_id, endpoint});
+      this->OnLost({suspects, request, endpoint});
     };
   }
 
@@ -104,13 +104,12 @@
     --this->probe_count;
     if (!refused) co_return;
     this->context.metrics.crashed_runs.Add();
-    base::LogEvent("run_crashed", {{"request", run.request_id},
+    base::LogEvent("run_crashed", {{"run_of", run.request},
                                    {"suspects", FormatSuspects(run.suspects)},
                                    {"endpoint", run.endpoint.id.text},
                                    {"incarnation", run.endpoint.incarnation}});
     this->quarantine.OnCrash(
-        run.suspects,
-        {run.endpoint.id, run.endpoint.incarnation, run.request_id},
+        run.suspects, {run.endpoint.id, run.endpoint.incarnation, run.request},
         this->context.clock.wall(), this->context.clock.now());
     // Written at once: each further request with the part costs an endpoint.
     co_await this->WriteReports();
--- a/packages/gateway/src/serving/relay_service.cc
+++ b/packages/gateway/src/serving/relay_service.cc
@@ -299,7 +299,7 @@
     auto result =
         co_await SendToEndpoint(this->context, choice.endpoint,
                                 policy::WorkKind::kOnline, std::move(call));
-    ReportRunEnd(this->context, this->suspects, this->facts.request_id,
+    ReportRunEnd(this->context, this->suspects, this->fingerprint.text,
                  choice.endpoint, result, this->attempt_events);
     co_return result;
   }
--- a/packages/gateway/src/serving/send_to_endpoint.cc
+++ b/packages/gateway/src/serving/send_to_endpoint.cc
@@ -107,7 +107,7 @@
 
 void ReportRunEnd(const ServingContext& context,
                   const std::vector<policy::CrashSuspect>& suspects,
-                  const std::string& request_id,
+                  const std::string& request,
                   const policy::EndpointEntry& endpoint,
                   const EndpointResult& result, std::uint64_t events) {
   const auto& hooks = context.crash_hooks;
@@ -121,7 +121,7 @@
   hooks.on_lost(
       events == 0 ? suspects
                   : policy::SelectKind(suspects, policy::SuspectKind::kRequest),
-      request_id, endpoint);
+      request, endpoint);
 }
 
 boost::asio::awaitable<EndpointResult> SendToEndpoint(
--- a/packages/gateway/src/serving/send_to_endpoint.h
+++ b/packages/gateway/src/serving/send_to_endpoint.h
@@ -27,10 +27,11 @@
 /// Reports that a run with these suspects got its first event.
 void ReportFirstEvent(const ServingContext& context,
                       const std::vector<policy::CrashSuspect>& suspects);
-/// Reports how a run with these suspects ended that got that many events.
+/// Reports how a run with these suspects ended that got that many events. Runs
+/// of the same request or item have the same `request`.
 void ReportRunEnd(const ServingContext& context,
                   const std::vector<policy::CrashSuspect>& suspects,
-                  const std::string& request_id,
+                  const std::string& request,
                   const policy::EndpointEntry& endpoint,
                   const EndpointResult& result, std::uint64_t events);
 
--- a/packages/gateway/src/serving/store_layout.cc
+++ b/packages/gateway/src/serving/store_layout.cc
@@ -234,7 +234,7 @@
   for (const auto& run : report.runs) {
     runs.push_back(json::object{{"endpoint", run.endpoint.text},
                                 {"incarnation", run.incarnation},
-                                {"request", run.request_id}});
+                                {"request", run.request}});
   }
   return json::serialize(json::object{
       {policy::kSuspectKindNames.Name(report.key.suspect.kind),
--- a/packages/policy/include/gypsumtrack/policy/serving/prompt_quarantine.h
+++ b/packages/policy/include/gypsumtrack/policy/serving/prompt_quarantine.h
@@ -58,7 +58,8 @@
 struct CrashedRun {
   base::EndpointId endpoint;
   std::uint64_t incarnation = 0;
-  std::string request_id;
+  /// The fingerprint of the request, or the id of the item.
+  std::string request;
 
   auto operator<=>(const CrashedRun&) const = default;
 };
@@ -81,10 +82,9 @@
 
 /// Thresholds and times of PromptQuarantine.
 struct PromptQuarantineOptions {
-  /// A suspect is put in quarantine once this many endpoints have crashed,
+  /// A suspect is put in quarantine once this many endpoints have crashed, a
+  /// part only if not all of them crashed under the same request.
   std::size_t min_endpoints = 3;
-  /// a part only if that was under this many requests.
-  std::size_t min_requests_of_part = 2;
   /// Time from the last crash until requests with the suspect are sent again.
   base::Duration duration = std::chrono::minutes(10);
   /// Progress of a run with a part this recently rules out that it caused a
--- a/packages/policy/src/serving/prompt_quarantine.cc
+++ b/packages/policy/src/serving/prompt_quarantine.cc
@@ -6,6 +6,9 @@
 namespace gypsumtrack::policy {
 namespace {
 
+/// The id of an endpoint and its incarnation.
+using EndpointIncarnation = std::pair<base::EndpointId, std::uint64_t>;
+
 base::WallTime Expiry(base::WallTime last_crash_at, base::Duration duration) {
   return last_crash_at +
          std::chrono::duration_cast<std::chrono::milliseconds>(duration);
@@ -162,14 +165,15 @@
 
 std::optional<base::WallTime> PromptQuarantine::QuarantinedSince(
     SuspectKind kind, const Evidence& evidence) const {
-  std::set<std::pair<base::EndpointId, std::uint64_t>> endpoints;
-  std::set<std::string> requests;
+  std::set<EndpointIncarnation> endpoints;
+  std::map<std::string, std::set<EndpointIncarnation>> endpoints_of_requests;
   std::optional<base::WallTime> newest;
   const auto add = [&](const std::set<CrashedRun>& runs,
                        base::WallTime last_crash_at) {
     for (const auto& run : runs) {
       endpoints.insert({run.endpoint, run.incarnation});
-      requests.insert(run.request_id);
+      endpoints_of_requests[run.request].insert(
+          {run.endpoint, run.incarnation});
     }
     newest = std::max(newest.value_or(last_crash_at), last_crash_at);
   };
@@ -178,11 +182,15 @@
   }
   if (!evidence.own_runs.empty())
     add(evidence.own_runs, evidence.last_own_crash_at);
-  const bool has_requests =
-      kind == SuspectKind::kRequest ||
-      requests.size() >= this->options.min_requests_of_part;
+  std::size_t most_of_one_request = 0;
+  for (const auto& [request, crashed] : endpoints_of_requests)
+    most_of_one_request = std::max(most_of_one_request, crashed.size());
+  // Sound requests that ran beside are near the crashes of one request, but at
+  // no other endpoints.
+  const bool is_cause =
+      kind == SuspectKind::kRequest || most_of_one_request < endpoints.size();
   const bool is_quarantined =
-      endpoints.size() >= this->options.min_endpoints && has_requests;
+      endpoints.size() >= this->options.min_endpoints && is_cause;
   return is_quarantined ? newest : std::nullopt;
 }
 
--- a/packages/policy/test/serving/prompt_quarantine_test.cc
+++ b/packages/policy/test/serving/prompt_quarantine_test.cc
@@ -75,6 +75,16 @@
     crash(first, "e-3", "r-1");
     CHECK_FALSE(first.Find({kBad}, kWall));
   }
+  SECTION("not by one request and those that ran beside it") {
+    crash(second, "e-3", "r-1");
+    crash(second, "e-3", "r-2");
+    crash(first, "e-1", "r-3");
+    CHECK_FALSE(first.Find({kBad}, kWall));
+    SECTION("but by a crash without that request") {
+      crash(second, "e-4", "r-2");
+      CHECK(first.Find({kBad}, kWall));
+    }
+  }
   SECTION("not by two crashes") {
     crash(second, "e-2", "r-2");
     CHECK_FALSE(second.Find({kBad}, kWall));
@@ -253,7 +263,6 @@
     /// The parts of the prompt, and the request.
     Suspects suspects;
     bool is_bad = false;
-    std::string request;
     std::size_t daemon = 0;
     int attempt = 0;
     base::Instant started{};
@@ -281,7 +290,7 @@
 
   Suspects BadParts() const {
     if (this->bad_requests == BadRequests::kWithPart) return {kCommon, kBad};
-    return {kCommon};
+    return {kCommon, Part("rare7")};
   }
 
   base::WallTime Wall() const {
@@ -295,7 +304,7 @@
         is_bad && this->bad_requests == BadRequests::kRepeated;
     suspects.push_back(Request(comes_again ? "bad" : id));
     if (!is_bad) ++this->sound_sent;
-    this->Attempt({std::move(suspects), is_bad, id, this->random() % kDaemons});
+    this->Attempt({std::move(suspects), is_bad, this->random() % kDaemons});
   }
 
   void Attempt(Active run) {
@@ -350,7 +359,7 @@
                            endpoint.incarnation, ""};
     for (auto& run : std::exchange(endpoint.runs, {})) {
       auto crashed_run = crash;
-      crashed_run.request_id = run.request;
+      crashed_run.request = run.suspects.back().id;
       const auto suspects =
           run.has_event ? SelectKind(run.suspects, SuspectKind::kRequest)
                         : run.suspects;
