--- a/packages/gateway/include/gypsumtrack/gateway/serving/serving_context.h
+++ b/packages/gateway/include/gypsumtrack/gateway/serving/serving_context.h
@@ -14,9 +14,9 @@
 #include "gypsumtrack/gateway/serving/store_view_service.h"
 #include "gypsumtrack/gateway/serving/wire.h"
 #include "gypsumtrack/policy/serving/batch_start_limiter.h"
+#include "gypsumtrack/policy/serving/crash_quarantine.h"
 #include "gypsumtrack/policy/serving/endpoint_registry.h"
 #include "gypsumtrack/policy/serving/fleet_quota.h"
-#include "gypsumtrack/policy/serving/prompt_quarantine.h"
 #include "gypsumtrack/telemetry/metrics.h"
 
 /// State that the components of a serving daemon share.
--- a/packages/gateway/include/gypsumtrack/gateway/serving/store_layout.h
+++ b/packages/gateway/include/gypsumtrack/gateway/serving/store_layout.h
@@ -11,8 +11,8 @@
 #include "gypsumtrack/base/outcome.h"
 #include "gypsumtrack/base/row_store.h"
 #include "gypsumtrack/gateway/serving/fleet_service.h"
+#include "gypsumtrack/policy/serving/crash_quarantine.h"
 #include "gypsumtrack/policy/serving/job_run.h"
-#include "gypsumtrack/policy/serving/prompt_quarantine.h"
 
 /// Tables, keys and row formats in the platform's store. All rows of a batch
 /// job are in the partition of its organisation, so that one transaction can
--- a/packages/gateway/src/serving/crash_service.cc
+++ b/packages/gateway/src/serving/crash_service.cc
@@ -261,7 +261,7 @@
 
   ServingContext& context;
   const FleetService& fleet;
-  policy::PromptQuarantine quarantine;
+  policy::CrashQuarantine quarantine;
   std::shared_ptr<TableFollower> follower;
   /// What the rows that were read are about, by their keys.
   std::map<std::string, policy::CrashReportKey> keys_by_row;
--- a/packages/gateway/src/serving/relay_service.cc
+++ b/packages/gateway/src/serving/relay_service.cc
@@ -228,7 +228,7 @@
   asio::awaitable<void> RefuseQuarantined(policy::QuarantinedSuspect found) {
     this->context.metrics.quarantined.Add();
     base::LogEvent(
-        "prompt_quarantined",
+        "request_quarantined",
         {{"request", this->facts.request_id},
          {"organisation", this->organisation.text},
          {"fingerprint", this->fingerprint.text},
--- a/packages/gateway/src/serving/serving_context.cc
+++ b/packages/gateway/src/serving/serving_context.cc
@@ -33,12 +33,11 @@
                               "Items broken off to make room for online.")),
       jobs_taken_over(registry.GetCounter("gypsumtrack_jobs_taken_over_total",
                                           "", "Jobs taken from lost daemons.")),
-      crashed_runs(registry.GetCounter(
-          "gypsumtrack_crashed_runs_total", "",
-          "Runs that an endpoint's crash ended before their first event.")),
+      crashed_runs(registry.GetCounter("gypsumtrack_crashed_runs_total", "",
+                                       "Runs that an endpoint's crash ended.")),
       quarantined(registry.GetCounter("gypsumtrack_quarantined_total", "",
-                                      "Requests refused because a part of "
-                                      "their prompt crashes endpoints.")),
+                                      "Requests refused because they or a part "
+                                      "of their prompt crash endpoints.")),
       first_byte(registry.GetHistogram(
           "gypsumtrack_first_event_seconds", "",
           "From a request to the first byte of its response's body.")),
--- a/packages/policy/include/gypsumtrack/policy/serving/prompt_quarantine.h
+++ b/packages/policy/include/gypsumtrack/policy/serving/crash_quarantine.h
@@ -1,5 +1,5 @@
-#ifndef GYPSUMTRACK_POLICY_SERVING_PROMPT_QUARANTINE_H_
-#define GYPSUMTRACK_POLICY_SERVING_PROMPT_QUARANTINE_H_
+#ifndef GYPSUMTRACK_POLICY_SERVING_CRASH_QUARANTINE_H_
+#define GYPSUMTRACK_POLICY_SERVING_CRASH_QUARANTINE_H_
 
 #include <cstdint>
 #include <map>
@@ -80,8 +80,8 @@
   base::WallTime last_crash_at{};
 };
 
-/// Thresholds and times of PromptQuarantine.
-struct PromptQuarantineOptions {
+/// Thresholds and times of CrashQuarantine.
+struct CrashQuarantineOptions {
   /// A suspect is put in quarantine once this many endpoints have crashed, a
   /// part only if not all of them crashed under the same request.
   std::size_t min_endpoints = 3;
@@ -106,10 +106,10 @@
 };
 
 /// What is under suspicion, by the reports of all daemons. Not thread-safe.
-class PromptQuarantine {
+class CrashQuarantine {
  public:
   /// `self` is the name of this daemon's VM.
-  PromptQuarantine(std::string self, PromptQuarantineOptions options);
+  CrashQuarantine(std::string self, CrashQuarantineOptions options);
 
   // Commands.
 
@@ -172,7 +172,7 @@
   void ForgetOldProgress(base::Instant now);
 
   std::string self;
-  PromptQuarantineOptions options;
+  CrashQuarantineOptions options;
   std::map<CrashSuspect, Evidence> known;
   /// When a run with the part last made progress.
   std::map<CrashSuspect, base::Instant> progress;
@@ -180,4 +180,4 @@
 
 }  // namespace gypsumtrack::policy
 
-#endif  // GYPSUMTRACK_POLICY_SERVING_PROMPT_QUARANTINE_H_
+#endif  // GYPSUMTRACK_POLICY_SERVING_CRASH_QUARANTINE_H_
--- a/packages/policy/src/serving/prompt_quarantine.cc
+++ b/packages/policy/src/serving/crash_quarantine.cc
@@ -1,4 +1,4 @@
-#include "gypsumtrack/policy/serving/prompt_quarantine.h"
+#include "gypsumtrack/policy/serving/crash_quarantine.h"
 
 #include <algorithm>
 #include <iterator>
@@ -32,12 +32,12 @@
   return selected;
 }
 
-PromptQuarantine::PromptQuarantine(std::string self_name,
-                                   PromptQuarantineOptions quarantine_options)
+CrashQuarantine::CrashQuarantine(std::string self_name,
+                                 CrashQuarantineOptions quarantine_options)
     : self(std::move(self_name)), options(quarantine_options) {}
 
-void PromptQuarantine::OnProgress(const std::vector<CrashSuspect>& suspects,
-                                  base::Instant now, std::uint64_t random) {
+void CrashQuarantine::OnProgress(const std::vector<CrashSuspect>& suspects,
+                                 base::Instant now, std::uint64_t random) {
   for (const auto& suspect : suspects) {
     // Each request has a fingerprint of its own, which seldom matters again.
     if (suspect.kind == SuspectKind::kPromptPart)
@@ -59,14 +59,14 @@
   }
 }
 
-void PromptQuarantine::RememberProgress(const CrashSuspect& part,
-                                        base::Instant now) {
+void CrashQuarantine::RememberProgress(const CrashSuspect& part,
+                                       base::Instant now) {
   if (this->progress.size() >= this->options.max_suspects)
     this->ForgetOldProgress(now);
   this->progress[part] = now;
 }
 
-void PromptQuarantine::ForgetOldProgress(base::Instant now) {
+void CrashQuarantine::ForgetOldProgress(base::Instant now) {
   std::erase_if(this->progress, [&](const auto& each) {
     return now - each.second > this->options.progress_window;
   });
@@ -75,9 +75,9 @@
     this->progress.clear();
 }
 
-void PromptQuarantine::OnCrash(const std::vector<CrashSuspect>& suspects,
-                               const CrashedRun& run, base::WallTime crashed_at,
-                               base::Instant now) {
+void CrashQuarantine::OnCrash(const std::vector<CrashSuspect>& suspects,
+                              const CrashedRun& run, base::WallTime crashed_at,
+                              base::Instant now) {
   for (const auto& suspect : suspects) {
     const auto made_progress = this->progress.find(suspect);
     if (made_progress != this->progress.end() &&
@@ -97,7 +97,7 @@
   }
 }
 
-std::vector<CrashReport> PromptQuarantine::TakeChangedReports() {
+std::vector<CrashReport> CrashQuarantine::TakeChangedReports() {
   std::vector<CrashReport> changed;
   for (auto& [suspect, evidence] : this->known) {
     if (!evidence.own_changed) continue;
@@ -108,7 +108,7 @@
   return changed;
 }
 
-void PromptQuarantine::OnWriteFailed(const std::vector<CrashReport>& reports) {
+void CrashQuarantine::OnWriteFailed(const std::vector<CrashReport>& reports) {
   for (const auto& report : reports) {
     const auto found = this->known.find(report.key.suspect);
     if (found == this->known.end()) continue;
@@ -116,13 +116,13 @@
   }
 }
 
-void PromptQuarantine::ForgetReports() {
+void CrashQuarantine::ForgetReports() {
   for (auto& [suspect, evidence] : this->known) evidence.reports.clear();
   std::erase_if(this->known,
                 [](const auto& each) { return each.second.own_runs.empty(); });
 }
 
-void PromptQuarantine::ApplyReport(CrashReport report, std::uint64_t version) {
+void CrashQuarantine::ApplyReport(CrashReport report, std::uint64_t version) {
   const bool is_known = this->known.contains(report.key.suspect);
   if (!is_known && this->known.size() >= this->options.max_suspects) return;
   auto& evidence = this->known[report.key.suspect];
@@ -130,7 +130,7 @@
                                          report.last_crash_at, version};
 }
 
-void PromptQuarantine::ApplyRemoval(const CrashReportKey& key) {
+void CrashQuarantine::ApplyRemoval(const CrashReportKey& key) {
   const auto found = this->known.find(key.suspect);
   if (found == this->known.end()) return;
   auto& evidence = found->second;
@@ -146,8 +146,8 @@
 }
 
 std::vector<std::pair<CrashReportKey, std::uint64_t>>
-PromptQuarantine::TakeReportsToRemove(bool collects_all, base::Instant now,
-                                      base::WallTime wall) {
+CrashQuarantine::TakeReportsToRemove(bool collects_all, base::Instant now,
+                                     base::WallTime wall) {
   std::vector<std::pair<CrashReportKey, std::uint64_t>> removals;
   for (auto& [suspect, evidence] : this->known) {
     const bool is_cleared = evidence.remove_at <= now;
@@ -163,7 +163,7 @@
   return removals;
 }
 
-std::optional<base::WallTime> PromptQuarantine::QuarantinedSince(
+std::optional<base::WallTime> CrashQuarantine::QuarantinedSince(
     SuspectKind kind, const Evidence& evidence) const {
   std::set<EndpointIncarnation> endpoints;
   std::map<std::string, std::set<EndpointIncarnation>> endpoints_of_requests;
@@ -194,7 +194,7 @@
   return is_quarantined ? newest : std::nullopt;
 }
 
-std::optional<QuarantinedSuspect> PromptQuarantine::Find(
+std::optional<QuarantinedSuspect> CrashQuarantine::Find(
     const std::vector<CrashSuspect>& suspects, base::WallTime wall) const {
   if (this->known.empty()) return std::nullopt;
   for (const auto& suspect : suspects) {
@@ -208,7 +208,7 @@
   return std::nullopt;
 }
 
-bool PromptQuarantine::has_pending_reports() const {
+bool CrashQuarantine::has_pending_reports() const {
   return std::any_of(
       this->known.begin(), this->known.end(), [](const auto& each) {
         return each.second.own_changed || each.second.remove_at != base::kNever;
--- a/packages/policy/test/serving/prompt_quarantine_test.cc
+++ b/packages/policy/test/serving/crash_quarantine_test.cc
@@ -1,4 +1,4 @@
-#include "gypsumtrack/policy/serving/prompt_quarantine.h"
+#include "gypsumtrack/policy/serving/crash_quarantine.h"
 
 #include <catch2/catch.hpp>
 #include <memory>
@@ -34,7 +34,7 @@
 /// The store's reports, as all daemons read them.
 class ReportTable {
  public:
-  void Write(PromptQuarantine& daemon) {
+  void Write(CrashQuarantine& daemon) {
     for (auto& report : daemon.TakeChangedReports()) {
       this->rows[report.key] = {report, ++this->version};
       for (auto* reader : this->readers)
@@ -42,7 +42,7 @@
     }
   }
 
-  void Remove(PromptQuarantine& daemon, bool collects_all, base::Instant now,
+  void Remove(CrashQuarantine& daemon, bool collects_all, base::Instant now,
               base::WallTime wall) {
     for (const auto& [key, row_version] :
          daemon.TakeReportsToRemove(collects_all, now, wall)) {
@@ -54,17 +54,17 @@
     }
   }
 
-  std::vector<PromptQuarantine*> readers;
+  std::vector<CrashQuarantine*> readers;
   std::map<CrashReportKey, std::pair<CrashReport, std::uint64_t>> rows;
   std::uint64_t version = 0;
 };
 
 TEST_CASE("a part that crashes several endpoints is put in quarantine") {
-  PromptQuarantine first("vm-1", {});
-  PromptQuarantine second("vm-2", {});
+  CrashQuarantine first("vm-1", {});
+  CrashQuarantine second("vm-2", {});
   ReportTable table;
   table.readers = {&first, &second};
-  const auto crash = [&](PromptQuarantine& daemon, const std::string& endpoint,
+  const auto crash = [&](CrashQuarantine& daemon, const std::string& endpoint,
                          const std::string& request) {
     daemon.OnCrash({kCommon, kBad}, Run(endpoint, request), kWall, kStart);
     table.Write(daemon);
@@ -106,7 +106,7 @@
       CHECK(first.Find({kCommon, kBad}, kWall)->suspect == kBad);
     }
     SECTION("also at a daemon that starts later") {
-      PromptQuarantine third("vm-3", {});
+      CrashQuarantine third("vm-3", {});
       for (const auto& [key, row] : table.rows)
         third.ApplyReport(row.first, row.second);
       CHECK(third.Find({kBad}, kWall));
@@ -127,7 +127,7 @@
 
 TEST_CASE("a request that crashes several endpoints is put in quarantine") {
   const Suspects parts{kCommon, Request("f1")};
-  PromptQuarantine daemon("vm-1", {});
+  CrashQuarantine daemon("vm-1", {});
   const auto crash = [&](const std::string& endpoint) {
     daemon.OnCrash({Request("f1")}, Run(endpoint, "r-1"), kWall, kStart);
   };
@@ -155,8 +155,8 @@
 }
 
 TEST_CASE("reports that no longer matter leave the store") {
-  PromptQuarantine first("vm-1", {});
-  PromptQuarantine second("vm-2", {});
+  CrashQuarantine first("vm-1", {});
+  CrashQuarantine second("vm-2", {});
   ReportTable table;
   table.readers = {&first, &second};
   first.OnCrash({kBad}, Run("e-1", "r-1"), kWall, kStart);
@@ -200,7 +200,7 @@
 }
 
 TEST_CASE("a part that just made progress isn't reported") {
-  PromptQuarantine daemon("vm-1", {});
+  CrashQuarantine daemon("vm-1", {});
   daemon.OnProgress({kCommon}, kStart, 0);
   daemon.OnCrash({kCommon}, Run("e-1", "r-1"), kWall, kStart + seconds(1));
   CHECK(daemon.TakeChangedReports().empty());
@@ -232,8 +232,8 @@
   CrashingFleet(BadRequests bad_requests, unsigned seed)
       : bad_requests(bad_requests), random(seed) {
     for (int i = 0; i < kDaemons; ++i) {
-      this->daemons.push_back(std::make_unique<PromptQuarantine>(
-          "vm-" + std::to_string(i), PromptQuarantineOptions{}));
+      this->daemons.push_back(std::make_unique<CrashQuarantine>(
+          "vm-" + std::to_string(i), CrashQuarantineOptions{}));
       this->table.readers.push_back(this->daemons.back().get());
     }
     this->endpoints.resize(kEndpoints);
@@ -385,7 +385,7 @@
   base::Instant now = kStart;
   base::Instant exchange_at{};
   ReportTable table;
-  std::vector<std::unique_ptr<PromptQuarantine>> daemons;
+  std::vector<std::unique_ptr<CrashQuarantine>> daemons;
   std::vector<Endpoint> endpoints;
   int request_count = 0;
 };
