Report sound requests that a crash ends seldom, probe each endpoint once

With requests as suspects, any crash of an endpoint would have written a row for each run that it ended, all daemons would have read it, and another call would have removed it once the request was answered elsewhere; and each lost run opened a connection to see whether the endpoint still listens, of which 32 at a time are allowed, so that the one that matters might have had none.

A request's first crash is now held back for a second, in which most are answered; a second endpoint under it is reported at once. Lost runs of one endpoint share a probe. The new test failed before (a report at once).

--- a/packages/gateway/src/serving/crash_service.cc
+++ b/packages/gateway/src/serving/crash_service.cc
@@ -69,6 +69,9 @@
     policy::EndpointEntry endpoint;
   };
 
+  /// The id of an endpoint and its incarnation.
+  using EndpointIncarnation = std::pair<base::EndpointId, std::uint64_t>;
+
   void SetHooks() {
     using Suspects = std::vector<policy::CrashSuspect>;
     auto& hooks = this->context.crash_hooks;
@@ -88,21 +91,37 @@
   // Crashes.
 
   void OnLost(LostRun run) {
-    if (run.suspects.empty() || this->probe_count >= kMaxProbes) return;
-    ++this->probe_count;
-    auto probe = [self = this->shared_from_this(), run = std::move(run)] {
-      return self->Probe(run);
+    if (run.suspects.empty()) return;
+    const EndpointIncarnation endpoint{run.endpoint.id,
+                                       run.endpoint.incarnation};
+    const auto found = this->probed.find(endpoint);
+    if (found != this->probed.end()) {
+      found->second.push_back(std::move(run));
+      return;
+    }
+    if (this->probed.size() >= kMaxProbes) return;
+    const auto address = run.endpoint.address;
+    this->probed[endpoint].push_back(std::move(run));
+    auto probe = [self = this->shared_from_this(), endpoint, address] {
+      return self->Probe(endpoint, address);
     };
     asio::co_spawn(this->context.executor, std::move(probe), asio::detached);
   }
 
   /// Connections also close for other reasons, such as a fault of the network.
   /// Nothing listens any more where an endpoint has crashed.
-  asio::awaitable<void> Probe(LostRun run) {
+  asio::awaitable<void> Probe(EndpointIncarnation endpoint,
+                              std::string address) {
     const bool refused = co_await RefusesConnections(
-        run.endpoint.address, this->context.clock, kProbeTimeout);
-    --this->probe_count;
+        std::move(address), this->context.clock, kProbeTimeout);
+    const auto lost = this->probed.extract(endpoint);
     if (!refused) co_return;
+    for (const auto& run : lost.mapped()) this->OnCrashed(run);
+    // Written at once: each further request with the suspect costs an endpoint.
+    co_await this->WriteReports();
+  }
+
+  void OnCrashed(const LostRun& run) {
     this->context.metrics.crashed_runs.Add();
     base::LogEvent("run_crashed", {{"run_of", run.request},
                                    {"suspects", FormatSuspects(run.suspects)},
@@ -111,8 +130,6 @@
     this->quarantine.OnCrash(
         run.suspects, {run.endpoint.id, run.endpoint.incarnation, run.request},
         this->context.clock.wall(), this->context.clock.now());
-    // Written at once: each further request with the part costs an endpoint.
-    co_await this->WriteReports();
   }
 
   // Reports.
@@ -210,7 +227,8 @@
     if (this->writing) co_return;
     this->writing = true;
     this->write_failed = false;
-    auto reports = this->quarantine.TakeChangedReports();
+    auto reports =
+        this->quarantine.TakeChangedReports(this->context.clock.now());
     while (!reports.empty()) {
       base::RowTransaction put;
       std::vector<policy::CrashReport> written;
@@ -233,7 +251,9 @@
         this->write_failed = true;
         break;
       }
-      if (reports.empty()) reports = this->quarantine.TakeChangedReports();
+      if (reports.empty())
+        reports =
+            this->quarantine.TakeChangedReports(this->context.clock.now());
     }
     this->writing = false;
   }
@@ -265,7 +285,8 @@
   std::shared_ptr<TableFollower> follower;
   /// What the rows that were read are about, by their keys.
   std::map<std::string, policy::CrashReportKey> keys_by_row;
-  std::size_t probe_count = 0;
+  /// The lost runs of the endpoints that are being probed.
+  std::map<EndpointIncarnation, std::vector<LostRun>> probed;
   bool writing = false;
   /// Whether the last attempt to write reports failed.
   bool write_failed = false;
--- a/packages/policy/include/gypsumtrack/policy/serving/crash_quarantine.h
+++ b/packages/policy/include/gypsumtrack/policy/serving/crash_quarantine.h
@@ -93,6 +93,9 @@
   /// Maximum delay before a daemon removes the reports on a suspect that it has
   /// seen make progress. Spreads the daemons, so that few remove the same ones.
   base::Duration max_removal_delay = std::chrono::milliseconds(400);
+  /// Time for which the first crash under a request isn't reported. Each crash
+  /// ends sound requests, most of which are answered elsewhere in that time.
+  base::Duration request_report_delay = std::chrono::seconds(1);
   /// Maximum number of suspects about which something is remembered.
   std::size_t max_suspects = 4096;
   /// Maximum number of runs in one report.
@@ -122,9 +125,10 @@
   /// it made progress. `crashed_at` is the time of the crash.
   void OnCrash(const std::vector<CrashSuspect>& suspects, const CrashedRun& run,
                base::WallTime crashed_at, base::Instant now);
-  /// Returns this daemon's reports that have changed since the last call, to be
-  /// written to the store.
-  std::vector<CrashReport> TakeChangedReports();
+  /// Returns this daemon's reports that have changed since they were last
+  /// returned, to be written to the store. A report on a request that one crash
+  /// ended is held back for a moment.
+  std::vector<CrashReport> TakeChangedReports(base::Instant now);
   /// Records that these reports couldn't be written; they count as changed.
   void OnWriteFailed(const std::vector<CrashReport>& reports);
   /// Forgets all reports that were read, before a snapshot of them is applied.
@@ -160,6 +164,8 @@
     std::set<CrashedRun> own_runs;
     base::WallTime last_own_crash_at{};
     bool own_changed = false;
+    /// When a report that is held back is to be written.
+    base::Instant held_until{};
     /// When to remove the reports because of progress.
     base::Instant remove_at = base::kNever;
   };
--- a/packages/policy/src/serving/crash_quarantine.cc
+++ b/packages/policy/src/serving/crash_quarantine.cc
@@ -90,6 +90,8 @@
     if (evidence.own_runs.size() >= this->options.max_runs_per_report) {
       evidence.own_runs.erase(evidence.own_runs.begin());
     }
+    if (evidence.own_runs.empty())
+      evidence.held_until = now + this->options.request_report_delay;
     evidence.own_runs.insert(run);
     evidence.last_own_crash_at =
         std::max(evidence.last_own_crash_at, crashed_at);
@@ -97,10 +99,14 @@
   }
 }
 
-std::vector<CrashReport> CrashQuarantine::TakeChangedReports() {
+std::vector<CrashReport> CrashQuarantine::TakeChangedReports(
+    base::Instant now) {
   std::vector<CrashReport> changed;
   for (auto& [suspect, evidence] : this->known) {
-    if (!evidence.own_changed) continue;
+    const bool is_held = suspect.kind == SuspectKind::kRequest &&
+                         evidence.own_runs.size() < 2 &&
+                         now < evidence.held_until;
+    if (!evidence.own_changed || is_held) continue;
     evidence.own_changed = false;
     changed.push_back(
         {{suspect, this->self}, evidence.own_runs, evidence.last_own_crash_at});
--- a/packages/policy/test/serving/crash_quarantine_test.cc
+++ b/packages/policy/test/serving/crash_quarantine_test.cc
@@ -34,8 +34,8 @@
 /// The store's reports, as all daemons read them.
 class ReportTable {
  public:
-  void Write(CrashQuarantine& daemon) {
-    for (auto& report : daemon.TakeChangedReports()) {
+  void Write(CrashQuarantine& daemon, base::Instant now = kStart) {
+    for (auto& report : daemon.TakeChangedReports(now)) {
       this->rows[report.key] = {report, ++this->version};
       for (auto* reader : this->readers)
         reader->ApplyReport(report, this->version);
@@ -154,6 +154,30 @@
   }
 }
 
+// Guards against a report in the store on each sound request that any crash of
+// an endpoint ends.
+TEST_CASE("sound requests that a crash ends are seldom reported") {
+  CrashQuarantine daemon("vm-1", {});
+  const auto crash = [&](const std::string& endpoint) {
+    daemon.OnCrash({Request("f1")}, Run(endpoint, "f1"), kWall, kStart);
+  };
+  const auto later = kStart + seconds(1);
+  crash("e-1");
+  CHECK(daemon.TakeChangedReports(later - milliseconds(1)).empty());
+  SECTION("not if they are answered soon") {
+    daemon.OnProgress({Request("f1")}, kStart, 0);
+    CHECK(daemon.TakeChangedReports(later).empty());
+    CHECK_FALSE(daemon.has_pending_reports());
+  }
+  SECTION("but if they are not") {
+    CHECK(daemon.TakeChangedReports(later).size() == 1);
+  }
+  SECTION("at once if another endpoint crashes under them") {
+    crash("e-2");
+    CHECK(daemon.TakeChangedReports(kStart).size() == 1);
+  }
+}
+
 TEST_CASE("reports that no longer matter leave the store") {
   CrashQuarantine first("vm-1", {});
   CrashQuarantine second("vm-2", {});
@@ -192,7 +216,7 @@
   }
   SECTION("not while a write of one has failed") {
     first.OnCrash({kBad}, Run("e-2", "r-2"), kWall, kStart);
-    const auto reports = first.TakeChangedReports();
+    const auto reports = first.TakeChangedReports(kStart);
     CHECK_FALSE(first.has_pending_reports());
     first.OnWriteFailed(reports);
     CHECK(first.has_pending_reports());
@@ -203,9 +227,9 @@
   CrashQuarantine daemon("vm-1", {});
   daemon.OnProgress({kCommon}, kStart, 0);
   daemon.OnCrash({kCommon}, Run("e-1", "r-1"), kWall, kStart + seconds(1));
-  CHECK(daemon.TakeChangedReports().empty());
+  CHECK(daemon.TakeChangedReports(kStart).empty());
   daemon.OnCrash({kCommon}, Run("e-1", "r-1"), kWall, kStart + seconds(3));
-  CHECK(daemon.TakeChangedReports().size() == 1);
+  CHECK(daemon.TakeChangedReports(kStart).size() == 1);
 }
 
 /// The requests that crash endpoints.
@@ -375,7 +399,7 @@
     if (this->now < this->exchange_at) return;
     this->exchange_at = this->now + kReportDelay;
     for (const auto& daemon : this->daemons) {
-      this->table.Write(*daemon);
+      this->table.Write(*daemon, this->now);
       this->table.Remove(*daemon, false, this->now, this->Wall());
     }
   }
