Let endpoints of the soak name limits, and check that they are kept

One endpoint after the other names a limit of 2 to 9 requests a second for 9 s. From 4 s on it may run 1.5 times what that allows in 4 s and 5 requests more, without those of daemons that the soak disrupted. The limits have random numbers of their own, so the other faults of a seed stay as they were.

--- a/packages/testing/include/gypsumtrack/testing/site_standin.h
+++ b/packages/testing/include/gypsumtrack/testing/site_standin.h
@@ -65,6 +65,8 @@
 
 /// A request that an engine ran, as received.
 struct EngineRun {
+  /// The instance id of the engine.
+  std::string engine;
   std::string request_id;
   std::string organisation;
   std::string target;
--- a/packages/testing/soak/daemon_process.cc
+++ b/packages/testing/soak/daemon_process.cc
@@ -102,16 +102,17 @@
   return DescribeExit(status);
 }
 
-std::optional<std::string> FindItemSender(const std::string& directory,
-                                          const std::string& item,
-                                          base::WallTime sent_by) {
+std::optional<std::string> FindSender(const std::string& directory,
+                                      const std::string& id,
+                                      base::WallTime sent_by) {
   const auto at = sent_by + kClockTolerance;
   // Each line starts with its time, in a form that sorts by time.
   const auto limit =
       fmt::format("time={:%Y-%m-%dT%H:%M:%S}.{:03}Z",
                   fmt::gmtime(std::chrono::system_clock::to_time_t(at)),
                   at.time_since_epoch().count() % 1000);
-  const auto mark = fmt::format(" item={} ", item);
+  const auto item = fmt::format(" item={} ", id);
+  const auto request = fmt::format("event=sent request={} ", id);
   std::optional<std::string> sender;
   std::string last;
   for (const auto& file : std::filesystem::directory_iterator(directory)) {
@@ -119,8 +120,10 @@
     std::ifstream in(file.path());
     std::string line;
     while (std::getline(in, line)) {
-      if (line.find("event=item_sent ") == std::string::npos) continue;
-      if (line.find(mark) == std::string::npos) continue;
+      const bool is_item = line.find("event=item_sent ") != std::string::npos &&
+                           line.find(item) != std::string::npos;
+      const bool is_request = line.find(request) != std::string::npos;
+      if (!is_item && !is_request) continue;
       const auto time = line.substr(0, limit.size());
       if (time > limit || time < last) continue;
       last = time;
--- a/packages/testing/soak/daemon_process.h
+++ b/packages/testing/soak/daemon_process.h
@@ -69,12 +69,12 @@
   pid_t pid = 0;
 };
 
-/// Returns the name of the daemon whose log names the last start of the item at
-/// or before `sent_by`, within 20 ms, or nullopt if there is none. `directory`
-/// holds the logs.
-std::optional<std::string> FindItemSender(const std::string& directory,
-                                          const std::string& item,
-                                          base::WallTime sent_by);
+/// Returns the name of the daemon whose log names the last attempt to send the
+/// request or item at or before `sent_by`, within 20 ms, or nullopt if there is
+/// none. `directory` holds the logs.
+std::optional<std::string> FindSender(const std::string& directory,
+                                      const std::string& id,
+                                      base::WallTime sent_by);
 
 }  // namespace gypsumtrack::testing
 
--- a/packages/testing/soak/invariant_checker.cc
+++ b/packages/testing/soak/invariant_checker.cc
@@ -28,6 +28,12 @@
 constexpr double kRateExcess = 0.1;
 constexpr double kRateSlack = 20;
 
+/// In any window of this length, from kContact after an endpoint first named
+/// its limit, it may get 1.5 times what the limit allows and 5 requests more.
+constexpr base::Duration kLimitWindow = std::chrono::seconds(4);
+constexpr double kLimitFactor = 1.5;
+constexpr double kLimitSlack = 5;
+
 /// Whether a status guarantees that the request has not run and never will.
 bool GuaranteesNotRun(unsigned status) {
   constexpr std::array<unsigned, 4> kNotRunStatuses{
@@ -57,6 +63,17 @@
   return most;
 }
 
+/// Returns the largest number of times within one window. Precondition: sorted.
+std::size_t MaxTimesInWindow(const std::vector<base::Instant>& times,
+                             base::Duration window) {
+  std::size_t most = 0;
+  for (auto first = times.begin(); first != times.end(); ++first) {
+    const auto end = std::lower_bound(first, times.end(), *first + window);
+    most = std::max(most, static_cast<std::size_t>(end - first));
+  }
+  return most;
+}
+
 }  // namespace
 
 void InvariantChecker::RecordRequest(const std::string& id,
@@ -122,6 +139,11 @@
   }
 }
 
+void InvariantChecker::RecordLimitedSpan(LimitedSpan span) {
+  const std::lock_guard lock(this->mutex);
+  this->limited_spans.push_back(std::move(span));
+}
+
 void InvariantChecker::AddViolation(std::string violation) {
   const std::lock_guard lock(this->mutex);
   this->caller_violations.push_back(std::move(violation));
@@ -143,6 +165,8 @@
                            run.request_id);
     }
   }
+  for (const auto& span : this->limited_spans)
+    this->CheckLimitedSpan(span, runs, find_sender, violations);
   this->CheckRates(runs, limits, violations);
   return violations;
 }
@@ -224,6 +248,35 @@
                      });
 }
 
+void InvariantChecker::CheckLimitedSpan(
+    const LimitedSpan& span, const std::vector<EngineRun>& runs,
+    const SenderLookup& find_sender,
+    std::vector<std::string>& violations) const {
+  const auto seconds = std::chrono::duration<double>(kLimitWindow).count();
+  const auto allowed = static_cast<std::size_t>(
+      kLimitFactor * span.per_second * seconds + kLimitSlack);
+  const auto most_without = [&](bool disrupted_senders) {
+    std::vector<base::Instant> times;
+    for (const auto& run : runs) {
+      const bool counts = run.engine == span.engine &&
+                          run.at >= span.from + kContact && run.at < span.until;
+      if (!counts) continue;
+      const auto sender = disrupted_senders ? find_sender(run) : std::nullopt;
+      if (sender && this->WasDisrupted(*sender, run.at)) continue;
+      times.push_back(run.at);
+    }
+    std::sort(times.begin(), times.end());
+    return MaxTimesInWindow(times, kLimitWindow);
+  };
+  if (most_without(false) <= allowed) return;
+  const auto most = most_without(true);
+  if (most <= allowed) return;
+  violations.push_back(
+      fmt::format("{} named a limit of {} a second and ran {} requests in 4 s "
+                  "from daemons that weren't disrupted, allowed {}",
+                  span.engine, span.per_second, most, allowed));
+}
+
 void InvariantChecker::CheckRates(
     const std::vector<EngineRun>& runs,
     const std::map<std::string, RateLimit>& limits,
--- a/packages/testing/soak/invariant_checker.h
+++ b/packages/testing/soak/invariant_checker.h
@@ -52,6 +52,16 @@
   base::Instant restored_at = base::kNever;
 };
 
+/// A span in which an endpoint named a limit in its responses.
+struct LimitedSpan {
+  /// The instance id of the engine.
+  std::string engine;
+  /// Requests a second from all daemons together.
+  double per_second = 0;
+  base::Instant from{};
+  base::Instant until{};
+};
+
 /// What the soak does to a daemon that excuses it from bounds on time.
 enum class Disruption {
   kProcess,  ///< stopped, killed, started or paused
@@ -67,7 +77,8 @@
   base::Instant until = base::kNever;
 };
 
-/// Returns the name of the daemon that sent an item to an endpoint, if known.
+/// Returns the name of the daemon that sent a request or item to an endpoint,
+/// if known.
 using SenderLookup =
     std::function<std::optional<std::string>(const EngineRun&)>;
 
@@ -106,13 +117,16 @@
   void RecordWithdrawal(Withdrawal withdrawal);
   /// Marks the open withdrawal of `key` as ended at `now`.
   void RecordRestoration(const std::string& key, base::Instant now);
+  /// Adds a span in which an endpoint named a limit.
+  void RecordLimitedSpan(LimitedSpan span);
   /// Adds a violation that was observed outside of Check().
   void AddViolation(std::string violation);
 
   // Queries.
 
   /// Returns all violations, those added by AddViolation() first. Calls
-  /// `find_sender` for items that came too late only.
+  /// `find_sender` only for items that came too late and for runs beyond the
+  /// limit of an endpoint.
   std::vector<std::string> Check(const std::vector<EngineRun>& runs,
                                  const std::map<std::string, RateLimit>& limits,
                                  const SenderLookup& find_sender) const;
@@ -144,6 +158,12 @@
                    std::vector<std::string>& violations) const;
   /// Whether the daemon was disrupted at `at` or shortly before.
   bool WasDisrupted(const std::string& daemon, base::Instant at) const;
+  /// Checks the number of runs per window at an endpoint that named a limit,
+  /// without those from daemons that were disrupted.
+  void CheckLimitedSpan(const LimitedSpan& span,
+                        const std::vector<EngineRun>& runs,
+                        const SenderLookup& find_sender,
+                        std::vector<std::string>& violations) const;
   /// Checks the number of requests per window against the limits.
   void CheckRates(const std::vector<EngineRun>& runs,
                   const std::map<std::string, RateLimit>& limits,
@@ -158,6 +178,7 @@
   std::map<std::string, base::Instant> job_ends;
   std::vector<DisruptionRecord> disruptions;
   std::vector<Withdrawal> withdrawals;
+  std::vector<LimitedSpan> limited_spans;
   std::vector<std::string> caller_violations;
 };
 
--- a/packages/testing/soak/soak_fixture.cc
+++ b/packages/testing/soak/soak_fixture.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <csignal>
@@ -41,6 +42,10 @@
 constexpr base::Duration kFaultFreePeriod = seconds(2);
 /// Each request has its response within this time.
 constexpr base::Duration kResponseBound = seconds(4);
+/// How long an endpoint names a limit: long enough for a whole window after the
+/// daemons must keep it.
+constexpr base::Duration kLimitedTime = seconds(9);
+constexpr std::uint32_t kMinLimit = 2;
 constexpr const char* kFirstKey = "key-first";
 constexpr const char* kSecondKey = "key-second";
 constexpr double kRate = 120;
@@ -70,7 +75,8 @@
       signals(this->context, SIGTERM, SIGINT),
       clock(base::SystemClock()),
       store(this->context.get_executor()),
-      random(static_cast<std::uint32_t>(this->options.seed)) {}
+      random(static_cast<std::uint32_t>(this->options.seed)),
+      limits_random(static_cast<std::uint32_t>(this->options.seed)) {}
 
 void SoakFixture::Log(const std::string& message) const {
   fmt::print("{} {}\n", this->clock.now().time_since_epoch().count() / 1000,
@@ -178,7 +184,7 @@
     const auto age = this->clock.now() - run.at;
     const auto at =
         std::chrono::time_point_cast<milliseconds>(this->clock.wall() - age);
-    return FindItemSender(this->options.directory, run.request_id, at);
+    return FindSender(this->options.directory, run.request_id, at);
   };
   auto violations = this->checker.Check(runs, RateLimits(), find_sender);
   fmt::print("seed {}: {} requests, {}, {} runs, {} violations\n",
@@ -213,7 +219,9 @@
   if (!started) this->checker.AddViolation("daemons not ready after start");
   co_await Pause(kTrafficDelay);
   this->StartCallers();
-  co_await this->InjectFaults(this->clock.now() + this->options.fault_duration);
+  const auto faults_until = this->clock.now() + this->options.fault_duration;
+  this->Spawn(this->NameLimits(faults_until));
+  co_await this->InjectFaults(faults_until);
   this->ClearFaults();
   this->Log("calm");
   const bool ready =
@@ -344,6 +352,26 @@
   }
 }
 
+asio::awaitable<void> SoakFixture::NameLimits(base::Instant until) {
+  while (this->clock.now() < until) {
+    auto& engine =
+        *this->endpoints[this->limits_random() % this->endpoints.size()].engine;
+    LimitedSpan span;
+    span.engine = engine.id();
+    span.per_second =
+        static_cast<double>(kMinLimit + this->limits_random() % 8);
+    span.from = this->clock.now();
+    span.until = std::min(until, span.from + kLimitedTime);
+    this->Log(
+        fmt::format("{} names a limit of {}", span.engine, span.per_second));
+    engine.SetRateLimit(fmt::format("{}", span.per_second));
+    co_await Pause(span.until - span.from);
+    engine.SetRateLimit("");
+    this->checker.RecordLimitedSpan(std::move(span));
+    co_await Pause(milliseconds(500));
+  }
+}
+
 void SoakFixture::InjectDaemonFault() {
   auto& daemon = this->daemons[this->random() % this->daemons.size()];
   if (!daemon.process->running()) return;
--- a/packages/testing/soak/soak_fixture.h
+++ b/packages/testing/soak/soak_fixture.h
@@ -77,6 +77,8 @@
   void CheckServed(base::Instant since);
   /// Injects a random fault every 200 to 1099 ms.
   boost::asio::awaitable<void> InjectFaults(base::Instant until);
+  /// Makes endpoints name limits, one after the other.
+  boost::asio::awaitable<void> NameLimits(base::Instant until);
   /// Starts, resumes and kills daemons when that is due, and adds a violation
   /// for each that exited without being asked to.
   boost::asio::awaitable<void> SuperviseDaemons();
@@ -120,6 +122,8 @@
   /// The first lets its jobs run, the others end theirs.
   std::vector<std::unique_ptr<JobCaller>> job_callers;
   std::mt19937 random;
+  /// Random numbers of their own, so that the other faults of a seed stay.
+  std::mt19937 limits_random;
   std::uint64_t rules_version = 1;
   bool has_second_key = true;
   bool store_is_down = false;
--- a/packages/testing/src/site_standin.cc
+++ b/packages/testing/src/site_standin.cc
@@ -383,6 +383,7 @@
   if (!body.ok()) co_return;
   const auto& request = exchange.request();
   EngineRun run;
+  run.engine = this->instance_id;
   run.request_id = TextHeader(request, "X-Gypsumtrack-Request-Id");
   run.organisation = TextHeader(request, "X-Gypsumtrack-Tenant");
   run.key = TextHeader(request, "X-Api-Key");
--- a/packages/testing/test/daemon_process_test.cc
+++ b/packages/testing/test/daemon_process_test.cc
@@ -25,21 +25,32 @@
         << "time=2026-12-04T10:00:00.300Z event=item_sent job=j item=i "
            "endpoint=e\n"
            "time=2026-12-04T10:00:00.350Z event=item_sent job=j item=i2 "
+           "endpoint=e\n"
+           "time=2026-12-04T10:00:00.360Z event=sent request=r "
+           "endpoint=e\n"
+           "time=2026-12-04T10:00:00.370Z event=send_ended request=r2 "
            "endpoint=e\n";
   }
   ~LogDirectory() { std::filesystem::remove_all(this->path); }
   LogDirectory(const LogDirectory&) = delete;
   LogDirectory& operator=(const LogDirectory&) = delete;
 
-  std::optional<std::string> Find(int millis) const {
+  std::optional<std::string> Find(int millis,
+                                  const std::string& id = "i") const {
     const base::WallTime second{
         std::chrono::sys_days(std::chrono::year(2026) / 12 / 4) +
         std::chrono::hours(10)};
-    return FindItemSender(this->path.string(), "i",
-                          second + std::chrono::milliseconds(millis));
+    return FindSender(this->path.string(), id,
+                      second + std::chrono::milliseconds(millis));
   }
 };
 
+TEST_CASE("the sender of a request is the daemon that made an attempt") {
+  const LogDirectory logs;
+  CHECK(logs.Find(2000, "r") == "vm-1");
+  CHECK(logs.Find(2000, "r2") == std::nullopt);
+}
+
 TEST_CASE("the sender of an item is the daemon that started it last") {
   const LogDirectory logs;
   CHECK(logs.Find(79) == std::nullopt);
--- a/packages/testing/test/invariant_checker_test.cc
+++ b/packages/testing/test/invariant_checker_test.cc
@@ -70,5 +70,42 @@
   }
 }
 
+/// Returns the violations if an endpoint names a limit of 2 a second from 10 s
+/// to 20 s and runs `count` requests of vm-0 in each second from `from_second`
+/// on.
+std::vector<std::string> CheckLimitedRuns(InvariantChecker& checker,
+                                          int from_second, int count) {
+  checker.RecordLimitedSpan({"i-1", 2, At(10000), At(20000)});
+  std::vector<EngineRun> runs;
+  for (int second = from_second; second < 20; ++second) {
+    for (int i = 0; i < count; ++i) {
+      EngineRun run;
+      run.engine = "i-1";
+      run.request_id = "r-" + std::to_string(runs.size());
+      run.at = At(second * 1000 + i);
+      checker.RecordRequest(run.request_id, {});
+      runs.push_back(run);
+    }
+  }
+  return checker.Check(runs, {}, [](const EngineRun&) { return "vm-0"; });
+}
+
+TEST_CASE("an endpoint that names a limit may get 1.5 times it and 5 more") {
+  InvariantChecker checker;
+  SECTION("in any 4 s") { CHECK(CheckLimitedRuns(checker, 10, 4).empty()); }
+  SECTION("and no more") {
+    const auto violations = CheckLimitedRuns(checker, 10, 5);
+    REQUIRE(violations.size() == 1);
+    CHECK(violations.front() ==
+          "i-1 named a limit of 2 a second and ran 20 requests in 4 s from "
+          "daemons that weren't disrupted, allowed 17");
+  }
+  SECTION("but for the first 4 s and daemons that were disrupted") {
+    CHECK(CheckLimitedRuns(checker, 17, 5).empty());
+    checker.RecordDisruption("vm-0", Disruption::kProcess, At(12000));
+    CHECK(CheckLimitedRuns(checker, 10, 100).empty());
+  }
+}
+
 }  // namespace
 }  // namespace gypsumtrack::testing
