--- a/packages/testing/include/gypsumtrack/testing/site_standin.h
+++ b/packages/testing/include/gypsumtrack/testing/site_standin.h
@@ -103,6 +103,8 @@
   void SetFaults(const EngineFaults& faults);
   /// Sets the pause before each event; none by default.
   void SetEventPause(base::Duration pause);
+  /// Makes each run fall silent for that time before the event with that id.
+  void SetSilence(std::uint64_t before_event, base::Duration duration);
   /// Sets whether all its responses report that it leaves.
   void SetLeaving(bool is_leaving);
   /// Sets the value of the header in which all its responses name the requests
@@ -135,6 +137,8 @@
   /// Whether a request with this body crashes the engine once that many events
   /// of its answer were sent.
   bool CrashesAfter(const std::string& body, std::uint64_t events) const;
+  /// Returns how long a run pauses before the event with that id.
+  base::Duration PauseBefore(const EngineRun& run, std::uint64_t event) const;
   /// Streams the events after `run.after_event`, with the given faults.
   boost::asio::awaitable<void> Stream(gateway::Exchange& exchange,
                                       EngineRun run, bool breaks_between_events,
@@ -145,6 +149,8 @@
   mutable std::mutex mutex;
   EngineFaults faults;
   base::Duration event_pause{0};
+  std::uint64_t silent_before_event = 0;
+  base::Duration silence{0};
   bool leaving = false;
   std::string rate_limit;
   std::string crashing_part;
--- a/packages/testing/src/site_standin.cc
+++ b/packages/testing/src/site_standin.cc
@@ -312,6 +312,23 @@
   this->event_pause = pause;
 }
 
+void EngineStandin::SetSilence(std::uint64_t before_event,
+                               base::Duration duration) {
+  const std::lock_guard lock(this->mutex);
+  this->silent_before_event = before_event;
+  this->silence = duration;
+}
+
+base::Duration EngineStandin::PauseBefore(const EngineRun& run,
+                                          std::uint64_t event) const {
+  const std::lock_guard lock(this->mutex);
+  base::Duration pause = this->event_pause;
+  if (run.event_pause_millis > 0) {
+    pause = std::chrono::milliseconds(run.event_pause_millis);
+  }
+  return event == this->silent_before_event ? pause + this->silence : pause;
+}
+
 void EngineStandin::SetLeaving(bool is_leaving) {
   const std::lock_guard lock(this->mutex);
   this->leaving = is_leaving;
@@ -444,15 +461,8 @@
       {"X-Gypsumtrack-Response-Seal", "seal-" + this->instance_id});
   head.headers.push_back({"X-Gypsumtrack-Server-Load", "1,0,8"});
   std::ignore = co_await exchange.BeginStream(std::move(head));
-  base::Duration pause{0};
-  {
-    const std::lock_guard lock(this->mutex);
-    pause = this->event_pause;
-  }
-  if (run.event_pause_millis > 0) {
-    pause = std::chrono::milliseconds(run.event_pause_millis);
-  }
   for (auto id = run.after_event + 1; id <= kEvents; ++id) {
+    const auto pause = this->PauseBefore(run, id);
     if (pause > base::Duration::zero()) co_await gateway::Pause(pause);
     if (this->CrashesAfter(run.body, id - 1)) {
       this->Crash(exchange);
