Read and log the versions of endpoints' software, and what a request continues

The logs of the incident of two versions couldn't tell which version began a stream, nor that a request continues one. `endpoint_known` and `sent` name the version now, and `sent` the request that is continued. Nothing decides by either yet.

--- a/packages/gateway/include/gypsumtrack/gateway/serving/wire.h
+++ b/packages/gateway/include/gypsumtrack/gateway/serving/wire.h
@@ -32,6 +32,9 @@
   std::optional<base::Duration> requested_timeout;
   /// Id of the last event of a stream that the caller has received.
   std::optional<std::uint64_t> after_event;
+  /// Id of the request whose response began the stream that this request
+  /// continues; empty if it continues none.
+  std::string continued_request;
   /// Parts of the prompt that other requests may have as well, in order. The
   /// last part of a prompt is the request's own and isn't among them.
   std::vector<base::PromptPart> shared_parts;
--- a/packages/gateway/src/serving/relay_service.cc
+++ b/packages/gateway/src/serving/relay_service.cc
@@ -300,6 +300,8 @@
                             {"fingerprint", this->fingerprint.text},
                             {"parts", FormatParts(this->facts.shared_parts)},
                             {"endpoint", choice.endpoint.id.text},
+                            {"version", choice.endpoint.version},
+                            {"continues", this->facts.continued_request},
                             {"load", choice.known_load},
                             {"send", this->attempts.attempt_count() + 1},
                             {"rules", this->access.rules->version},
--- a/packages/gateway/src/serving/store_view_service.cc
+++ b/packages/gateway/src/serving/store_view_service.cc
@@ -157,12 +157,14 @@
                          found->second.address == entry->address &&
                          found->second.draining == entry->draining &&
                          found->second.service == entry->service &&
+                         found->second.version == entry->version &&
                          found->second.slots == entry->slots;
   if (unchanged) return false;
   base::LogEvent("endpoint_known", {{"endpoint", key},
                                     {"row_version", row.version},
                                     {"address", entry->address},
                                     {"service", entry->service.text},
+                                    {"version", entry->version},
                                     {"slots", entry->slots},
                                     {"draining", entry->draining ? 1 : 0}});
   this->entries[key] = std::move(*entry);
--- a/packages/policy/include/gypsumtrack/policy/serving/endpoint_registry.h
+++ b/packages/policy/include/gypsumtrack/policy/serving/endpoint_registry.h
@@ -28,6 +28,9 @@
   std::string address;
   base::Location location;
   base::Service service;
+  /// Version of the endpoint's software. What endpoints of two versions write
+  /// doesn't fit together in one stream.
+  std::string version;
   /// Number of requests that the endpoint processes concurrently.
   std::uint32_t slots = 1;
   /// Whether the endpoint is shutting down and accepts no new requests.
