--- a/packages/testing/include/gypsumtrack/testing/site_standin.h
+++ b/packages/testing/include/gypsumtrack/testing/site_standin.h
@@ -99,6 +99,9 @@
   /// The same with another address, such as that of a proxy.
   std::string Entry(const std::string& service, bool draining,
                     const std::string& address) const;
+  /// Sets the version of its software in entries made from now on; "v1" until
+  /// then.
+  void SetVersion(const std::string& version);
   /// Replaces the injected faults.
   void SetFaults(const EngineFaults& faults);
   /// Sets the pause before each event; none by default.
@@ -146,6 +149,7 @@
 
   boost::asio::any_io_executor executor;
   std::string instance_id;
+  std::string software_version = "v1";
   mutable std::mutex mutex;
   EngineFaults faults;
   base::Duration event_pause{0};
--- a/packages/testing/src/site_standin.cc
+++ b/packages/testing/src/site_standin.cc
@@ -290,11 +290,12 @@
 
 std::string EngineStandin::Entry(const std::string& service, bool draining,
                                  const std::string& address) const {
+  const std::lock_guard lock(this->mutex);
   return json::serialize(
       json::object{{"service", service},
                    {"addr", address},
                    {"zone", "cairo"},
-                   {"version", "v1"},
+                   {"version", this->software_version},
                    {"slots", 8},
                    {"state", draining ? "draining" : "ready"},
                    {"coldLeftMs", 0},
@@ -302,6 +303,11 @@
                    {"seq", 1}});
 }
 
+void EngineStandin::SetVersion(const std::string& version) {
+  const std::lock_guard lock(this->mutex);
+  this->software_version = version;
+}
+
 void EngineStandin::SetFaults(const EngineFaults& next) {
   const std::lock_guard lock(this->mutex);
   this->faults = next;
