Let a request ask for endpoints of one software version

Part of the fix for streams joined from two versions: the registry can choose among the endpoints of one version and count those of each. Nothing asks for it yet.

--- a/packages/policy/include/gypsumtrack/policy/serving/endpoint_registry.h
+++ b/packages/policy/include/gypsumtrack/policy/serving/endpoint_registry.h
@@ -60,6 +60,19 @@
   auto operator<=>(const EndpointLoad&) const = default;
 };
 
+/// Endpoints of one software version.
+struct VersionCount {
+  /// Known ones, draining and leaving ones included.
+  std::uint32_t known = 0;
+  /// Those that accept requests.
+  std::uint32_t accepting = 0;
+
+  auto operator<=>(const VersionCount&) const = default;
+};
+
+/// Endpoints of a service by the version of their software.
+using VersionCounts = std::map<std::string, VersionCount>;
+
 /// Loads keyed by endpoint.
 using EndpointLoads = std::map<base::EndpointId, EndpointLoad>;
 
@@ -144,6 +157,9 @@
 /// Describes the endpoint that a request needs.
 struct EndpointQuery {
   base::Service service;
+  /// Version of the software that must continue a stream or an output; none if
+  /// the request begins anew.
+  std::optional<std::string> version;
   /// Location from which the request is sent.
   base::Location origin;
   /// Endpoints that this request was already sent to. They aren't chosen.
@@ -260,6 +276,9 @@
   /// draining nor leaving.
   bool AcceptsRequests(const base::EndpointId& id,
                        std::uint64_t incarnation) const;
+  /// Returns the endpoints of each software version of a service, draining ones
+  /// included.
+  VersionCounts CountByVersion(const base::Service& service) const;
   /// Returns the number of online requests as a fraction of the service's
   /// slots, of which a limited endpoint has as many as it has requests. It is
   /// above 1 if there are more online requests than slots.
--- a/packages/policy/src/serving/endpoint_registry.cc
+++ b/packages/policy/src/serving/endpoint_registry.cc
@@ -290,7 +290,8 @@
 
 bool EndpointRegistry::Matches(const State& state,
                                const EndpointQuery& query) const {
-  return state.entry.service == query.service && this->Accepts(state) &&
+  const bool fits = !query.version || *query.version == state.entry.version;
+  return state.entry.service == query.service && fits && this->Accepts(state) &&
          !query.tried.contains(state.entry.id);
 }
 
@@ -525,6 +526,18 @@
          found->second.entry.incarnation == incarnation;
 }
 
+VersionCounts EndpointRegistry::CountByVersion(
+    const base::Service& service) const {
+  VersionCounts counts;
+  for (const auto& [id, state] : this->states) {
+    if (state.entry.service != service) continue;
+    auto& count = counts[state.entry.version];
+    ++count.known;
+    if (this->Accepts(state)) ++count.accepting;
+  }
+  return counts;
+}
+
 double EndpointRegistry::OnlineShare(const base::Service& service,
                                      base::Instant now) const {
   double slots = 0;
--- a/packages/policy/test/serving/endpoint_registry_test.cc
+++ b/packages/policy/test/serving/endpoint_registry_test.cc
@@ -52,6 +52,50 @@
   }
 }
 
+// A stream or output that one software version began must not go on at another.
+TEST_CASE(
+    "a request that continues a stream goes to the version of its begin") {
+  const auto make_endpoint = [](const std::string& id,
+                                const std::string& version, bool draining) {
+    auto entry = MakeEndpoint(id, kOwnDomain);
+    entry.version = version;
+    entry.draining = draining;
+    return entry;
+  };
+  EndpointRegistry registry({});
+  registry.ReplaceEntries(
+      {make_endpoint("old", "v1", false), make_endpoint("leaving", "v1", true),
+       make_endpoint("new", "v2", false)},
+      {}, kStart);
+  auto query = MakeQuery();
+  SECTION("however loaded its endpoints are") {
+    query.version = "v1";
+    StartAttempts(registry, "old", 9);
+    CHECK(registry.ChooseOnline(query, kStart).endpoint.id == Id("old"));
+    StartAttempts(registry, "old", 1);
+    CHECK(registry.ChooseOnline(query, kStart).status ==
+          ChoiceStatus::kNoCapacity);
+    CHECK(registry.ChooseBatch(query, 0, kStart).status ==
+          ChoiceStatus::kNoCapacity);
+  }
+  SECTION("or nowhere if that version has gone") {
+    query.version = "v0";
+    CHECK(registry.ChooseOnline(query, kStart).status ==
+          ChoiceStatus::kNoEndpoint);
+    CHECK(registry.ChooseBatch(query, 0, kStart).status ==
+          ChoiceStatus::kNoEndpoint);
+  }
+  SECTION("one that begins anew goes to any") {
+    StartAttempts(registry, "old", 3);
+    CHECK(registry.ChooseOnline(query, kStart).endpoint.id == Id("new"));
+  }
+  SECTION("the endpoints of each version are counted, with those that drain") {
+    const VersionCounts expected{{"v1", {2, 1}}, {"v2", {1, 1}}};
+    CHECK(registry.CountByVersion(kService) == expected);
+    CHECK(registry.CountByVersion(base::Service("unknown")).empty());
+  }
+}
+
 TEST_CASE("load of peers counts like load of this daemon") {
   EndpointRegistry registry({});
   registry.ReplaceEntries(
