Continue streams at the software version that began them

What callers saw: a stream that had broken off, or whose daemon had been killed, went on at an endpoint of another software version, answered 200 and ran to its end, its text joined from two versions.

Cause: the version of an endpoint was never used, and a daemon that hadn't begun a stream had no way to learn who had. Class of fault: state that belongs to a stream is kept by the process that relays it, or by nobody.

Now (docs/design/stream-versions.md) a service has a default version in the store; streams of any other version are recorded there before their first event is relayed. A stream is continued, within one response or when it is taken up, only at endpoints of the recorded version, else of the default one; with none left the request is refused at once.

Ruled out: the split of routes by weight as cause of the incident (one service). It could join streams of two services; the service of a stream now follows from the request that began it.

--- a/packages/gateway/include/gypsumtrack/gateway/serving/serving_context.h
+++ b/packages/gateway/include/gypsumtrack/gateway/serving/serving_context.h
@@ -2,7 +2,10 @@
 #define GYPSUMTRACK_GATEWAY_SERVING_SERVING_CONTEXT_H_
 
 #include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <random>
 #include <string>
@@ -17,6 +20,7 @@
 #include "gypsumtrack/policy/serving/crash_quarantine.h"
 #include "gypsumtrack/policy/serving/endpoint_registry.h"
 #include "gypsumtrack/policy/serving/fleet_quota.h"
+#include "gypsumtrack/policy/serving/stream_versions.h"
 #include "gypsumtrack/telemetry/metrics.h"
 
 /// State that the components of a serving daemon share.
@@ -67,6 +71,38 @@
       on_lost;
 };
 
+/// A record of which endpoints begin a stream.
+struct StreamRecord {
+  /// Whether the store has confirmed it.
+  bool is_written = false;
+  /// Whether the store may have written it, or may do so later.
+  bool may_be_written = false;
+  /// Set by the relay to end further attempts to write it.
+  bool is_abandoned = false;
+};
+
+/// Hooks that keep streams of different software versions apart. Empty until
+/// the stream version service has started.
+struct StreamVersionHooks {
+  /// Returns the default version of a service, or none if it isn't known.
+  /// Streams of any other version must be recorded before their first event.
+  std::function<std::optional<std::string>(const base::Service&)>
+      default_version;
+  /// Whether records are written in time at the moment.
+  std::function<bool()> can_record;
+  /// Starts to record who begins the stream of a request in an attempt.
+  std::function<std::shared_ptr<StreamRecord>(
+      const std::string& request, std::uint32_t attempt,
+      const policy::StreamOrigin& origin, base::Instant deadline)>
+      record;
+  /// Finds who began the stream of a request, which is at the default version
+  /// of `service` unless recorded otherwise. Errors: those of a read, and
+  /// kNotFound if it can't be told.
+  std::function<boost::asio::awaitable<base::Outcome<policy::StreamOrigin>>(
+      std::string request, base::Service service)>
+      find_origin;
+};
+
 /// Shared state of a serving daemon. Must be used on the thread of `executor`,
 /// except for the store, the store view, the client and the metrics, which are
 /// thread-safe.
@@ -85,6 +121,7 @@
   policy::FleetQuota quota;
   policy::BatchStartLimiter batch_starts;
   CrashHooks crash_hooks;
+  StreamVersionHooks stream_versions;
   std::minstd_rand random;
   /// Set once the daemon has been asked to stop.
   bool shutting_down = false;
@@ -94,8 +131,12 @@
   /// Returns a query for an endpoint of one of the route's services, which is
   /// picked by weight.
   policy::EndpointQuery MakeQuery(const policy::RouteRule& route) {
+    return this->MakeQuery(policy::PickService(route, this->NextRandom()));
+  }
+  /// Returns a query for an endpoint of the service.
+  policy::EndpointQuery MakeQuery(const base::Service& service) {
     policy::EndpointQuery query;
-    query.service = policy::PickService(route, this->NextRandom());
+    query.service = service;
     query.origin = this->settings.location;
     query.random_value = this->NextRandom();
     query.has_idle_connection = [this](const std::string& address) {
--- a/packages/gateway/include/gypsumtrack/gateway/serving/store_layout.h
+++ b/packages/gateway/include/gypsumtrack/gateway/serving/store_layout.h
@@ -13,6 +13,7 @@
 #include "gypsumtrack/gateway/serving/fleet_service.h"
 #include "gypsumtrack/policy/serving/crash_quarantine.h"
 #include "gypsumtrack/policy/serving/job_run.h"
+#include "gypsumtrack/policy/serving/stream_versions.h"
 
 /// Tables, keys and row formats in the platform's store. All rows of a batch
 /// job are in the partition of its organisation, so that one transaction can
@@ -29,6 +30,8 @@
 /// | partial    | organisation | job           | the owner, periodically     |
 /// | submission | organisation | job           | the accepting daemon, once  |
 /// | crash      |              | suspect/VM    | that VM, after crashes      |
+/// | versions   |              | service       | one daemon, rarely          |
+/// | streams    | hash         | hash.attempt  | the daemon that relays it   |
 ///
 /// All functions are thread-safe. The parsers return kInvalid if the value
 /// isn't a JSON object with the expected fields.
@@ -43,6 +46,8 @@
 inline constexpr const char* kPartialTable = "partial";
 inline constexpr const char* kSubmissionTable = "submission";
 inline constexpr const char* kCrashTable = "crash";
+inline constexpr const char* kVersionTable = "versions";
+inline constexpr const char* kStreamTable = "streams";
 
 /// Serializes the registration of a daemon. The VM's name is the key of the
 /// row, not part of the value.
@@ -128,6 +133,22 @@
 /// Parses a report on crashes. Errors: kInvalid.
 base::Outcome<policy::CrashReport> ParseCrashReport(std::string_view value);
 
+/// Serializes the default software version of a service, whose name is the key
+/// of the row.
+std::string SerializeDefaultVersion(const std::string& version);
+/// Parses the default software version of a service. Errors: kInvalid.
+base::Outcome<std::string> ParseDefaultVersion(std::string_view value);
+
+/// Key of the row that states which endpoints begin the stream of a request in
+/// its attempt with that number. The newest attempt has the greatest key.
+base::RowKey StreamRowKey(const std::string& request, std::uint32_t attempt);
+/// The range of the rows of all attempts of a request.
+base::RowRange StreamRange(const std::string& request);
+/// Serializes which endpoints begin a stream.
+std::string SerializeStreamOrigin(const policy::StreamOrigin& origin);
+/// Parses which endpoints began a stream. Errors: kInvalid.
+base::Outcome<policy::StreamOrigin> ParseStreamOrigin(std::string_view value);
+
 /// Name of the object that holds a job as submitted.
 std::string SubmissionObjectName(const base::Organisation& organisation,
                                  const base::JobId& job);
--- a/packages/gateway/src/serving/relay_service.cc
+++ b/packages/gateway/src/serving/relay_service.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "gypsumtrack/base/event_log.h"
+#include "gypsumtrack/base/hash.h"
 #include "gypsumtrack/gateway/http_status.h"
 #include "gypsumtrack/gateway/serving/row_store_await.h"
 #include "gypsumtrack/policy/serving/attempts.h"
@@ -29,6 +30,13 @@
 /// kMinProgressTimeout if that is longer.
 constexpr int kMaxEventGaps = 3;
 constexpr base::Duration kMinProgressTimeout = std::chrono::milliseconds(1000);
+/// Time for which the first event of a stream waits for the record of its
+/// version before the stream is begun at the default version instead.
+constexpr base::Duration kRecordWait = std::chrono::milliseconds(400);
+constexpr base::Duration kRecordPollInterval = std::chrono::milliseconds(3);
+/// Retry delay for callers while it can't be read who began their stream.
+constexpr base::Duration kUnknownOriginRetryAfter =
+    std::chrono::milliseconds(300);
 /// Error codes of requests that crash endpoints, by themselves or by a part of
 /// their prompt.
 constexpr const char* kBadRequestCode = "request_crashes_endpoints";
@@ -87,11 +95,146 @@
     }
     this->exchange.OnCallerDisconnect(
         [cancel = this->cancel] { cancel->Cancel(); });
-    bool retry = true;
+    bool retry = co_await this->FindOrigin();
     while (retry) retry = co_await this->Attempt();
   }
 
  private:
+  // Software versions.
+
+  /// Whether a stream of this route may be continued at another endpoint. Other
+  /// requests begin anew in each attempt, so that any version may run them.
+  bool IsResumableStream() const {
+    return this->route.kind == policy::RequestKind::kStream &&
+           this->route.resumable;
+  }
+
+  /// The service that begins the stream of a request: always the same, so that
+  /// any daemon can tell it without a record.
+  const base::Service& FirstService(const std::string& request) const {
+    return policy::PickService(this->route, base::Hash64(request));
+  }
+
+  /// Finds out who began the stream that the caller takes up, if it does.
+  /// Refuses the request and returns false if that can't be told.
+  asio::awaitable<bool> FindOrigin() {
+    const auto& find = this->context.stream_versions.find_origin;
+    if (!this->IsResumableStream() || !this->after_event || !find)
+      co_return true;
+    const auto& begun_by = this->facts.continued_request;
+    auto found = co_await find(begun_by, this->FirstService(begun_by));
+    base::LogEvent(
+        "continued",
+        {{"request", this->facts.request_id},
+         {"begun_by", begun_by},
+         {"after", *this->after_event},
+         {"version", found.ok() ? found->version : std::string()},
+         {"reason", found.ok() ? std::string() : found.error().message}});
+    if (found.ok()) {
+      this->origin = std::move(*found);
+      co_return true;
+    }
+    this->context.quota.ReturnToken(this->organisation);
+    Refusal refusal{status::kUnavailable, "unknown_version",
+                    kUnknownOriginRetryAfter};
+    co_await SendRefusal(this->context, this->exchange, this->facts.request_id,
+                         std::move(refusal));
+    co_return false;
+  }
+
+  /// Makes a query for endpoints that may serve the next attempt.
+  policy::EndpointQuery MakeQuery() const {
+    if (this->origin) return this->MakeContinuationQuery();
+    if (!this->IsResumableStream() || this->attempts.attempt_count() > 0) {
+      auto query = this->context.MakeQuery(this->route);
+      if (this->IsResumableStream())
+        query.version = this->VersionWithoutRecords(query.service);
+      return query;
+    }
+    auto query =
+        this->context.MakeQuery(this->FirstService(this->facts.request_id));
+    query.version = this->VersionWithoutRecords(query.service);
+    return query;
+  }
+
+  policy::EndpointQuery MakeContinuationQuery() const {
+    const auto& services = this->route.services;
+    const bool is_routed =
+        std::any_of(services.begin(), services.end(), [this](const auto& each) {
+          return each.service == this->origin->service && each.weight > 0;
+        });
+    // The rules in force may have moved the route to another service.
+    auto query = is_routed ? this->context.MakeQuery(this->origin->service)
+                           : this->context.MakeQuery(this->route);
+    query.version = this->origin->version;
+    return query;
+  }
+
+  /// Returns the default version if records can't be written now and endpoints
+  /// of it accept requests.
+  std::optional<std::string> VersionWithoutRecords(
+      const base::Service& service) const {
+    const auto& hooks = this->context.stream_versions;
+    if (!hooks.can_record || hooks.can_record()) return std::nullopt;
+    auto version = hooks.default_version(service);
+    if (!version || !this->HasEndpoints(service, *version)) return std::nullopt;
+    return version;
+  }
+
+  bool HasEndpoints(const base::Service& service,
+                    const std::string& version) const {
+    const auto counts = this->context.endpoints.CountByVersion(service);
+    const auto found = counts.find(version);
+    return found != counts.end() && found->second.accepting > 0;
+  }
+
+  /// Starts to record who begins the stream, unless all daemons can tell.
+  void RecordOrigin(const policy::EndpointEntry& endpoint) {
+    this->attempt_origin = {endpoint.service, endpoint.version};
+    const auto& hooks = this->context.stream_versions;
+    const bool may_begin = this->IsResumableStream() && !this->origin;
+    if (!may_begin || !hooks.record) return;
+    const bool is_implied =
+        endpoint.service == this->FirstService(this->facts.request_id) &&
+        hooks.default_version(endpoint.service) == endpoint.version;
+    this->AbandonRecord();
+    if (is_implied && !this->record) return;
+    this->record =
+        hooks.record(this->facts.request_id, this->attempts.attempt_count(),
+                     this->attempt_origin, this->deadline);
+  }
+
+  /// Ends the record of an earlier attempt. It stays in place if the store may
+  /// have it, because a newer one is needed then.
+  void AbandonRecord() {
+    if (!this->record) return;
+    this->record->is_abandoned = true;
+    if (!this->record->may_be_written) this->record.reset();
+  }
+
+  /// Waits until it is recorded who begins the stream. Returns false if that
+  /// takes too long and the default version can begin the stream instead.
+  asio::awaitable<bool> WaitForRecord() {
+    const auto wait_deadline =
+        std::min(this->Now() + kRecordWait, this->deadline);
+    while (this->record && !this->record->is_written) {
+      if (this->Now() >= wait_deadline) {
+        const auto version = this->context.stream_versions.default_version(
+            this->attempt_origin.service);
+        const bool has_alternative =
+            version && *version != this->attempt_origin.version &&
+            this->HasEndpoints(this->attempt_origin.service, *version);
+        base::LogEvent("stream_record_late",
+                       {{"request", this->facts.request_id},
+                        {"version", this->attempt_origin.version},
+                        {"begun", has_alternative ? 0 : 1}});
+        co_return !has_alternative;
+      }
+      co_await Pause(kRecordPollInterval);
+    }
+    co_return true;
+  }
+
   base::Instant Now() const { return this->context.clock.now(); }
   bool CallerDisconnected() const { return this->cancel->cancelled(); }
 
@@ -152,7 +295,7 @@
   /// none matches or the request has waited as long as it may.
   asio::awaitable<policy::EndpointChoice> ChooseEndpoint() {
     const auto wait_deadline = this->CapacityWaitDeadline();
-    auto query = this->context.MakeQuery(this->route);
+    auto query = this->MakeQuery();
     for (;;) {
       const auto now = this->Now();
       const auto choice = this->ChooseNow(query, this->tried);
@@ -167,7 +310,8 @@
   }
 
   base::Instant CapacityWaitDeadline() const {
-    if (this->attempts.attempt_count() == 0)
+    // Of a stream that is taken up the caller has lost the time already.
+    if (this->attempts.attempt_count() == 0 && !this->origin)
       return policy::CapacityWaitDeadline(this->arrived, this->route);
     // The attempt that was abandoned might have gone on.
     if (this->abandoned_attempt) return this->deadline;
@@ -200,7 +344,7 @@
       return false;
     if (!this->CanResume() || !this->IsKeyValid()) return false;
     if (FindQuarantined(this->context, this->suspects)) return false;
-    auto query = this->context.MakeQuery(this->route);
+    auto query = this->MakeQuery();
     auto tried_endpoints = this->tried;
     const auto choice = this->ChooseNow(query, tried_endpoints);
     return choice.status == policy::ChoiceStatus::kChosen;
@@ -221,7 +365,8 @@
   asio::awaitable<void> GiveUpWithoutEndpoint(
       policy::ChoiceStatus choice_status) {
     const bool no_capacity = choice_status == policy::ChoiceStatus::kNoCapacity;
-    const std::string reason = no_capacity ? "no_room" : "no_endpoint";
+    const char* none_matches = this->origin ? "version_gone" : "no_endpoint";
+    const std::string reason = no_capacity ? "no_room" : none_matches;
     if (this->response_started) {
       this->AbortResponse(reason);
       co_return;
@@ -311,6 +456,7 @@
     this->splitter = {};
     this->attempt_events = 0;
     this->arrival_limit = {};
+    this->RecordOrigin(choice.endpoint);
     EndpointCall call;
     call.address = choice.endpoint.address;
     call.method = this->exchange.request().method;
@@ -390,6 +536,13 @@
                                             std::string bytes) {
     if (bytes.empty()) co_return base::Done{};
     if (!this->response_started) {
+      const bool is_recorded = co_await this->WaitForRecord();
+      if (!is_recorded) {
+        this->after_event = this->facts.after_event;
+        co_return base::Error(base::Errc::kTimeout,
+                              "the version of the stream isn't recorded");
+      }
+      if (!this->origin) this->origin = this->attempt_origin;
       auto started = co_await this->StartStream(head);
       if (!started.ok()) co_return started;
     }
@@ -566,6 +719,13 @@
   /// caller reports to have received.
   std::optional<std::uint64_t> after_event;
   bool response_started = false;
+  /// Who began the stream, once its first event was relayed, here or for an
+  /// earlier request that this one continues.
+  std::optional<policy::StreamOrigin> origin;
+  /// Where the current attempt was sent.
+  policy::StreamOrigin attempt_origin;
+  /// The newest record of who begins the stream; null if none is needed.
+  std::shared_ptr<StreamRecord> record;
   /// Whether the last attempt was given up because its endpoint was silent.
   bool abandoned_attempt = false;
 };
--- a/packages/gateway/src/serving/serving_daemon.cc
+++ b/packages/gateway/src/serving/serving_daemon.cc
@@ -24,6 +24,7 @@
 #include "gypsumtrack/gateway/serving/relay_service.h"
 #include "gypsumtrack/gateway/serving/row_store_await.h"
 #include "gypsumtrack/gateway/serving/serving_context.h"
+#include "gypsumtrack/gateway/serving/stream_version_service.h"
 
 namespace gypsumtrack::gateway {
 namespace {
@@ -144,6 +145,8 @@
         GossipOptions{}, std::move(hooks));
     this->jobs = std::make_unique<JobService>(this->serving, *this->fleet);
     this->crashes = std::make_unique<CrashService>(this->serving, *this->fleet);
+    this->stream_versions =
+        std::make_unique<StreamVersionService>(this->serving, *this->fleet);
     this->AddGauges();
   }
 
@@ -162,6 +165,7 @@
     this->fleet->Start();
     this->jobs->Start();
     this->crashes->Start();
+    this->stream_versions->Start();
     asio::co_spawn(
         this->context, [this] { return this->RunPeriodicTasks(); },
         asio::detached);
@@ -539,6 +543,7 @@
   std::unique_ptr<GossipService> gossip;
   std::unique_ptr<JobService> jobs;
   std::unique_ptr<CrashService> crashes;
+  std::unique_ptr<StreamVersionService> stream_versions;
   std::unique_ptr<HttpServer> caller_server;
   std::unique_ptr<HttpServer> readiness_server;
   std::unique_ptr<HttpServer> metrics_server;
--- a/packages/gateway/src/serving/store_layout.cc
+++ b/packages/gateway/src/serving/store_layout.cc
@@ -13,6 +13,9 @@
 
 constexpr std::string_view kRouteKeyPrefix = "route/";
 constexpr std::string_view kJobKeyPrefix = "job/";
+/// Partitions of the streams. A partition accepts a limited number of
+/// transactions a second, and each stream in need of a record takes one.
+constexpr std::uint64_t kStreamPartitions = 16;
 
 base::Error MalformedRow(std::string_view table) {
   return {base::Errc::kInvalid, fmt::format("The {} row is malformed.", table)};
@@ -279,6 +282,46 @@
   return report;
 }
 
+std::string SerializeDefaultVersion(const std::string& version) {
+  return json::serialize(json::object{{"version", version}});
+}
+
+base::Outcome<std::string> ParseDefaultVersion(std::string_view value) {
+  auto version = StringField(ParseObject(value), "version");
+  if (!version) return MalformedRow("versions");
+  return std::move(*version);
+}
+
+base::RowKey StreamRowKey(const std::string& request, std::uint32_t attempt) {
+  const auto hash = base::Hash64(request);
+  return {kStreamTable, std::to_string(hash % kStreamPartitions),
+          fmt::format("{:016x}.{:08}", hash, attempt)};
+}
+
+base::RowRange StreamRange(const std::string& request) {
+  const auto first = StreamRowKey(request, 0);
+  base::RowRange range;
+  range.table = first.table;
+  range.partition = first.partition;
+  range.from = first.key;
+  // The next character after the dot ends the range.
+  range.until = fmt::format("{:016x}/", base::Hash64(request));
+  return range;
+}
+
+std::string SerializeStreamOrigin(const policy::StreamOrigin& origin) {
+  return json::serialize(json::object{{"service", origin.service.text},
+                                      {"version", origin.version}});
+}
+
+base::Outcome<policy::StreamOrigin> ParseStreamOrigin(std::string_view value) {
+  const auto object = ParseObject(value);
+  const auto service = StringField(object, "service");
+  const auto version = StringField(object, "version");
+  if (!service || !version) return MalformedRow("streams");
+  return policy::StreamOrigin{base::Service(*service), *version};
+}
+
 std::string SubmissionObjectName(const base::Organisation& organisation,
                                  const base::JobId& job) {
   return fmt::format("job.{}.{}", organisation.text, job.text);
--- a/packages/gateway/test/serving/serving_fixture.h
+++ b/packages/gateway/test/serving/serving_fixture.h
@@ -39,6 +39,7 @@
                 .quota = policy::FleetQuota({}),
                 .batch_starts = policy::BatchStartLimiter({}),
                 .crash_hooks = {},
+                .stream_versions = {},
                 .random = std::minstd_rand(1)},
         fleet(this->context.get_executor(), this->clock, row_store,
               Settings(vm_name), this->serving.self,
