Don't end a response because the endpoints it is moved to refuse it

An attempt at a silent endpoint is given up once another endpoint has a free slot, by what this daemon knows of it. That endpoint may refuse the request, as full ones do, and so may all others: after six refusals, which took 2 ms, the stream was cut (or the request answered 502) while the first endpoint was about to go on. Class of fault: something that works is given up before its replacement is certain.

A request with an abandoned attempt is now sent again until its deadline, from the sixth refusal on every 100 ms, and waits for a free slot until then even if its last attempt was refused.

--- a/packages/gateway/src/serving/relay_service.cc
+++ b/packages/gateway/src/serving/relay_service.cc
@@ -24,6 +24,8 @@
 /// Longer than that of a new request, because the caller has nothing to gain by
 /// sending the request again itself.
 constexpr base::Duration kRetryCapacityWait = std::chrono::milliseconds(600);
+/// Interval between attempts of a request that many endpoints have refused.
+constexpr base::Duration kRefusedRetryInterval = std::chrono::milliseconds(100);
 /// An attempt of a request that can be sent again is abandoned when it makes no
 /// progress for kMaxEventGaps times the route's event gap objective, or for
 /// kMinProgressTimeout if that is longer.
@@ -170,7 +172,7 @@
     if (this->attempts.attempt_count() == 0)
       return policy::CapacityWaitDeadline(this->arrived, this->route);
     // The attempt that was abandoned might have gone on.
-    if (this->abandoned_attempt) return this->deadline;
+    if (this->attempts.abandoned()) return this->deadline;
     return this->Now() + kRetryCapacityWait;
   }
 
@@ -445,11 +447,17 @@
     }
     const auto now = this->Now();
     const auto outcome = this->ClassifyOutcome(result);
+    const bool abandoned = result.outcome == CallOutcome::kStalled &&
+                           outcome == policy::AttemptOutcome::kUnknown;
+    if (abandoned) {
+      this->attempts.OnAttemptAbandoned();
+      // It is avoided for a while, and may go on by then.
+      this->tried.erase(choice.endpoint.id);
+    }
     auto step = this->attempts.OnAttemptEnd(
         this->route, outcome, this->response_started, this->deadline - now);
     if (step == policy::NextStep::kRetry && !this->CanResume())
       step = policy::NextStep::kAbort;
-    this->abandoned_attempt = result.outcome == CallOutcome::kStalled;
     base::LogEvent("send_ended",
                    {{"request", this->facts.request_id},
                     {"endpoint", choice.endpoint.id.text},
@@ -463,6 +471,9 @@
     switch (step) {
       case policy::NextStep::kRetry:
         this->context.metrics.resumed.Add();
+        if (this->attempts.IsRefusedOften() &&
+            outcome == policy::AttemptOutcome::kNotRun)
+          co_await Pause(kRefusedRetryInterval);
         co_return true;
       case policy::NextStep::kDeliver:
         co_await this->Deliver(result);
@@ -564,8 +575,6 @@
   /// caller reports to have received.
   std::optional<std::uint64_t> after_event;
   bool response_started = false;
-  /// Whether the last attempt was given up because its endpoint was silent.
-  bool abandoned_attempt = false;
 };
 
 }  // namespace
--- a/packages/policy/include/gypsumtrack/policy/serving/attempts.h
+++ b/packages/policy/include/gypsumtrack/policy/serving/attempts.h
@@ -46,7 +46,8 @@
     {NextStep::kAbort, "break-off"},
 });
 
-/// Maximum number of attempts with outcome kNotRun for one request.
+/// Maximum number of attempts with outcome kNotRun for one request, unless an
+/// attempt of it was abandoned.
 inline constexpr std::uint32_t kMaxNotRunAttempts = 6;
 /// Minimum time until the caller's deadline for a retry. With less time, the
 /// attempt would occupy an endpoint without a chance to finish.
@@ -65,6 +66,15 @@
   /// without a response. `time_left` as above.
   bool MayRetryLostAttempt(const RouteRule& route,
                            base::Duration time_left) const;
+  /// Records that an attempt was given up though its endpoint might have gone
+  /// on. From then on the number of attempts with outcome kNotRun doesn't limit
+  /// retries. Call it before OnAttemptEnd.
+  void OnAttemptAbandoned() { this->has_abandoned = true; }
+  /// Whether an attempt was abandoned.
+  bool abandoned() const { return this->has_abandoned; }  // NOLINT
+  /// Whether retries should be spread over time, because kMaxNotRunAttempts
+  /// attempts had the outcome kNotRun.
+  bool IsRefusedOften() const { return this->not_run >= kMaxNotRunAttempts; }
   /// Whether an endpoint ran the request or may have run it.
   bool may_have_run() const { return this->possible_runs > 0; }  // NOLINT
   /// Number of attempts that have ended.
@@ -76,6 +86,7 @@
   /// Attempts with any outcome but kNotRun.
   std::uint32_t possible_runs = 0;
   std::uint32_t not_run = 0;
+  bool has_abandoned = false;
 };
 
 /// Until when a request waits for a free slot at an endpoint. Refusals have to
--- a/packages/policy/src/serving/attempts.cc
+++ b/packages/policy/src/serving/attempts.cc
@@ -20,9 +20,8 @@
   const bool has_time = time_left >= kMinAttemptTime;
   if (outcome == AttemptOutcome::kNotRun) {
     const bool may_run = !this->may_have_run() || MayRunAgain(route);
-    if (has_time && may_run && this->not_run < kMaxNotRunAttempts) {
-      return NextStep::kRetry;
-    }
+    const bool may_retry = this->has_abandoned || !this->IsRefusedOften();
+    if (has_time && may_run && may_retry) return NextStep::kRetry;
   } else if (has_time && MayRunAgain(route) &&
              this->possible_runs < route.max_runs) {
     return NextStep::kRetry;
--- a/packages/policy/test/serving/attempts_test.cc
+++ b/packages/policy/test/serving/attempts_test.cc
@@ -67,6 +67,18 @@
     tracker.OnAttemptEnd(route, AttemptOutcome::kUnknown, false, time_left);
     CHECK_FALSE(tracker.MayRetryLostAttempt(route, time_left));
   }
+  SECTION("refusals don't end one whose attempt was abandoned") {
+    const auto route = MakeStream(true, 2);
+    tracker.OnAttemptAbandoned();
+    tracker.OnAttemptEnd(route, AttemptOutcome::kUnknown, true, time_left);
+    for (std::uint32_t i = 0; i < 2 * kMaxNotRunAttempts; ++i) {
+      CHECK(tracker.IsRefusedOften() == (i >= kMaxNotRunAttempts));
+      CHECK(tracker.OnAttemptEnd(route, AttemptOutcome::kNotRun, true,
+                                 time_left) == NextStep::kRetry);
+    }
+    CHECK(tracker.OnAttemptEnd(route, AttemptOutcome::kNotRun, true,
+                               milliseconds(5)) == NextStep::kAbort);
+  }
   SECTION("a request that may have run isn't refused as not run") {
     const auto route = MakeStream(true, 3);
     tracker.OnAttemptEnd(route, AttemptOutcome::kUnknown, false, time_left);
