Reserve the slot that a silent attempt is given up for

An endpoint that falls silent stops all its streams in the same moment, so their progress timeouts expire together. Each request saw the same free slot at another endpoint and gave up its attempt for it, before the first of them had been sent there; the others waited for a slot while their endpoint had long gone on, and were cut at their deadline. Class of fault: something that works is given up before its replacement is certain.

The relay now counts the next attempt at its endpoint in the step in which it agrees to give up the current one, so the next request sees the slot as taken.

--- a/packages/gateway/src/serving/relay_service.cc
+++ b/packages/gateway/src/serving/relay_service.cc
@@ -91,6 +91,7 @@
         [cancel = this->cancel] { cancel->Cancel(); });
     bool retry = true;
     while (retry) retry = co_await this->Attempt();
+    this->ReleaseReservation();
   }
 
  private:
@@ -130,7 +131,7 @@
 
   /// Makes one attempt. Returns whether to retry the request.
   asio::awaitable<bool> Attempt() {
-    const auto choice = co_await this->ChooseEndpoint();
+    const auto choice = co_await this->NextEndpoint();
     if (this->CallerDisconnected()) {
       this->OnCallerDisconnected("before_send");
       co_return false;
@@ -150,6 +151,13 @@
     co_return retry;
   }
 
+  /// Returns the endpoint with the reserved slot, or waits for one.
+  asio::awaitable<policy::EndpointChoice> NextEndpoint() {
+    if (this->reservation) co_return *this->reservation;
+    const auto choice = co_await this->ChooseEndpoint();
+    co_return choice;
+  }
+
   /// Waits until an endpoint has a free slot. The choice has no endpoint if
   /// none matches or the request has waited as long as it may.
   asio::awaitable<policy::EndpointChoice> ChooseEndpoint() {
@@ -193,10 +201,11 @@
     return this->context.endpoints.ChooseOnline(query, now);
   }
 
-  /// Whether the request can be sent again now. If not, giving up an attempt
-  /// would end the response, though its endpoint may only be silent for a
-  /// moment.
-  bool CanBeSentAgain() const {
+  /// Whether the request can be sent again now. If so, reserves the slot for
+  /// it: the requests of an endpoint fall silent together, and each needs a
+  /// slot of its own. If not, giving up an attempt would end the response,
+  /// though its endpoint may only be silent for a moment.
+  bool ReserveNextAttempt() {
     const auto time_left = this->deadline - this->Now();
     if (!this->attempts.MayRetryLostAttempt(this->route, time_left))
       return false;
@@ -204,8 +213,21 @@
     if (FindQuarantined(this->context, this->suspects)) return false;
     auto query = this->context.MakeQuery(this->route);
     auto tried_endpoints = this->tried;
-    const auto choice = this->ChooseNow(query, tried_endpoints);
-    return choice.status == policy::ChoiceStatus::kChosen;
+    auto choice = this->ChooseNow(query, tried_endpoints);
+    if (choice.status != policy::ChoiceStatus::kChosen) return false;
+    this->ReleaseReservation();
+    this->context.endpoints.OnAttemptStarted(
+        choice.endpoint.id, policy::WorkKind::kOnline, this->Now());
+    this->reservation = std::move(choice);
+    return true;
+  }
+
+  void ReleaseReservation() {
+    if (!this->reservation) return;
+    this->context.endpoints.OnAttemptEnded(
+        this->reservation->endpoint.id, policy::WorkKind::kOnline,
+        policy::AttemptResult::kUnknown, this->Now());
+    this->reservation.reset();
   }
 
   /// Whether another endpoint can continue the response: without the id of an
@@ -327,7 +349,7 @@
     call.idempotent = policy::MayRunAgain(this->route);
     call.deadline = this->deadline;
     call.progress_timeout = this->ProgressTimeout(now);
-    call.may_abandon = [this] { return this->CanBeSentAgain(); };
+    call.may_abandon = [this] { return this->ReserveNextAttempt(); };
     call.cancel = this->cancel;
     if (this->route.kind == policy::RequestKind::kStream) {
       call.on_part = [this](const ResponseHead& head, std::string_view part) {
@@ -337,9 +359,11 @@
         return this->IsComplete(head);
       };
     }
-    auto result =
-        co_await SendToEndpoint(this->context, choice.endpoint,
-                                policy::WorkKind::kOnline, std::move(call));
+    const bool is_counted = this->reservation.has_value();
+    this->reservation.reset();
+    auto result = co_await SendToEndpoint(this->context, choice.endpoint,
+                                          policy::WorkKind::kOnline,
+                                          std::move(call), is_counted);
     ReportRunEnd(this->context, this->suspects, this->fingerprint.text,
                  choice.endpoint, result, this->attempt_events);
     co_return result;
@@ -575,6 +599,8 @@
   /// caller reports to have received.
   std::optional<std::uint64_t> after_event;
   bool response_started = false;
+  /// The endpoint of the next attempt, which is counted there already.
+  std::optional<policy::EndpointChoice> reservation;
 };
 
 }  // namespace
--- a/packages/gateway/src/serving/send_to_endpoint.cc
+++ b/packages/gateway/src/serving/send_to_endpoint.cc
@@ -126,10 +126,11 @@
 
 boost::asio::awaitable<EndpointResult> SendToEndpoint(
     ServingContext& context, policy::EndpointEntry endpoint,
-    policy::WorkKind kind, EndpointCall call) {
+    policy::WorkKind kind, EndpointCall call, bool is_counted) {
   context.metrics.attempts.Add();
   const auto sent_at = context.clock.now();
-  context.endpoints.OnAttemptStarted(endpoint.id, kind, sent_at);
+  if (!is_counted)
+    context.endpoints.OnAttemptStarted(endpoint.id, kind, sent_at);
   // The head of a stream arrives long before its end, so what it reports is
   // recorded at once.
   call.on_head = [&context, &endpoint, sent_at](const ResponseHead& head) {
--- a/packages/gateway/src/serving/send_to_endpoint.h
+++ b/packages/gateway/src/serving/send_to_endpoint.h
@@ -38,10 +38,11 @@
 /// Makes one attempt to send a request: runs the call and records its start,
 /// the load that the response reports and its result in the endpoint registry.
 /// Must run on the context's thread. Precondition: `call.address` is the
-/// endpoint's, `call.on_head` is empty, and `context` outlives the call.
+/// endpoint's, `call.on_head` is empty, and `context` outlives the call. If
+/// `is_counted`, the registry has recorded the start already.
 boost::asio::awaitable<EndpointResult> SendToEndpoint(
     ServingContext& context, policy::EndpointEntry endpoint,
-    policy::WorkKind kind, EndpointCall call);
+    policy::WorkKind kind, EndpointCall call, bool is_counted = false);
 
 }  // namespace gypsumtrack::gateway
 
