Show that a large request is given up while its endpoint doesn't read it

A small body waits in the buffers of the sockets and passes. Not mended: the option also finds links that are cut.

--- a/packages/gateway/test/endpoint_client_test.cc
+++ b/packages/gateway/test/endpoint_client_test.cc
@@ -187,6 +187,26 @@
   }
 }
 
+// The kernel gives up a connection whose receiver takes no more bytes for
+// EndpointClientOptions::tcp_user_timeout, as it does one without
+// acknowledgements.
+TEST_CASE("an endpoint takes two seconds before it reads a request",
+          "[.known-red]") {
+  ClientFixture fixture;
+  fixture.endpoint.SetReadPause(std::chrono::seconds(2));
+  fixture.endpoint.SetResponses(
+      {{kHead + "Content-Length: 1\r\n\r\nx", RawEnd::kKeepOpen}});
+  auto call = fixture.MakeCall();
+  call.may_abandon = [] { return false; };
+  SECTION("a small one is answered") {
+    CHECK(fixture.Send(std::move(call)).outcome == CallOutcome::kComplete);
+  }
+  SECTION("a large one is answered") {
+    call.body = std::string(kLargeRequestBytes / 64, 'x');
+    CHECK(fixture.Send(std::move(call)).outcome == CallOutcome::kComplete);
+  }
+}
+
 TEST_CASE("an endpoint sends bytes without end") {
   ClientFixture fixture;
   std::string text;
