Don't move a request to the silent endpoint itself

A silent attempt was given up for a free slot at the same endpoint if that was the only one, or if all others had been tried. The next attempt is no better there, the run that would have gone on is lost, and the endpoint may refuse: a stream was cut at its deadline after 21 refusals, and each silence of an only endpoint cost a run of each of its requests. Class of fault: something that works is given up before its replacement is certain.

The endpoint of the attempt in progress no longer counts as one to move to.

--- a/packages/gateway/src/serving/relay_service.cc
+++ b/packages/gateway/src/serving/relay_service.cc
@@ -185,7 +185,8 @@
   }
 
   /// Chooses an endpoint that isn't among `tried_endpoints`. If all were tried,
-  /// clears them and chooses any: the first ones may have recovered since.
+  /// clears them and chooses any but the one of the attempt in progress: the
+  /// first ones may have recovered since.
   policy::EndpointChoice ChooseNow(
       policy::EndpointQuery& query,
       std::set<base::EndpointId>& tried_endpoints) const {
@@ -197,7 +198,8 @@
                            !tried_endpoints.empty();
     if (!all_tried) return choice;
     tried_endpoints.clear();
-    query.tried.clear();
+    if (this->current_endpoint) tried_endpoints.insert(*this->current_endpoint);
+    query.tried = tried_endpoints;
     return this->context.endpoints.ChooseOnline(query, now);
   }
 
@@ -330,6 +332,7 @@
                             {"belief_age_ms",
                              this->context.StoreViewAge().count() / 1000}});
     this->tried.insert(choice.endpoint.id);
+    this->current_endpoint = choice.endpoint.id;
     this->splitter = {};
     this->attempt_events = 0;
     this->arrival_limit = {};
@@ -364,6 +367,7 @@
     auto result = co_await SendToEndpoint(this->context, choice.endpoint,
                                           policy::WorkKind::kOnline,
                                           std::move(call), is_counted);
+    this->current_endpoint.reset();
     ReportRunEnd(this->context, this->suspects, this->fingerprint.text,
                  choice.endpoint, result, this->attempt_events);
     co_return result;
@@ -591,6 +595,8 @@
   std::vector<policy::CrashSuspect> suspects;
   policy::AttemptTracker attempts;
   std::set<base::EndpointId> tried;
+  /// Endpoint of the attempt in progress.
+  std::optional<base::EndpointId> current_endpoint;
   policy::EventSplitter splitter;
   /// Number of events received in the current attempt.
   std::uint64_t attempt_events = 0;
