--- a/packages/gateway/src/serving/relay_service.cc
+++ b/packages/gateway/src/serving/relay_service.cc
@@ -25,6 +25,8 @@
 /// Longer than that of a new request, because the caller has nothing to gain by
 /// sending the request again itself.
 constexpr base::Duration kRetryCapacityWait = std::chrono::milliseconds(600);
+/// Interval between attempts of a request that many endpoints have refused.
+constexpr base::Duration kRefusedRetryInterval = std::chrono::milliseconds(100);
 /// An attempt of a request that can be sent again is abandoned when it makes no
 /// progress for kMaxEventGaps times the route's event gap objective, or for
 /// kMinProgressTimeout if that is longer.
@@ -97,6 +99,7 @@
         [cancel = this->cancel] { cancel->Cancel(); });
     bool retry = co_await this->FindOrigin();
     while (retry) retry = co_await this->Attempt();
+    this->ReleaseReservation();
   }
 
  private:
@@ -271,7 +274,7 @@
 
   /// Makes one attempt. Returns whether to retry the request.
   asio::awaitable<bool> Attempt() {
-    const auto choice = co_await this->ChooseEndpoint();
+    const auto choice = co_await this->NextEndpoint();
     if (this->CallerDisconnected()) {
       this->OnCallerDisconnected("before_send");
       co_return false;
@@ -291,6 +294,13 @@
     co_return retry;
   }
 
+  /// Returns the endpoint with the reserved slot, or waits for one.
+  asio::awaitable<policy::EndpointChoice> NextEndpoint() {
+    if (this->reservation) co_return *this->reservation;
+    const auto choice = co_await this->ChooseEndpoint();
+    co_return choice;
+  }
+
   /// Waits until an endpoint has a free slot. The choice has no endpoint if
   /// none matches or the request has waited as long as it may.
   asio::awaitable<policy::EndpointChoice> ChooseEndpoint() {
@@ -314,12 +324,13 @@
     if (this->attempts.attempt_count() == 0 && !this->origin)
       return policy::CapacityWaitDeadline(this->arrived, this->route);
     // The attempt that was abandoned might have gone on.
-    if (this->abandoned_attempt) return this->deadline;
+    if (this->attempts.abandoned()) return this->deadline;
     return this->Now() + kRetryCapacityWait;
   }
 
   /// Chooses an endpoint that isn't among `tried_endpoints`. If all were tried,
-  /// clears them and chooses any: the first ones may have recovered since.
+  /// clears them and chooses any but the one of the attempt in progress: the
+  /// first ones may have recovered since.
   policy::EndpointChoice ChooseNow(
       policy::EndpointQuery& query,
       std::set<base::EndpointId>& tried_endpoints) const {
@@ -331,14 +342,16 @@
                            !tried_endpoints.empty();
     if (!all_tried) return choice;
     tried_endpoints.clear();
-    query.tried.clear();
+    if (this->current_endpoint) tried_endpoints.insert(*this->current_endpoint);
+    query.tried = tried_endpoints;
     return this->context.endpoints.ChooseOnline(query, now);
   }
 
-  /// Whether the request can be sent again now. If not, giving up an attempt
-  /// would end the response, though its endpoint may only be silent for a
-  /// moment.
-  bool CanBeSentAgain() const {
+  /// Whether the request can be sent again now. If so, reserves the slot for
+  /// it: the requests of an endpoint fall silent together, and each needs a
+  /// slot of its own. If not, giving up an attempt would end the response,
+  /// though its endpoint may only be silent for a moment.
+  bool ReserveNextAttempt() {
     const auto time_left = this->deadline - this->Now();
     if (!this->attempts.MayRetryLostAttempt(this->route, time_left))
       return false;
@@ -346,8 +359,21 @@
     if (FindQuarantined(this->context, this->suspects)) return false;
     auto query = this->MakeQuery();
     auto tried_endpoints = this->tried;
-    const auto choice = this->ChooseNow(query, tried_endpoints);
-    return choice.status == policy::ChoiceStatus::kChosen;
+    auto choice = this->ChooseNow(query, tried_endpoints);
+    if (choice.status != policy::ChoiceStatus::kChosen) return false;
+    this->ReleaseReservation();
+    this->context.endpoints.OnAttemptStarted(
+        choice.endpoint.id, policy::WorkKind::kOnline, this->Now());
+    this->reservation = std::move(choice);
+    return true;
+  }
+
+  void ReleaseReservation() {
+    if (!this->reservation) return;
+    this->context.endpoints.OnAttemptEnded(
+        this->reservation->endpoint.id, policy::WorkKind::kOnline,
+        policy::AttemptResult::kUnknown, this->Now());
+    this->reservation.reset();
   }
 
   /// Whether another endpoint can continue the response: without the id of an
@@ -453,6 +479,7 @@
                             {"belief_age_ms",
                              this->context.StoreViewAge().count() / 1000}});
     this->tried.insert(choice.endpoint.id);
+    this->current_endpoint = choice.endpoint.id;
     this->splitter = {};
     this->attempt_events = 0;
     this->arrival_limit = {};
@@ -473,7 +500,7 @@
     call.idempotent = policy::MayRunAgain(this->route);
     call.deadline = this->deadline;
     call.progress_timeout = this->ProgressTimeout(now);
-    call.may_abandon = [this] { return this->CanBeSentAgain(); };
+    call.may_abandon = [this] { return this->ReserveNextAttempt(); };
     call.cancel = this->cancel;
     if (this->route.kind == policy::RequestKind::kStream) {
       call.on_part = [this](const ResponseHead& head, std::string_view part) {
@@ -483,9 +510,12 @@
         return this->IsComplete(head);
       };
     }
-    auto result =
-        co_await SendToEndpoint(this->context, choice.endpoint,
-                                policy::WorkKind::kOnline, std::move(call));
+    const bool is_counted = this->reservation.has_value();
+    this->reservation.reset();
+    auto result = co_await SendToEndpoint(this->context, choice.endpoint,
+                                          policy::WorkKind::kOnline,
+                                          std::move(call), is_counted);
+    this->current_endpoint.reset();
     ReportRunEnd(this->context, this->suspects, this->fingerprint.text,
                  choice.endpoint, result, this->attempt_events);
     co_return result;
@@ -600,11 +630,17 @@
     }
     const auto now = this->Now();
     const auto outcome = this->ClassifyOutcome(result);
+    const bool abandoned = result.outcome == CallOutcome::kStalled &&
+                           outcome == policy::AttemptOutcome::kUnknown;
+    if (abandoned) {
+      this->attempts.OnAttemptAbandoned();
+      // It is avoided for a while, and may go on by then.
+      this->tried.erase(choice.endpoint.id);
+    }
     auto step = this->attempts.OnAttemptEnd(
         this->route, outcome, this->response_started, this->deadline - now);
     if (step == policy::NextStep::kRetry && !this->CanResume())
       step = policy::NextStep::kAbort;
-    this->abandoned_attempt = result.outcome == CallOutcome::kStalled;
     base::LogEvent("send_ended",
                    {{"request", this->facts.request_id},
                     {"endpoint", choice.endpoint.id.text},
@@ -618,6 +654,9 @@
     switch (step) {
       case policy::NextStep::kRetry:
         this->context.metrics.resumed.Add();
+        if (this->attempts.IsRefusedOften() &&
+            outcome == policy::AttemptOutcome::kNotRun)
+          co_await Pause(kRefusedRetryInterval);
         co_return true;
       case policy::NextStep::kDeliver:
         co_await this->Deliver(result);
@@ -711,6 +750,8 @@
   std::vector<policy::CrashSuspect> suspects;
   policy::AttemptTracker attempts;
   std::set<base::EndpointId> tried;
+  /// Endpoint of the attempt in progress.
+  std::optional<base::EndpointId> current_endpoint;
   policy::EventSplitter splitter;
   /// Number of events received in the current attempt.
   std::uint64_t attempt_events = 0;
@@ -726,8 +767,8 @@
   policy::StreamOrigin attempt_origin;
   /// The newest record of who begins the stream; null if none is needed.
   std::shared_ptr<StreamRecord> record;
-  /// Whether the last attempt was given up because its endpoint was silent.
-  bool abandoned_attempt = false;
+  /// The endpoint of the next attempt, which is counted there already.
+  std::optional<policy::EndpointChoice> reservation;
 };
 
 }  // namespace
