Bound the cache of job rows for own jobs too

Only a row that was read for a caller made room in the cache; the rows of jobs that the daemon accepted or took over were added without bound. Now each insertion makes room. The new test failed before with 4097 rows of at most 4096.

--- a/packages/gateway/src/serving/job_requests.cc
+++ b/packages/gateway/src/serving/job_requests.cc
@@ -158,7 +158,6 @@
   const auto found = co_await FindJob(this->store, key,
                                       this->context.clock.now() + kReadTimeout);
   if (!found.ok()) co_return found.error();
-  this->rows.MakeRoom();
   this->rows.Insert(key, found->row);
   co_return found->row;
 }
--- a/packages/gateway/src/serving/job_row_cache.cc
+++ b/packages/gateway/src/serving/job_row_cache.cc
@@ -1,18 +1,10 @@
 #include "job_row_cache.h"
 
 namespace gypsumtrack::gateway {
-namespace {
-
-constexpr std::size_t kMaxRows = 4096;
-
-}  // namespace
 
 void JobRowCache::Insert(const JobKey& key, const layout::JobRow& row) {
-  this->rows[key] = row;
-}
-
-void JobRowCache::MakeRoom() {
   if (this->rows.size() >= kMaxRows) this->rows.clear();
+  this->rows[key] = row;
 }
 
 const layout::JobRow* JobRowCache::Find(const JobKey& key) const {
--- a/packages/gateway/src/serving/job_row_cache.h
+++ b/packages/gateway/src/serving/job_row_cache.h
@@ -1,6 +1,7 @@
 #ifndef GYPSUMTRACK_GATEWAY_SRC_SERVING_JOB_ROW_CACHE_H_
 #define GYPSUMTRACK_GATEWAY_SRC_SERVING_JOB_ROW_CACHE_H_
 
+#include <cstddef>
 #include <map>
 
 #include "gypsumtrack/gateway/serving/store_layout.h"
@@ -13,12 +14,13 @@
 /// that the garbage collection has removed. Not thread-safe.
 class JobRowCache {
  public:
+  /// Maximum number of rows.
+  static constexpr std::size_t kMaxRows = 4096;
+
   // Commands.
 
-  /// Caches the row of a job.
+  /// Caches the row of a job. Clears the cache first if it is full.
   void Insert(const JobKey& key, const layout::JobRow& row);
-  /// Clears the cache if it is full.
-  void MakeRoom();
 
   // Queries.
 
