Return a chunk whose items wait for an endpoint that fails all probes

An item that failed twice, or was rejected once, runs next only on an endpoint known to be healthy. If its chunk has a completed item, that one is run again as a probe. Now the items that wait are left to other VMs after four failed probes while no endpoint here is healthy, and the chunk is returned, as after four unverified failures without a probe.

Ruled out: a wrong verdict on an item (only the poison item had failed), the simulation (it ran all actions; vm1 renewed its lease and probed on).

--- a/packages/policy/include/gypsumtrack/policy/batch_chunk.h
+++ b/packages/policy/include/gypsumtrack/policy/batch_chunk.h
@@ -65,6 +65,9 @@
   /// rejections on endpoints not known to be healthy, when the chunk has no
   /// completed item to probe them with.
   std::uint32_t max_unverified_failures = 4;
+  /// Items that wait for a healthy endpoint are left to other VMs after this
+  /// many probes have failed while no endpoint was known to be healthy.
+  std::uint32_t max_failed_probes = 4;
   /// Once this many VMs have returned the chunk, an item that reaches
   /// `max_unverified_failures` ends as failed.
   std::uint32_t max_returns = 4;
@@ -138,6 +141,9 @@
   /// endpoint.
   void End(std::uint32_t item, const base::EndpointId& endpoint, bool exclusive,
            bool known_healthy, RunResult run);
+  /// Records how a run of an item from ProbeItem ended. `any_healthy` says
+  /// whether an endpoint that serves the job is known to be healthy now.
+  void EndProbe(ItemOutcome outcome, bool any_healthy);
 
  private:
   enum class Phase { kWaiting, kRunning, kEnded };
@@ -181,6 +187,8 @@
   std::uint32_t in_flight = 0;
   /// How many holders returned the chunk before this one.
   std::uint32_t return_count = 0;
+  /// Failed probes since an endpoint was last known to be healthy.
+  std::uint32_t failed_probes = 0;
   std::uint64_t result_bytes = 0;
   ItemResults recorded;
 };
--- a/packages/policy/include/gypsumtrack/policy/batch_node.h
+++ b/packages/policy/include/gypsumtrack/policy/batch_node.h
@@ -227,6 +227,7 @@
   void StopChunkItems(const HeldChunk& chunk);
   void AdvanceChunk(base::Instant now, const std::string& key);
   bool Serves(const EndpointState& endpoint, const BatchJob& job) const;
+  bool HasHealthyEndpoint(const BatchJob& job) const;
   std::uint64_t PendingResultBytes() const;
   std::uint32_t FreeSlots() const;
   std::uint32_t StartableItems() const;
--- a/packages/policy/src/batch_chunk.cc
+++ b/packages/policy/src/batch_chunk.cc
@@ -169,7 +169,7 @@
   if (!this->idempotent) return std::nullopt;
   const bool needs_probe =
       std::any_of(this->items.begin(), this->items.end(), [this](auto& item) {
-        return item.phase == Phase::kWaiting &&
+        return item.phase == Phase::kWaiting && !item.deferred &&
                this->NeedsHealthyEndpoint(item);
       });
   if (!needs_probe) return std::nullopt;
@@ -218,6 +218,7 @@
   --this->in_flight;
   item.phase = Phase::kWaiting;
   if (run.outcome == ItemOutcome::kCompleted) {
+    this->failed_probes = 0;
     this->RecordResult(number,
                        {ItemState::kCompleted, std::move(run.body), ""});
     return;
@@ -235,6 +236,20 @@
                             std::move(run));
 }
 
+void ChunkRun::EndProbe(ItemOutcome outcome, bool any_healthy) {
+  if (any_healthy) this->failed_probes = 0;
+  // The item has completed before, so that a rejection shows a fault of the
+  // endpoint as well.
+  const bool failed = outcome == ItemOutcome::kEndpointFailed ||
+                      outcome == ItemOutcome::kRejected;
+  if (any_healthy || !failed) return;
+  if (++this->failed_probes < this->options.max_failed_probes) return;
+  for (auto& item : this->items) {
+    if (item.phase != Phase::kWaiting) continue;
+    if (this->NeedsHealthyEndpoint(item)) item.deferred = true;
+  }
+}
+
 void ChunkRun::HandleIncompleteRun(std::uint32_t number,
                                    const base::EndpointId& endpoint,
                                    bool exclusive, bool known_healthy,
--- a/packages/policy/src/batch_node.cc
+++ b/packages/policy/src/batch_node.cc
@@ -88,10 +88,14 @@
   this->RecordOutcome(now, endpoint, result.outcome);
   const bool known_healthy =
       item.known_healthy || !this->options.safeguards.require_healthy_endpoint;
-  if (!item.is_probe && this->Holds(item.chunk_key, item.token)) {
-    auto* chunk = this->FindChunk(item.chunk_key);
-    chunk->run->End(item.start.item, item.endpoint, item.start.exclusive,
-                    known_healthy, std::move(result));
+  if (this->Holds(item.chunk_key, item.token)) {
+    auto& chunk = *this->FindChunk(item.chunk_key);
+    if (!item.is_probe) {
+      chunk.run->End(item.start.item, item.endpoint, item.start.exclusive,
+                     known_healthy, std::move(result));
+    } else {
+      chunk.run->EndProbe(result.outcome, this->HasHealthyEndpoint(chunk.job));
+    }
     this->AdvanceChunk(now, item.chunk_key);
   }
   this->StartWork(now);
@@ -237,6 +241,15 @@
          offer.models.end();
 }
 
+bool BatchNode::HasHealthyEndpoint(const BatchJob& job) const {
+  return std::any_of(
+      this->endpoints.begin(), this->endpoints.end(), [&](const auto& entry) {
+        const auto& endpoint = entry.second;
+        return endpoint.capacity.slots > 0 && endpoint.known_healthy &&
+               this->Serves(endpoint, job);
+      });
+}
+
 std::uint64_t BatchNode::PendingResultBytes() const {
   std::uint64_t bytes = 0;
   for (const auto& [key, chunk] : this->chunks) {
--- a/packages/testing/test/batch_property_test.cc
+++ b/packages/testing/test/batch_property_test.cc
@@ -368,6 +368,15 @@
     RC_ASSERT(
         OnlyFaultyItemsFailInRun(Options(seed, 0), faults, poison, failing));
   });
+  // Guards against a chunk that a VM holds for ever: its only endpoint fails
+  // all probes, and an item waits until a probe completes.
+  SECTION("although the holder's only endpoint fails every probe") {
+    const std::vector<Fault> faults = {
+        {FaultKind::kFailEndpoint, 0, 0, 1},
+        {FaultKind::kFailEndpoint, 1'407, 1, 20},
+    };
+    CHECK(OnlyFaultyItemsFailInRun(Options(5'728'425'792, 0), faults, 9, 1));
+  }
   SECTION("is violated without requiring a healthy endpoint") {
     bool property_held = true;
     for (std::uint64_t seed = 0; seed < kSeedCount && property_held; ++seed) {
