Reject entries whose address can't be an endpoint's

Operators of a like system saw daemons end, or stop following the list of endpoints, after another writer had left an odd entry in it: nested deeply, with a number or a port out of range. Here the daemon goes on in each of these cases. But an entry with a port of 70000, with a host name or with a multicast address was taken for an endpoint: it counted as free slots, so requests and items were given to it, failed at once and used up the attempts of their request, and each daemon had to learn again that it didn't answer.

The daemon now reads the address together with the entry, and the entry is logged as unreadable unless it gives the IP address and port of one host.

--- a/packages/gateway/src/serving/store_view_service.cc
+++ b/packages/gateway/src/serving/store_view_service.cc
@@ -3,6 +3,7 @@
 #include <set>
 #include <utility>
 
+#include "../socket_address.h"
 #include "gypsumtrack/base/event_log.h"
 
 namespace gypsumtrack::gateway {
@@ -23,6 +24,24 @@
       .count();
 }
 
+/// Whether an endpoint may listen there: a port and the IP address of one host.
+bool IsHostAddress(const std::string& text) {
+  const auto parsed = ParseSocketAddress(text);
+  if (!parsed.ok() || parsed->port() == 0) return false;
+  const auto ip = parsed->address();
+  const bool is_broadcast = ip == boost::asio::ip::address_v4::broadcast();
+  return !ip.is_unspecified() && !ip.is_multicast() && !is_broadcast;
+}
+
+/// Reads the entry of an endpoint. Errors: kInvalid.
+base::Outcome<policy::EndpointEntry> ReadEndpoint(
+    const StoreViewSource& source, const base::VersionedRow& row) {
+  auto entry = source.read_endpoint(row.at.key, row.value);
+  if (!entry.ok() || IsHostAddress(entry->address)) return entry;
+  return base::Error(base::Errc::kInvalid,
+                     "the address isn't the IP address and port of a host");
+}
+
 }  // namespace
 
 StoreViewService::StoreViewService(const boost::asio::any_io_executor& executor,
@@ -144,7 +163,7 @@
     }
     return was_known;
   }
-  auto entry = this->source.read_endpoint(key, row.value);
+  auto entry = ReadEndpoint(this->source, row);
   if (!entry.ok()) {
     base::LogEvent("endpoint_unreadable", {{"endpoint", key},
                                            {"row_version", row.version},
