Believe no refusal that runs into the next response

A faulty endpoint that cuts off an extra refusal inside the value of a header, and then sends the response to the next request, makes one head of both: with the status of the refusal and the id of the request. The request ran, and its caller was told that it didn't.

A refusal with a status line in the value of a header is invalid now and says nothing about the run. The new section of the test failed at both of its checks before: the request counted as refused and as not run.

--- a/packages/gateway/src/endpoint_client.cc
+++ b/packages/gateway/src/endpoint_client.cc
@@ -78,6 +78,15 @@
                      });
 }
 
+/// Whether a header has a status line in its value: the head of a response that
+/// was cut off, continued by the next response.
+bool HasStatusLine(const ResponseHead& head) {
+  return std::any_of(
+      head.headers.begin(), head.headers.end(), [](const Header& header) {
+        return header.value.find("HTTP/1.1 ") != std::string::npos;
+      });
+}
+
 /// Returns the timeout in the `Keep-Alive` header, if any.
 std::optional<base::Duration> KeepAliveTimeout(const ResponseHead& head) {
   constexpr std::string_view kTimeout = "timeout=";
@@ -380,6 +389,10 @@
     this->result.draining =
         protocol.reports_draining && protocol.reports_draining(head);
     if (this->IsRefusal()) {
+      if (HasStatusLine(head)) {
+        this->result.outcome = CallOutcome::kInvalid;
+        return;
+      }
       this->result.outcome = CallOutcome::kRefused;
       this->result.run = policy::RunState::kNotRun;
       return;
--- a/packages/gateway/test/endpoint_client_test.cc
+++ b/packages/gateway/test/endpoint_client_test.cc
@@ -292,6 +292,17 @@
     call.target = "/loans/2";
     check_ran(fixture.Send(std::move(call)));
   }
+  SECTION("cut off, so that it runs into the response to the next request") {
+    // One head has the status of the copy and the id of the next request.
+    const auto copy = Refusal("");
+    const auto cut = copy.substr(0, copy.find("1\r\n\r\n") + 1);
+    fixture.endpoint.SetResponses({{Success("c-1"), RawEnd::kKeepOpen},
+                                   {cut + Success("c-2"), RawEnd::kKeepOpen}});
+    check_ran(send("c-1"));
+    const auto result = send("c-2");
+    CHECK(result.outcome != CallOutcome::kRefused);
+    CHECK(result.run == policy::RunState::kUnknown);
+  }
   SECTION("without an id and without another response") {
     fixture.endpoint.SetResponses({{Success("c-1"), RawEnd::kKeepOpen},
                                    {Refusal(""), RawEnd::kKeepOpen}});
