Tell no caller that its request didn't run unless an endpoint said so

Callers take 408, 421, 429 and 503 as a promise that their request didn't run, and send it again. The daemon passed such a status on from an endpoint that didn't promise it: without the header that states that the endpoint didn't run the request, as in a refusal with its head cut at the wrong place or one from something between the two. If the request may run once only, it then ran a second time.

Such a response counts as one that was lost now: a request that may run again goes to another endpoint, and the caller of any other gets 502.

--- a/packages/gateway/include/gypsumtrack/gateway/http_status.h
+++ b/packages/gateway/include/gypsumtrack/gateway/http_status.h
@@ -24,6 +24,13 @@
 inline constexpr unsigned kGatewayTimeout = 504;
 inline constexpr unsigned kInsufficientStorage = 507;
 
+/// Whether a response with this status tells callers of the serving daemon that
+/// their request didn't run and never will.
+constexpr bool PromisesNotRun(unsigned status) {
+  return status == kRequestTimeout || status == kMisdirected ||
+         status == kTooManyRequests || status == kUnavailable;
+}
+
 }  // namespace gypsumtrack::gateway::status
 
 #endif  // GYPSUMTRACK_GATEWAY_HTTP_STATUS_H_
--- a/packages/gateway/src/serving/relay_service.cc
+++ b/packages/gateway/src/serving/relay_service.cc
@@ -450,6 +450,9 @@
     }
     if (result.outcome != CallOutcome::kComplete)
       return policy::AttemptOutcome::kUnknown;
+    // The caller would send the request again.
+    if (status::PromisesNotRun(result.head.status))
+      return policy::AttemptOutcome::kUnknown;
     if (result.head.status >= 500) return policy::AttemptOutcome::kFailed;
     const bool success = result.head.status / 100 == 2;
     // The caller's response has another status and would seem to be complete.
