Keep connections of endpoints that name a very long idle timeout

The idle timeout that an endpoint names in Keep-Alive was added to the time of day as it is. Timeouts of more than an hour count as one hour now.

--- a/packages/gateway/src/endpoint_client.cc
+++ b/packages/gateway/src/endpoint_client.cc
@@ -36,6 +36,9 @@
 /// Fraction of the endpoint's idle timeout for which a connection is reused, so
 /// that the endpoint doesn't close it first.
 constexpr double kIdleTimeoutFraction = 0.7;
+/// Longer idle timeouts of endpoints count as this one. It is longer than any
+/// connection stays idle here.
+constexpr unsigned long kMaxKeepAliveSeconds = 3600;
 
 using TcpKeepAliveIdle =
     asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
@@ -95,7 +98,8 @@
     const auto position = header.value.find(kTimeout);
     if (position == std::string::npos) continue;
     const auto* digits = header.value.c_str() + position + kTimeout.size();
-    return std::chrono::seconds(std::strtoul(digits, nullptr, 10));
+    return std::chrono::seconds(
+        std::min(std::strtoul(digits, nullptr, 10), kMaxKeepAliveSeconds));
   }
   return std::nullopt;
 }
--- a/packages/gateway/test/endpoint_client_test.cc
+++ b/packages/gateway/test/endpoint_client_test.cc
@@ -313,6 +313,20 @@
   }
 }
 
+// Guards against a deadline that overflows, after which no connection is kept.
+TEST_CASE("an endpoint names an idle timeout that is too long") {
+  ClientFixture fixture;
+  const auto seconds =
+      GENERATE(std::string("4000000000"), std::string("9223372036854775807"),
+               std::string("18446744073709551615"),
+               std::string("99999999999999999999999"));
+  fixture.endpoint.SetResponses({{kHead + "Keep-Alive: timeout=" + seconds +
+                                      "\r\nContent-Length: 0\r\n\r\n",
+                                  RawEnd::kKeepOpen}});
+  CHECK(fixture.Send().outcome == CallOutcome::kComplete);
+  CHECK(fixture.Send().reused_connection);
+}
+
 TEST_CASE("a refusal without an id is believed on a new connection") {
   ClientFixture fixture;
   fixture.endpoint.SetResponses({{Refusal(""), RawEnd::kKeepOpen}});
