--- a/packages/gateway/include/gypsumtrack/gateway/endpoint_client.h
+++ b/packages/gateway/include/gypsumtrack/gateway/endpoint_client.h
@@ -78,7 +78,8 @@
   kDeadline,    ///< the deadline of the call passed
   kMismatched,  ///< responses to other requests arrived instead
   kCancelled,   ///< cancelled, or `on_part` returned an error
-  kInvalid,     ///< the response is too large, or its end can't be detected
+  kInvalid,     ///< the response is too large, or its end can't be detected,
+                ///< or the head of the request can't be sent
 };
 
 /// Names of call outcomes in logs. They stay when enumerators are renamed.
--- a/packages/gateway/src/endpoint_client.cc
+++ b/packages/gateway/src/endpoint_client.cc
@@ -11,6 +11,7 @@
 
 #include "connection_pool.h"
 #include "gypsumtrack/base/hash.h"
+#include "gypsumtrack/gateway/header_syntax.h"
 #include "gypsumtrack/gateway/http_status.h"
 #include "socket_address.h"
 #include "watchdog.h"
@@ -216,7 +217,21 @@
                                                     : CallOutcome::kStalled;
   }
 
+  /// Whether the head of the request is valid. Beast throws for some that
+  /// aren't, and others would be read as more headers or requests.
+  bool IsSendableRequest() const {
+    const auto& id_header = this->options.protocol.request_id_header;
+    const auto& headers = this->call.headers;
+    return IsSendableTarget(this->call.target) &&
+           IsSendable({id_header, this->call.request_id}) &&
+           std::all_of(headers.begin(), headers.end(), IsSendable);
+  }
+
   asio::awaitable<bool> SendRequest() {
+    if (!this->IsSendableRequest()) {
+      this->result.outcome = CallOutcome::kInvalid;
+      co_return false;
+    }
     http::request<http::string_body> request;
     request.version(kHttp11);
     request.method_string(this->call.method);
--- a/packages/gateway/src/serving/send_to_endpoint.cc
+++ b/packages/gateway/src/serving/send_to_endpoint.cc
@@ -25,8 +25,12 @@
       return policy::AttemptResult::kUnreachable;
     case CallOutcome::kClosed:
     case CallOutcome::kMismatched:
-    case CallOutcome::kInvalid:
       return policy::AttemptResult::kBadResponse;
+    case CallOutcome::kInvalid:
+      // A request that can't be sent says nothing about the endpoint.
+      return result.run == policy::RunState::kNotRun
+                 ? policy::AttemptResult::kUnknown
+                 : policy::AttemptResult::kBadResponse;
     case CallOutcome::kDeadline:
     case CallOutcome::kCancelled:
       break;
--- a/packages/gateway/test/endpoint_client_test.cc
+++ b/packages/gateway/test/endpoint_client_test.cc
@@ -313,6 +313,27 @@
   }
 }
 
+// Guards against an exception that ends the coroutine of a request, which is
+// then never answered.
+TEST_CASE("a request has headers that can't be sent") {
+  ClientFixture fixture;
+  fixture.endpoint.SetResponses({{Success("c-1"), RawEnd::kKeepOpen}});
+  const auto header = GENERATE(
+      Header{"X-Name", std::string(70000, 'x')},
+      Header{std::string(70000, 'x'), "value"}, Header{"X-Name", "a\r\nX-B: b"},
+      Header{"X-Name", "a\n"}, Header{"X-Name", std::string(1, '\0')},
+      Header{"X-A: a\r\nX-B", "b"}, Header{"X A", "b"}, Header{"", "b"});
+  auto call = fixture.MakeCall();
+  call.headers = {header};
+  const auto result = fixture.Send(std::move(call));
+  CHECK(result.outcome == CallOutcome::kInvalid);
+  CHECK(result.run == policy::RunState::kNotRun);
+  CHECK(fixture.endpoint.requests().empty());
+  SECTION("and the next one is sent") {
+    CHECK(fixture.Send().outcome == CallOutcome::kComplete);
+  }
+}
+
 // Guards against a deadline that overflows, after which no connection is kept.
 TEST_CASE("an endpoint names an idle timeout that is too long") {
   ClientFixture fixture;
