--- a/packages/gateway/src/endpoint_client.cc
+++ b/packages/gateway/src/endpoint_client.cc
@@ -10,6 +10,8 @@
 #include <utility>
 
 #include "connection_pool.h"
+#include "gypsumtrack/base/hash.h"
+#include "gypsumtrack/gateway/header_syntax.h"
 #include "gypsumtrack/gateway/http_status.h"
 #include "socket_address.h"
 #include "watchdog.h"
@@ -37,6 +39,9 @@
 /// Fraction of the endpoint's idle timeout for which a connection is reused, so
 /// that the endpoint doesn't close it first.
 constexpr double kIdleTimeoutFraction = 0.7;
+/// Longer idle timeouts of endpoints count as this one. It is longer than any
+/// connection stays idle here.
+constexpr unsigned long kMaxKeepAliveSeconds = 3600;
 
 using TcpKeepAliveIdle =
     asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
@@ -79,6 +84,15 @@
                      });
 }
 
+/// Whether a header has a status line in its value: the head of a response that
+/// was cut off, continued by the next response.
+bool HasStatusLine(const ResponseHead& head) {
+  return std::any_of(
+      head.headers.begin(), head.headers.end(), [](const Header& header) {
+        return header.value.find("HTTP/1.1 ") != std::string::npos;
+      });
+}
+
 /// Returns the timeout in the `Keep-Alive` header, if any.
 std::optional<base::Duration> KeepAliveTimeout(const ResponseHead& head) {
   constexpr std::string_view kTimeout = "timeout=";
@@ -87,7 +101,8 @@
     const auto position = header.value.find(kTimeout);
     if (position == std::string::npos) continue;
     const auto* digits = header.value.c_str() + position + kTimeout.size();
-    return std::chrono::seconds(std::strtoul(digits, nullptr, 10));
+    return std::chrono::seconds(
+        std::min(std::strtoul(digits, nullptr, 10), kMaxKeepAliveSeconds));
   }
   return std::nullopt;
 }
@@ -165,6 +180,10 @@
     if (!finished || !this->keep_alive) return nullptr;
     if (this->connection->buffer.size() > 0) return nullptr;
     this->connection->last_response_at = this->clock.now();
+    if (this->result.head.status >= 400) {
+      this->connection->failed_requests.push_back(
+          base::Hash64(this->call.request_id));
+    }
     if (const auto idle = KeepAliveTimeout(this->result.head)) {
       this->connection->reusable_until =
           this->connection->last_response_at +
@@ -212,7 +231,21 @@
                                                     : CallOutcome::kStalled;
   }
 
+  /// Whether the head of the request is valid. Beast throws for some that
+  /// aren't, and others would be read as more headers or requests.
+  bool IsSendableRequest() const {
+    const auto& id_header = this->options.protocol.request_id_header;
+    const auto& headers = this->call.headers;
+    return IsSendableTarget(this->call.target) &&
+           IsSendable({id_header, this->call.request_id}) &&
+           std::all_of(headers.begin(), headers.end(), IsSendable);
+  }
+
   asio::awaitable<bool> SendRequest() {
+    if (!this->IsSendableRequest()) {
+      this->result.outcome = CallOutcome::kInvalid;
+      co_return false;
+    }
     http::request<http::string_body> request;
     request.version(kHttp11);
     request.method_string(this->call.method);
@@ -295,16 +328,27 @@
     co_return true;
   }
 
-  /// Whether the response echoes the id of this request, or no id at all.
+  /// Whether the response echoes the id of this request, or no id at all. A
+  /// refusal without an id counts only if no earlier request on the connection
+  /// can have got it.
   bool IsOwnResponse() const {
+    bool has_id = false;
     for (const auto& header : this->result.head.headers) {
       if (!boost::beast::iequals(header.name,
                                  this->options.protocol.request_id_header)) {
         continue;
       }
       if (header.value != this->call.request_id) return false;
+      has_id = true;
     }
-    return true;
+    return has_id || this->connection->calls == 1 || !this->IsRefusal();
+  }
+
+  /// Whether the response states that the endpoint didn't run the request.
+  bool IsRefusal() const {
+    const auto& head = this->result.head;
+    const auto& reports_not_run = this->options.protocol.reports_not_run;
+    return head.status >= 400 && reports_not_run && reports_not_run(head);
   }
 
   bool CheckBodyFraming() {
@@ -377,8 +421,11 @@
     const auto& protocol = this->options.protocol;
     this->result.draining =
         protocol.reports_draining && protocol.reports_draining(head);
-    if (head.status >= 400 && protocol.reports_not_run &&
-        protocol.reports_not_run(head)) {
+    if (this->IsRefusal()) {
+      if (HasStatusLine(head)) {
+        this->result.outcome = CallOutcome::kInvalid;
+        return;
+      }
       this->result.outcome = CallOutcome::kRefused;
       this->result.run = policy::RunState::kNotRun;
       return;
@@ -454,7 +501,8 @@
     const auto max_idle = call.idempotent ? this->options.max_idle
                                           : this->options.liveness_window;
     const auto now = this->clock.now();
-    auto pooled = this->idle.Take(call.address, now - max_idle, now);
+    auto pooled =
+        this->idle.Take(call.address, call.request_id, now - max_idle, now);
     bool connected = pooled != nullptr;
     if (connected) {
       connection_call.UseConnection(std::move(pooled));
