Continue an item's output only at the version that began it

Callers could read results of batch items whose text is joined from what two software versions write: an interrupted item went on with Last-Event-Id at any endpoint of any service of its route, also after another daemon had taken the job over. Cause: neither the item's progress nor the saved partial output knew which endpoints wrote it.

An output has an origin now, the service and the version of its endpoints, which the partial row saves. JobRun::StartNextItem takes the origin of the endpoint and discards the output of an item that it starts elsewhere, so a joined output can't come about, whoever chooses the endpoint. The runner tries the origins of waiting outputs first, each at most once in vain in a tick and urgency, then any endpoint: items without output go past those that wait. An item restarts if its route or all endpoints of its version have gone. If these are merely full, a relaxed item waits; an urgent one restarts only while a whole run can be in time; a late one 2.5 s after its output last grew, since it would otherwise repeat work for each short rise in load, or wait for good. Output of an earlier release's row has no origin and is left out. Data without event ids is discarded after any run that doesn't complete, not only after interrupted ones: it can't be continued.

The existing property of JobRun plays two versions and restarts as well.

--- a/packages/gateway/include/gypsumtrack/gateway/serving/store_layout.h
+++ b/packages/gateway/include/gypsumtrack/gateway/serving/store_layout.h
@@ -110,7 +110,8 @@
 base::Outcome<ResultRow> ParseResult(std::string_view value);
 /// Serializes the partial output of a job's unfinished items.
 std::string SerializePartials(const std::vector<policy::PartialItem>& partials);
-/// Parses a row of partial output. Errors: kInvalid.
+/// Parses a row of partial output. Leaves out output of unknown origin, as
+/// written by earlier versions of this software. Errors: kInvalid.
 base::Outcome<std::vector<policy::PartialItem>> ParsePartials(
     std::string_view value);
 
--- a/packages/gateway/src/serving/job_runner.cc
+++ b/packages/gateway/src/serving/job_runner.cc
@@ -225,6 +225,7 @@
     return a.job->due < b.job->due;
   });
   this->remaining_starts.clear();
+  this->blocked_origins.clear();
   std::size_t started = 0;
   for (const auto& [urgency, job] : ranked) {
     const auto* route = policy::FindRouteByName(*rules, job->row.route);
@@ -273,28 +274,115 @@
                           const policy::RouteRule& route,
                           policy::Urgency urgency) {
   if (job->run.waiting_count() == 0) return false;
-  const auto now = this->context.clock.now();
+  return this->ContinueOutput(job, route, urgency) ||
+         this->BeginOutput(job, route, urgency);
+}
+
+bool JobRunner::ContinueOutput(const OwnedJobPtr& job,
+                               const policy::RouteRule& route,
+                               policy::Urgency urgency) {
+  for (const auto& origin :
+       job->run.WaitingOrigins(this->context.clock.now())) {
+    const auto choice = this->ChooseForOrigin(origin, route, urgency);
+    if (choice && this->StartItemAt(job, *choice, route, urgency, {}))
+      return true;
+  }
+  return false;
+}
+
+std::optional<policy::EndpointChoice> JobRunner::ChooseForOrigin(
+    const policy::OutputOrigin& origin, const policy::RouteRule& route,
+    policy::Urgency urgency) {
+  if (!policy::LeadsTo(route, origin.service)) return std::nullopt;
+  const auto key = std::make_pair(origin, urgency);
+  if (this->blocked_origins.contains(key)) return std::nullopt;
+  auto tried = this->TryOrigin(origin, route, urgency);
+  if (const auto* block = std::get_if<OriginBlock>(&tried)) {
+    this->blocked_origins[key] = *block;
+    return std::nullopt;
+  }
+  return std::get<policy::EndpointChoice>(std::move(tried));
+}
+
+std::variant<policy::EndpointChoice, JobRunner::OriginBlock>
+JobRunner::TryOrigin(const policy::OutputOrigin& origin,
+                     const policy::RouteRule& route, policy::Urgency urgency) {
+  auto query = this->context.MakeQuery(route);
+  query.service = origin.service;
+  query.version = origin.version;
+  auto choice = this->context.endpoints.ChooseBatch(
+      query, policy::SlotsToKeepFree(urgency), this->context.clock.now());
+  switch (choice.status) {
+    case policy::ChoiceStatus::kNoEndpoint:
+      return OriginBlock::kNoEndpoint;
+    case policy::ChoiceStatus::kNoCapacity:
+      return OriginBlock::kFull;
+    case policy::ChoiceStatus::kChosen:
+      break;
+  }
+  if (this->RemainingStarts(origin.service, urgency) == 0)
+    return OriginBlock::kNoStartsLeft;
+  return choice;
+}
+
+bool JobRunner::BeginOutput(const OwnedJobPtr& job,
+                            const policy::RouteRule& route,
+                            policy::Urgency urgency) {
   const auto query = this->context.MakeQuery(route);
-  auto& starts = this->RemainingStarts(query.service, urgency);
-  if (starts == 0) return false;
+  if (this->RemainingStarts(query.service, urgency) == 0) return false;
   const auto choice = this->context.endpoints.ChooseBatch(
-      query, policy::SlotsToKeepFree(urgency), now);
+      query, policy::SlotsToKeepFree(urgency), this->context.clock.now());
   if (choice.status != policy::ChoiceStatus::kChosen) return false;
-  const auto start = job->run.StartNextItem(now, [&](std::size_t index) {
+  policy::ItemStartFilter filter;
+  filter.may_restart = [&](std::size_t index, const auto& origin) {
+    return this->MayRestart(*job, index, origin, route, urgency);
+  };
+  return this->StartItemAt(job, choice, route, urgency, std::move(filter));
+}
+
+bool JobRunner::MayRestart(const OwnedJob& job, std::size_t index,
+                           const policy::OutputOrigin& origin,
+                           const policy::RouteRule& route,
+                           policy::Urgency urgency) const {
+  if (!policy::LeadsTo(route, origin.service)) return true;
+  const auto found = this->blocked_origins.find({origin, urgency});
+  if (found == this->blocked_origins.end()) return false;
+  if (found->second == OriginBlock::kNoEndpoint) return true;
+  if (found->second == OriginBlock::kNoStartsLeft) return false;
+  policy::OutputWait wait;
+  wait.due = job.due;
+  wait.remaining =
+      this->durations.EstimateRemaining(job.run.event_count(index));
+  wait.whole_run = this->durations.EstimateRemaining(0);
+  wait.kept_until = job.run.output_kept_until(index);
+  return policy::ShouldRestart(wait, this->context.clock.now());
+}
+
+bool JobRunner::StartItemAt(const OwnedJobPtr& job,
+                            const policy::EndpointChoice& choice,
+                            const policy::RouteRule& route,
+                            policy::Urgency urgency,
+                            policy::ItemStartFilter filter) {
+  const auto now = this->context.clock.now();
+  filter.may_start = [&](std::size_t index) {
     const auto& parts = job->items[index].shared_parts;
     return !FindQuarantined(this->context, policy::ToSuspects(parts));
-  });
+  };
+  const auto start = job->run.StartNextItem(
+      {choice.endpoint.service, choice.endpoint.version}, now, filter);
   if (!start) return false;
-  --starts;
+  --this->RemainingStarts(choice.endpoint.service, urgency);
   const auto& item = job->items[start->index];
   const auto owners_age = now - this->owners_confirmed_at();
   base::LogEvent("item_sent", {{"job", job->key.job.text},
                                {"item", job->run.item(start->index).id},
                                {"parts", FormatParts(item.shared_parts)},
                                {"endpoint", choice.endpoint.id.text},
+                               {"version", choice.endpoint.version},
                                {"load", choice.known_load},
                                {"urgency", policy::kUrgencyNames.Name(urgency)},
                                {"events", job->run.event_count(start->index)},
+                               {"discarded", start->discarded_events},
                                {"owner_version", job->owner_version},
                                {"belief_age_ms", owners_age.count() / 1000}});
   job->running[start->index] = {choice.endpoint.id,
--- a/packages/gateway/src/serving/job_runner.h
+++ b/packages/gateway/src/serving/job_runner.h
@@ -5,7 +5,9 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <utility>
+#include <variant>
 #include <vector>
 
 #include "gypsumtrack/gateway/serving/serving_context.h"
@@ -61,6 +63,13 @@
   std::function<void(const JobKey&)> on_removed;
 
  private:
+  /// Why no endpoint continues the outputs of an origin.
+  enum class OriginBlock {
+    kNoEndpoint,    ///< none of that origin accepts requests
+    kFull,          ///< all of them are full or avoided
+    kNoStartsLeft,  ///< this daemon's share of the starts is used up
+  };
+
   boost::asio::awaitable<void> TickLoop();
   /// Lets items yield and starts others.
   void Tick();
@@ -80,6 +89,34 @@
   /// Returns whether an item was started.
   bool StartItem(const OwnedJobPtr& job, const policy::RouteRule& route,
                  policy::Urgency urgency);
+  /// Starts an item at an endpoint that can continue its output. Returns
+  /// whether one was started.
+  bool ContinueOutput(const OwnedJobPtr& job, const policy::RouteRule& route,
+                      policy::Urgency urgency);
+  /// Starts an item at any endpoint of the route, from the beginning if need
+  /// be. Returns whether one was started. Precondition: ContinueOutput started
+  /// none.
+  bool BeginOutput(const OwnedJobPtr& job, const policy::RouteRule& route,
+                   policy::Urgency urgency);
+  /// Chooses an endpoint that can continue an output of that origin. None if no
+  /// item can be started at one in this tick.
+  std::optional<policy::EndpointChoice> ChooseForOrigin(
+      const policy::OutputOrigin& origin, const policy::RouteRule& route,
+      policy::Urgency urgency);
+  /// The same regardless of `blocked_origins` and of the route.
+  std::variant<policy::EndpointChoice, OriginBlock> TryOrigin(
+      const policy::OutputOrigin& origin, const policy::RouteRule& route,
+      policy::Urgency urgency);
+  /// Whether an item may lose its output, which no endpoint continues now, to
+  /// start from the beginning at a free one.
+  bool MayRestart(const OwnedJob& job, std::size_t index,
+                  const policy::OutputOrigin& origin,
+                  const policy::RouteRule& route,
+                  policy::Urgency urgency) const;
+  /// Starts an item at the chosen endpoint. Returns false if none fits there.
+  bool StartItemAt(const OwnedJobPtr& job, const policy::EndpointChoice& choice,
+                   const policy::RouteRule& route, policy::Urgency urgency,
+                   policy::ItemStartFilter filter);
   boost::asio::awaitable<void> RunItem(OwnedJobPtr job,
                                        policy::ItemRunStart start,
                                        policy::EndpointEntry endpoint,
@@ -99,6 +136,10 @@
   policy::ItemDurationEstimator durations;
   std::map<std::pair<base::Service, policy::Urgency>, std::uint32_t>
       remaining_starts;
+  /// Origins of which no output can be continued in the rest of this tick.
+  /// Bounds the choices of a tick.
+  std::map<std::pair<policy::OutputOrigin, policy::Urgency>, OriginBlock>
+      blocked_origins;
   bool starting_items = true;
   bool stopped = false;
 };
--- a/packages/gateway/src/serving/job_service.cc
+++ b/packages/gateway/src/serving/job_service.cc
@@ -238,7 +238,7 @@
         key, found.row, std::move(items),
         policy::JobRun(std::move(job_items), loaded.listed_ids, options),
         owner_version});
-    job->run.RestorePartialItems(loaded.partials);
+    job->run.RestorePartialItems(loaded.partials, this->context.clock.now());
     if (route != nullptr) {
       const std::chrono::milliseconds age(found.store_time -
                                           found.row.accepted_at);
--- a/packages/gateway/src/serving/store_layout.cc
+++ b/packages/gateway/src/serving/store_layout.cc
@@ -183,7 +183,9 @@
     list.push_back(json::object{{"item", partial.item},
                                 {"last_event", partial.last_event},
                                 {"events", partial.events},
-                                {"text", partial.text}});
+                                {"text", partial.text},
+                                {"service", partial.origin.service.text},
+                                {"version", partial.origin.version}});
   }
   return json::serialize(json::object{{"partials", std::move(list)}});
 }
@@ -203,7 +205,15 @@
     const auto text = StringField(fields, "text");
     if (!item || !last_event || !events || !text)
       return MalformedRow("partial");
-    partials.push_back({*item, *last_event, *events, *text});
+    const auto service = StringField(fields, "service");
+    const auto version = StringField(fields, "version");
+    // Of a daemon that didn't know versions: no endpoint surely fits.
+    if (!service || !version) continue;
+    partials.push_back({*item,
+                        *last_event,
+                        *events,
+                        *text,
+                        {base::Service(*service), *version}});
   }
   return partials;
 }
--- a/packages/gateway/test/serving/job_garbage_collector_test.cc
+++ b/packages/gateway/test/serving/job_garbage_collector_test.cc
@@ -13,6 +13,8 @@
 using std::chrono::minutes;
 
 const JobKey kKey{base::Organisation("club"), base::JobId("j1")};
+/// The endpoints at which the items run.
+const policy::OutputOrigin kOrigin{base::Service("s1"), "v1"};
 constexpr base::Duration kKeep = minutes(6);
 constexpr base::StoreMillis kMinute = 60'000;
 
@@ -59,7 +61,7 @@
   void CommitAllResults() {
     const base::Instant now(minutes(1));
     const std::string output(100'000, 'x');
-    while (const auto start = this->job->run.StartNextItem(now)) {
+    while (const auto start = this->job->run.StartNextItem(kOrigin, now)) {
       this->job->run.OnEvent(start->index, {"", 1, output});
       this->job->run.OnRunEnd(start->index, policy::ItemRunOutcome::kComplete,
                               now);
--- a/packages/gateway/test/serving/job_runner_test.cc
+++ b/packages/gateway/test/serving/job_runner_test.cc
@@ -16,6 +16,8 @@
 using std::chrono::seconds;
 
 const JobKey kKey{base::Organisation("club"), base::JobId("j1")};
+/// The endpoints at which the items run.
+const policy::OutputOrigin kOrigin{base::Service("s1"), "v1"};
 
 /// A runner that owns a job of two items, one of which runs at an endpoint. Its
 /// loops aren't started, so that no time passes.
@@ -29,7 +31,7 @@
         job(this->AcceptJobOfTwoItems()) {
     this->runner->owners_confirmed_at = [] { return base::Instant{}; };
     this->runner->Add(this->job);
-    this->job->run.StartNextItem(base::Instant(seconds(1)));
+    this->job->run.StartNextItem(kOrigin, base::Instant(seconds(1)));
     this->job->run.OnEvent(0, {"", 1, "half"});
     this->job->running[0] = {base::EndpointId("e1"), this->cancel,
                              base::Instant(seconds(1))};
--- a/packages/gateway/test/serving/job_store_test.cc
+++ b/packages/gateway/test/serving/job_store_test.cc
@@ -13,6 +13,8 @@
 using std::chrono::seconds;
 
 const JobKey kKey{base::Organisation("club"), base::JobId("j1")};
+/// The endpoints at which the items run.
+const policy::OutputOrigin kOrigin{base::Service("s1"), "v1"};
 
 /// Two daemons that share a store.
 class JobStoreFixture {
@@ -45,7 +47,8 @@
   /// Runs the next `count` items to completion.
   static void RunItems(OwnedJob& job, int count) {
     for (int i = 0; i < count; ++i) {
-      const auto start = job.run.StartNextItem(base::Instant(seconds(1)));
+      const auto start =
+          job.run.StartNextItem(kOrigin, base::Instant(seconds(1)));
       job.run.OnEvent(start->index, {"", 1, "text"});
       job.run.OnRunEnd(start->index, policy::ItemRunOutcome::kComplete,
                        base::Instant(seconds(1)));
@@ -202,7 +205,8 @@
   SECTION("an output that is too large for a row is stored as an object") {
     const auto large = fixture.Own(fixture.Accept(fixture.second_daemon));
     large->owner_version = job->owner_version;
-    const auto start = large->run.StartNextItem(base::Instant(seconds(1)));
+    const auto start =
+        large->run.StartNextItem(kOrigin, base::Instant(seconds(1)));
     const std::string text(100'000, 'x');
     large->run.OnEvent(start->index, {"", 1, text});
     large->run.OnRunEnd(start->index, policy::ItemRunOutcome::kComplete,
@@ -215,10 +219,32 @@
   }
 }
 
+// Guards against a new owner that continues an output at another version, or
+// can't read the row that a daemon of an earlier release has written.
+TEST_CASE("a row of partial output names the origin of each output") {
+  const std::vector<policy::PartialItem> partials{
+      {"a", 5, 2, "x\ny", {base::Service("s1"), "v1"}},
+      {"b", 1, 1, "z", {base::Service("s2"), "v2"}}};
+  const auto row = layout::SerializePartials(partials);
+  CHECK(*layout::ParsePartials(row) == partials);
+  SECTION("an output without one is left out, and the others are read") {
+    const auto parsed = layout::ParsePartials(
+        R"({"partials":[)"
+        R"({"item":"a","last_event":5,"events":2,"text":"x"},)"
+        R"({"item":"b","last_event":1,"events":1,"text":"z",)"
+        R"("service":"s2","version":"v2"}]})");
+    REQUIRE(parsed.ok());
+    CHECK(*parsed == std::vector{partials[1]});
+  }
+  SECTION("a damaged row is rejected") {
+    CHECK_FALSE(layout::ParsePartials(R"({"partials":[{"item":"a"}]})").ok());
+  }
+}
+
 TEST_CASE("a new owner loads the partial output of a job") {
   JobStoreFixture fixture;
   const auto job = fixture.Own(fixture.Accept(fixture.first_daemon));
-  const auto start = job->run.StartNextItem(base::Instant(seconds(1)));
+  const auto start = job->run.StartNextItem(kOrigin, base::Instant(seconds(1)));
   job->run.OnEvent(start->index, {"", 1, "half"});
   const auto load = [&] {
     return RunCoroutine(
@@ -231,6 +257,7 @@
     CHECK(loaded->submission == "body");
     REQUIRE(loaded->partials.size() == 1);
     CHECK(loaded->partials[0].text == "half");
+    CHECK(loaded->partials[0].origin == kOrigin);
   }
   SECTION("saved periodically by an owner that is lost") {
     CHECK(RunCoroutine(SavePartials(fixture.first_daemon, *job)) ==
--- a/packages/policy/include/gypsumtrack/policy/serving/batch_urgency.h
+++ b/packages/policy/include/gypsumtrack/policy/serving/batch_urgency.h
@@ -55,6 +55,26 @@
 /// urgency is sent to it. Thread-safe.
 std::uint32_t SlotsToKeepFree(Urgency urgency);
 
+/// Times that tell whether an item's output is worth waiting for.
+struct OutputWait {
+  /// When the item is due.
+  base::Instant due = base::kNever;
+  /// How long the item runs if its output is continued.
+  base::Duration remaining{0};
+  /// How long it runs from the beginning.
+  base::Duration whole_run{0};
+  /// Time until which the output of a late item is kept.
+  base::Instant kept_until{};
+};
+
+/// Whether an item, while the endpoints that could continue its output are
+/// full, starts from the beginning at another one that is free. A relaxed item
+/// waits: it can still be in time, and a whole run costs more than the wait. An
+/// urgent item restarts only if a whole run can be in time; otherwise only its
+/// output can. A late one loses nothing by waiting for a moment, but mustn't
+/// wait for good. Thread-safe.
+bool ShouldRestart(const OutputWait& wait, base::Instant now);
+
 /// A running item that may yield its slot.
 struct YieldCandidate {
   Urgency urgency = Urgency::kRelaxed;
--- a/packages/policy/include/gypsumtrack/policy/serving/job_run.h
+++ b/packages/policy/include/gypsumtrack/policy/serving/job_run.h
@@ -76,6 +76,19 @@
   base::Duration not_run_retry_delay = std::chrono::milliseconds(150);
   /// Delay before an item that failed is tried again.
   base::Duration failure_retry_delay = std::chrono::milliseconds(300);
+  /// Time after the last run that added to it for which the output of an item
+  /// that can't be in time any more is kept while the endpoints that could
+  /// continue it are full. About as long as a temporary rise in online load.
+  base::Duration max_late_output_wait = std::chrono::milliseconds(2500);
+};
+
+/// The endpoints that can continue an output: those of the service and of the
+/// software version that wrote it. What two origins write doesn't fit together.
+struct OutputOrigin {
+  base::Service service;
+  std::string version;
+
+  auto operator<=>(const OutputOrigin&) const = default;
 };
 
 /// Output received so far of an item that isn't complete.
@@ -88,6 +101,8 @@
   std::uint64_t events = 0;
   /// Data of these events, joined by line feeds.
   std::string text;
+  /// Which endpoints wrote it.
+  OutputOrigin origin;
 
   bool operator==(const PartialItem&) const = default;
 };
@@ -98,6 +113,18 @@
   std::size_t index = 0;
   /// Id of the event after which to resume; none for a run from the beginning.
   std::optional<std::uint64_t> after_event;
+  /// Number of events of another origin that were discarded for this run.
+  std::uint64_t discarded_events = 0;
+};
+
+/// Which of the waiting items may start.
+struct ItemStartFilter {
+  /// Whether the item at an index may start. If empty, all may.
+  std::function<bool(std::size_t index)> may_start;
+  /// Whether the item at an index may lose its output, which is of this other
+  /// origin, and start from the beginning. If empty, none may.
+  std::function<bool(std::size_t index, const OutputOrigin& origin)>
+      may_restart;
 };
 
 /// The items of a job, their progress and the results that aren't in the
@@ -112,11 +139,13 @@
 
   // Commands.
 
-  /// Selects the next item to run and marks it as running. None if no item can
-  /// start now. `may_start`, if set, tells whether the item at an index may.
-  std::optional<ItemRunStart> StartNextItem(
-      base::Instant now,
-      const std::function<bool(std::size_t index)>& may_start = {});
+  /// Selects the next item to run at an endpoint of this origin and marks it as
+  /// running: one with output of the origin, or else one without output, or
+  /// else one that may restart, whose output is discarded. None if no item can
+  /// start now. So an output never has events of two origins.
+  std::optional<ItemRunStart> StartNextItem(const OutputOrigin& origin,
+                                            base::Instant now,
+                                            const ItemStartFilter& filter = {});
   /// Appends an event to a running item. Returns false if the item isn't
   /// running or the event doesn't follow the one before it; the run must then
   /// be aborted. Data with and without ids doesn't follow each other; events
@@ -126,7 +155,8 @@
   void OnRunEnd(std::size_t index, ItemRunOutcome outcome, base::Instant now);
   /// Restores the partial output that a previous owner of the job saved.
   /// Precondition: no item has run here.
-  void RestorePartialItems(const std::vector<PartialItem>& partials);
+  void RestorePartialItems(const std::vector<PartialItem>& partials,
+                           base::Instant now);
   /// Gives up all items that are neither running nor finished.
   void GiveUpWaitingItems();
   /// Records that the store has added the next `count` results to the list.
@@ -150,6 +180,12 @@
   const JobItem& item(std::size_t index) const;  // NOLINT
   /// Number of events received of the item.
   std::uint64_t event_count(std::size_t index) const;  // NOLINT
+  /// Origins of the outputs of items that could start now, longest output
+  /// first.
+  std::vector<OutputOrigin> WaitingOrigins(base::Instant now) const;
+  /// Time until which the output of a waiting item is kept even if the item
+  /// can't be in time any more. Precondition: the item has output.
+  base::Instant output_kept_until(std::size_t index) const;  // NOLINT
   /// Largest number of events received of a waiting item. StartNextItem picks
   /// the item with the longest text, usually the one with the most events.
   std::uint64_t max_waiting_events() const;  // NOLINT
@@ -170,11 +206,25 @@
     bool has_text = false;
     std::optional<std::uint64_t> last_event;
     std::uint64_t events = 0;
+    /// Value of `events` when its last run began.
+    std::uint64_t events_before_run = 0;
+    /// Of the output and, while the item runs, of its endpoint.
+    std::optional<OutputOrigin> origin;
+    /// See JobRunOptions::max_late_output_wait.
+    base::Instant output_kept_until{};
     std::uint32_t failures = 0;
     /// End of the retry delay: the item doesn't start before this time.
     base::Instant not_before{};
   };
 
+  /// Whether the item waits and its retry delay is over.
+  static bool IsStartable(const Progress& each, base::Instant now);
+  /// How well the item suits an endpoint of the origin, higher is better; none
+  /// if it can't start there.
+  std::optional<std::uint64_t> RankFor(const OutputOrigin& origin,
+                                       std::size_t index, base::Instant now,
+                                       const ItemStartFilter& filter) const;
+  static void DiscardOutput(Progress& each);
   void Finish(std::size_t index, JobItemStatus status);
 
   std::vector<JobItem> items;
--- a/packages/policy/include/gypsumtrack/policy/serving/serving_rules.h
+++ b/packages/policy/include/gypsumtrack/policy/serving/serving_rules.h
@@ -128,6 +128,9 @@
 /// A service of the route, chosen by weight; `random` is any number.
 /// Precondition: the route has services. Thread-safe.
 const base::Service& PickService(const RouteRule& route, std::uint64_t random);
+/// Whether PickService may choose the service. Precondition: the route has
+/// services. Thread-safe.
+bool LeadsTo(const RouteRule& route, const base::Service& service);
 
 }  // namespace gypsumtrack::policy
 
--- a/packages/policy/src/serving/batch_urgency.cc
+++ b/packages/policy/src/serving/batch_urgency.cc
@@ -67,6 +67,18 @@
   return kLateFreeSlots;
 }
 
+bool ShouldRestart(const OutputWait& wait, base::Instant now) {
+  switch (ClassifyUrgency(wait.due, wait.remaining, now)) {
+    case Urgency::kRelaxed:
+      return false;
+    case Urgency::kUrgent:
+      return ClassifyUrgency(wait.due, wait.whole_run, now) != Urgency::kLate;
+    case Urgency::kLate:
+      return now >= wait.kept_until;
+  }
+  return false;
+}
+
 std::vector<std::size_t> SelectItemsToYield(
     std::vector<YieldCandidate> candidates, std::size_t count) {
   std::erase_if(candidates, [](const YieldCandidate& each) {
--- a/packages/policy/src/serving/job_run.cc
+++ b/packages/policy/src/serving/job_run.cc
@@ -27,21 +27,57 @@
 }
 
 std::optional<ItemRunStart> JobRun::StartNextItem(
-    base::Instant now,
-    const std::function<bool(std::size_t index)>& may_start) {
-  // Start with the item that has the most output: part of its work is done.
+    const OutputOrigin& origin, base::Instant now,
+    const ItemStartFilter& filter) {
   std::optional<std::size_t> chosen;
+  std::uint64_t best_rank = 0;
   for (std::size_t i = 0; i < this->progress.size(); ++i) {
-    const auto& each = this->progress[i];
-    if (each.state != State::kWaiting || now < each.not_before) continue;
-    if (may_start && !may_start(i)) continue;
-    if (!chosen || each.text.size() > this->progress[*chosen].text.size()) {
-      chosen = i;
-    }
+    const auto rank = this->RankFor(origin, i, now, filter);
+    if (!rank || (chosen && *rank <= best_rank)) continue;
+    chosen = i;
+    best_rank = *rank;
   }
   if (!chosen) return std::nullopt;
-  this->progress[*chosen].state = State::kRunning;
-  return ItemRunStart{*chosen, this->progress[*chosen].last_event};
+  auto& each = this->progress[*chosen];
+  ItemRunStart start{.index = *chosen};
+  if (each.origin && each.origin != origin) {
+    start.discarded_events = each.events;
+    DiscardOutput(each);
+  }
+  start.after_event = each.last_event;
+  each.events_before_run = each.events;
+  each.origin = origin;
+  each.state = State::kRunning;
+  return start;
+}
+
+bool JobRun::IsStartable(const Progress& each, base::Instant now) {
+  return each.state == State::kWaiting && now >= each.not_before;
+}
+
+std::optional<std::uint64_t> JobRun::RankFor(
+    const OutputOrigin& origin, std::size_t index, base::Instant now,
+    const ItemStartFilter& filter) const {
+  constexpr std::uint64_t kRestart = 0;
+  constexpr std::uint64_t kBegin = 1;
+  constexpr std::uint64_t kContinue = 2;
+  const auto& each = this->progress[index];
+  if (!IsStartable(each, now)) return std::nullopt;
+  if (filter.may_start && !filter.may_start(index)) return std::nullopt;
+  if (!each.origin) return kBegin;
+  // Start with the item that has the most output: part of its work is done.
+  if (each.origin == origin) return kContinue + each.text.size();
+  if (!filter.may_restart || !filter.may_restart(index, *each.origin))
+    return std::nullopt;
+  return kRestart;
+}
+
+void JobRun::DiscardOutput(Progress& each) {
+  each.text.clear();
+  each.has_text = false;
+  each.last_event.reset();
+  each.events = 0;
+  each.origin.reset();
 }
 
 bool JobRun::OnEvent(std::size_t index, const StreamEvent& event) {
@@ -69,17 +105,14 @@
   auto& each = this->progress[index];
   assert(each.state == State::kRunning);
   each.state = State::kWaiting;
+  // A run that added nothing mustn't prolong the wait.
+  if (each.events > each.events_before_run)
+    each.output_kept_until = now + this->options.max_late_output_wait;
   switch (outcome) {
     case ItemRunOutcome::kComplete:
       this->Finish(index, JobItemStatus::kDone);
       break;
     case ItemRunOutcome::kInterrupted:
-      // Without event ids the run can't be resumed: start from the beginning.
-      if (!each.last_event) {
-        each.text.clear();
-        each.has_text = false;
-        each.events = 0;
-      }
       break;
     case ItemRunOutcome::kNotRun:
       each.not_before = now + this->options.not_run_retry_delay;
@@ -94,9 +127,12 @@
       this->Finish(index, JobItemStatus::kGivenUp);
       break;
   }
+  // Without event ids the run can't be resumed: start from the beginning.
+  if (each.state == State::kWaiting && !each.last_event) DiscardOutput(each);
 }
 
-void JobRun::RestorePartialItems(const std::vector<PartialItem>& partials) {
+void JobRun::RestorePartialItems(const std::vector<PartialItem>& partials,
+                                 base::Instant now) {
   for (const auto& partial : partials) {
     for (std::size_t i = 0; i < this->items.size(); ++i) {
       auto& each = this->progress[i];
@@ -106,6 +142,8 @@
       each.has_text = true;
       each.last_event = partial.last_event;
       each.events = partial.events;
+      each.origin = partial.origin;
+      each.output_kept_until = now + this->options.max_late_output_wait;
     }
   }
 }
@@ -159,6 +197,26 @@
   return this->progress[index].events;
 }
 
+std::vector<OutputOrigin> JobRun::WaitingOrigins(base::Instant now) const {
+  std::map<OutputOrigin, std::size_t> longest;
+  for (const auto& each : this->progress) {
+    if (!each.origin || !IsStartable(each, now)) continue;
+    auto& size = longest[*each.origin];
+    size = std::max(size, each.text.size());
+  }
+  std::vector<OutputOrigin> origins;
+  for (const auto& [origin, size] : longest) origins.push_back(origin);
+  std::stable_sort(origins.begin(), origins.end(),
+                   [&](const auto& a, const auto& b) {
+                     return longest.at(a) > longest.at(b);
+                   });
+  return origins;
+}
+
+base::Instant JobRun::output_kept_until(std::size_t index) const {
+  return this->progress[index].output_kept_until;
+}
+
 std::uint64_t JobRun::max_waiting_events() const {
   std::uint64_t most = 0;
   for (const auto& each : this->progress) {
@@ -172,8 +230,8 @@
   for (std::size_t i = 0; i < this->progress.size(); ++i) {
     const auto& each = this->progress[i];
     if (each.state == State::kFinished || !each.last_event) continue;
-    partials.push_back(
-        {this->items[i].id, *each.last_event, each.events, each.text});
+    partials.push_back({this->items[i].id, *each.last_event, each.events,
+                        each.text, *each.origin});
   }
   std::sort(partials.begin(), partials.end(), [](const auto& a, const auto& b) {
     return a.text.size() > b.text.size();
--- a/packages/policy/src/serving/serving_rules.cc
+++ b/packages/policy/src/serving/serving_rules.cc
@@ -58,4 +58,16 @@
   return route.services.back().service;
 }
 
+bool LeadsTo(const RouteRule& route, const base::Service& service) {
+  assert(!route.services.empty());
+  const bool has_weight =
+      std::any_of(route.services.begin(), route.services.end(),
+                  [](const auto& each) { return each.weight > 0; });
+  if (!has_weight) return route.services.front().service == service;
+  return std::any_of(route.services.begin(), route.services.end(),
+                     [&](const auto& each) {
+                       return each.weight > 0 && each.service == service;
+                     });
+}
+
 }  // namespace gypsumtrack::policy
--- a/packages/policy/test/serving/batch_urgency_test.cc
+++ b/packages/policy/test/serving/batch_urgency_test.cc
@@ -67,5 +67,35 @@
   }
 }
 
+// Guards against an item whose output is thrown away for nothing, and against
+// one that waits for good for endpoints that stay full.
+TEST_CASE("an item whose version is full restarts only if that helps") {
+  OutputWait wait;
+  wait.remaining = seconds(1);
+  wait.whole_run = seconds(2);
+  wait.kept_until = kStart;
+  SECTION("one that isn't due waits") {
+    CHECK_FALSE(ShouldRestart(wait, kStart));
+  }
+  SECTION("a relaxed one waits") {
+    wait.due = kStart + seconds(10);
+    CHECK_FALSE(ShouldRestart(wait, kStart));
+  }
+  SECTION("an urgent one restarts while a whole run can be in time") {
+    wait.due = kStart + seconds(3);
+    CHECK(ShouldRestart(wait, kStart));
+  }
+  SECTION("an urgent one waits if only its output can be in time") {
+    wait.due = kStart + milliseconds(1300);
+    CHECK_FALSE(ShouldRestart(wait, kStart));
+  }
+  SECTION("a late one waits for a moment, then restarts") {
+    wait.due = kStart;
+    wait.kept_until = kStart + milliseconds(1);
+    CHECK_FALSE(ShouldRestart(wait, kStart));
+    CHECK(ShouldRestart(wait, wait.kept_until));
+  }
+}
+
 }  // namespace
 }  // namespace gypsumtrack::policy
--- a/packages/policy/test/serving/job_run_test.cc
+++ b/packages/policy/test/serving/job_run_test.cc
@@ -13,6 +13,10 @@
 using std::chrono::seconds;
 
 const base::Instant kStart(seconds(10));
+/// Endpoints of two versions of one service, and of one version of another.
+const OutputOrigin kOrigin{base::Service("s1"), "v1"};
+const OutputOrigin kNewVersion{base::Service("s1"), "v2"};
+const OutputOrigin kOtherService{base::Service("s2"), "v1"};
 
 StreamEvent MakeEvent(std::uint64_t id, std::string data) {
   return {"", id, std::move(data)};
@@ -21,7 +25,7 @@
 TEST_CASE("each item of a job runs and is listed once") {
   JobRun job({{"a", 10}, {"b", 20}}, {}, {});
   SECTION("an item's output is the data of its events") {
-    const auto start = job.StartNextItem(kStart);
+    const auto start = job.StartNextItem(kOrigin, kStart);
     REQUIRE(start);
     CHECK_FALSE(start->after_event);
     CHECK(job.OnEvent(start->index, MakeEvent(1, "x")));
@@ -41,10 +45,10 @@
     }
   }
   SECTION("an interrupted item resumes after its last event") {
-    const auto start = job.StartNextItem(kStart);
+    const auto start = job.StartNextItem(kOrigin, kStart);
     job.OnEvent(start->index, MakeEvent(1, "x"));
     job.OnRunEnd(start->index, ItemRunOutcome::kInterrupted, kStart);
-    const auto again = job.StartNextItem(kStart);
+    const auto again = job.StartNextItem(kOrigin, kStart);
     REQUIRE(again);
     CHECK(again->index == start->index);
     CHECK(again->after_event == 1);
@@ -57,7 +61,7 @@
     }
   }
   SECTION("an output has ids in all of its events or in none") {
-    const auto start = job.StartNextItem(kStart);
+    const auto start = job.StartNextItem(kOrigin, kStart);
     const StreamEvent without_id{"data: y\n\n", std::nullopt, "y"};
     SECTION("events with neither id nor data are no part of it") {
       const StreamEvent comment{": y\n\n", std::nullopt, ""};
@@ -73,14 +77,14 @@
       CHECK(job.OnEvent(start->index, MakeEvent(1, "x")));
       CHECK_FALSE(job.OnEvent(start->index, without_id));
       job.OnRunEnd(start->index, ItemRunOutcome::kInterrupted, kStart);
-      CHECK(job.StartNextItem(kStart)->after_event == 1);
+      CHECK(job.StartNextItem(kOrigin, kStart)->after_event == 1);
     }
     SECTION("an id after data without one is rejected, and all starts anew") {
       CHECK(job.OnEvent(start->index, without_id));
       CHECK(job.OnEvent(start->index, without_id));
       CHECK_FALSE(job.OnEvent(start->index, MakeEvent(1, "x")));
       job.OnRunEnd(start->index, ItemRunOutcome::kInterrupted, kStart);
-      const auto again = job.StartNextItem(kStart);
+      const auto again = job.StartNextItem(kOrigin, kStart);
       CHECK_FALSE(again->after_event);
       CHECK(job.OnEvent(again->index, MakeEvent(1, "x")));
       job.OnRunEnd(again->index, ItemRunOutcome::kComplete, kStart);
@@ -88,20 +92,20 @@
     }
   }
   SECTION("an item that didn't run is retried after a delay") {
-    const auto start = job.StartNextItem(kStart);
+    const auto start = job.StartNextItem(kOrigin, kStart);
     job.OnRunEnd(start->index, ItemRunOutcome::kNotRun, kStart);
-    const auto other = job.StartNextItem(kStart);
+    const auto other = job.StartNextItem(kOrigin, kStart);
     REQUIRE(other);
     CHECK(other->index != start->index);
-    CHECK_FALSE(job.StartNextItem(kStart));
-    CHECK(job.StartNextItem(kStart + milliseconds(150)));
+    CHECK_FALSE(job.StartNextItem(kOrigin, kStart));
+    CHECK(job.StartNextItem(kOrigin, kStart + milliseconds(150)));
   }
   SECTION("an item is given up after max_failures failures, not before") {
     auto now = kStart;
     for (int run = 0; run < 3; ++run) {
       CHECK(job.UnlistedResults(1).empty());
       now += seconds(1);
-      const auto start = job.StartNextItem(now);
+      const auto start = job.StartNextItem(kOrigin, now);
       REQUIRE(start);
       // Only item "a" should fail: return item "b" as not run.
       if (job.item(start->index).id == "b") {
@@ -115,12 +119,12 @@
           JobItemResult{"a", JobItemStatus::kGivenUp, ""});
   }
   SECTION("an item that no endpoint can run is given up at once") {
-    const auto start = job.StartNextItem(kStart);
+    const auto start = job.StartNextItem(kOrigin, kStart);
     job.OnRunEnd(start->index, ItemRunOutcome::kImpossible, kStart);
     CHECK(job.UnlistedResults(1)[0].status == JobItemStatus::kGivenUp);
   }
   SECTION("giving up doesn't stop running items") {
-    const auto start = job.StartNextItem(kStart);
+    const auto start = job.StartNextItem(kOrigin, kStart);
     job.GiveUpWaitingItems();
     CHECK(job.UnlistedResults(10).size() == 1);
     job.OnRunEnd(start->index, ItemRunOutcome::kComplete, kStart);
@@ -133,7 +137,7 @@
   CHECK(job.next_position() == 1);
   CHECK(job.UnlistedTokens() == 5);
   std::set<std::string> started;
-  while (const auto start = job.StartNextItem(kStart)) {
+  while (const auto start = job.StartNextItem(kOrigin, kStart)) {
     started.insert(job.item(start->index).id);
     job.OnRunEnd(start->index, ItemRunOutcome::kComplete, kStart);
   }
@@ -144,17 +148,17 @@
 
 TEST_CASE("a daemon that takes a job over resumes partial items") {
   JobRun before({{"a", 1}, {"b", 2}}, {}, {});
-  const auto start = before.StartNextItem(kStart);
+  const auto start = before.StartNextItem(kOrigin, kStart);
   before.OnEvent(start->index, MakeEvent(4, "x"));
   before.OnEvent(start->index, MakeEvent(5, "y"));
   const auto partials = before.PartialItems(1000);
-  CHECK(partials == std::vector{PartialItem{"a", 5, 2, "x\ny"}});
+  CHECK(partials == std::vector{PartialItem{"a", 5, 2, "x\ny", kOrigin}});
   SECTION("items that don't fit are left out") {
     CHECK(before.PartialItems(3).empty());
   }
   JobRun after({{"a", 1}, {"b", 2}}, {}, {});
-  after.RestorePartialItems(partials);
-  const auto again = after.StartNextItem(kStart);
+  after.RestorePartialItems(partials, kStart);
+  const auto again = after.StartNextItem(kOrigin, kStart);
   REQUIRE(again);
   CHECK(after.item(again->index).id == "a");
   CHECK(again->after_event == 5);
@@ -163,13 +167,124 @@
   CHECK(after.UnlistedResults(1)[0].output == "x\ny\nz");
   SECTION("an item listed meanwhile isn't resumed") {
     JobRun listed({{"a", 1}, {"b", 2}}, {"a"}, {});
-    listed.RestorePartialItems(partials);
-    CHECK(listed.item(listed.StartNextItem(kStart)->index).id == "b");
+    listed.RestorePartialItems(partials, kStart);
+    CHECK(listed.item(listed.StartNextItem(kOrigin, kStart)->index).id == "b");
   }
 }
 
+// Guards against an output that is joined from what endpoints of two software
+// versions, or of two services, write.
+TEST_CASE("an output is continued only by endpoints of its origin") {
+  JobRun job({{"a", 1}, {"b", 2}}, {}, {});
+  const auto first = job.StartNextItem(kOrigin, kStart);
+  REQUIRE(first);
+  CHECK(job.OnEvent(first->index, MakeEvent(1, "x")));
+  job.OnRunEnd(first->index, ItemRunOutcome::kInterrupted, kStart);
+  CHECK(job.WaitingOrigins(kStart) == std::vector{kOrigin});
+  SECTION("an endpoint of its origin continues it before another item begins") {
+    const auto again = job.StartNextItem(kOrigin, kStart);
+    REQUIRE(again);
+    CHECK(again->index == first->index);
+    CHECK(again->after_event == 1);
+    CHECK(again->discarded_events == 0);
+    CHECK(job.WaitingOrigins(kStart).empty());
+  }
+  for (const auto& other : {kNewVersion, kOtherService}) {
+    DYNAMIC_SECTION("an endpoint of " << other.service.text << ", "
+                                      << other.version << " has to pass it") {
+      const auto begun = job.StartNextItem(other, kStart);
+      REQUIRE(begun);
+      CHECK(begun->index != first->index);
+      CHECK_FALSE(begun->after_event);
+      CHECK_FALSE(job.StartNextItem(other, kStart));
+      SECTION("unless it may restart: then nothing of its output is left") {
+        ItemStartFilter filter;
+        filter.may_restart = [&](std::size_t index, const auto& origin) {
+          CHECK(index == first->index);
+          CHECK(origin == kOrigin);
+          return true;
+        };
+        const auto again = job.StartNextItem(other, kStart, filter);
+        REQUIRE(again);
+        CHECK(again->index == first->index);
+        CHECK_FALSE(again->after_event);
+        CHECK(again->discarded_events == 1);
+        CHECK(job.event_count(first->index) == 0);
+        CHECK(job.OnEvent(first->index, MakeEvent(1, "y")));
+        SECTION("and what it writes now is of the other origin") {
+          job.OnRunEnd(first->index, ItemRunOutcome::kInterrupted, kStart);
+          CHECK(job.WaitingOrigins(kStart) == std::vector{other});
+          CHECK_FALSE(job.StartNextItem(kOrigin, kStart));
+          CHECK(job.StartNextItem(other, kStart)->after_event == 1);
+        }
+        SECTION("and its result is whole from the other origin") {
+          job.OnRunEnd(first->index, ItemRunOutcome::kComplete, kStart);
+          CHECK(job.UnlistedResults(1)[0].output == "y");
+        }
+      }
+    }
+  }
+  SECTION("a new owner of the job keeps to the origin") {
+    JobRun after({{"a", 1}, {"b", 2}}, {}, {});
+    after.RestorePartialItems(job.PartialItems(1000), kStart);
+    CHECK(after.WaitingOrigins(kStart) == std::vector{kOrigin});
+    const auto begun = after.StartNextItem(kNewVersion, kStart);
+    REQUIRE(begun);
+    CHECK(begun->index != first->index);
+    CHECK_FALSE(after.StartNextItem(kNewVersion, kStart));
+    CHECK(after.StartNextItem(kOrigin, kStart)->after_event == 1);
+  }
+  SECTION("its output is kept for a while after the run that added to it") {
+    CHECK(job.output_kept_until(first->index) ==
+          kStart + JobRunOptions{}.max_late_output_wait);
+    SECTION("which a run that adds nothing doesn't prolong") {
+      job.StartNextItem(kOrigin, kStart);
+      job.OnRunEnd(first->index, ItemRunOutcome::kNotRun, kStart + seconds(1));
+      CHECK(job.output_kept_until(first->index) ==
+            kStart + JobRunOptions{}.max_late_output_wait);
+    }
+  }
+}
+
+// Guards against an item without output that is held to the version of an
+// endpoint that wrote nothing, or nothing that can be continued.
+TEST_CASE("an item without output that can be continued runs anywhere") {
+  JobRun job({{"a", 1}}, {}, {});
+  const auto first = job.StartNextItem(kOrigin, kStart);
+  SECTION("after a run that wrote nothing") {
+    job.OnRunEnd(first->index, ItemRunOutcome::kInterrupted, kStart);
+  }
+  SECTION("after a run whose events have no ids") {
+    CHECK(job.OnEvent(first->index, {"data: x\n\n", std::nullopt, "x"}));
+    const auto outcome =
+        GENERATE(ItemRunOutcome::kInterrupted, ItemRunOutcome::kNotRun,
+                 ItemRunOutcome::kFailed);
+    job.OnRunEnd(first->index, outcome, kStart);
+  }
+  const auto later = kStart + seconds(1);
+  CHECK(job.WaitingOrigins(later).empty());
+  REQUIRE(job.StartNextItem(kNewVersion, later));
+  CHECK(job.OnEvent(0, MakeEvent(1, "y")));
+  job.OnRunEnd(0, ItemRunOutcome::kComplete, later);
+  CHECK(job.UnlistedResults(1)[0].output == "y");
+}
+
+TEST_CASE("origins wait in the order of their longest output") {
+  JobRun job({{"a", 1}, {"b", 2}}, {}, {});
+  const auto first = job.StartNextItem(kOrigin, kStart);
+  const auto second = job.StartNextItem(kNewVersion, kStart);
+  REQUIRE(second);
+  job.OnEvent(first->index, MakeEvent(1, "x"));
+  job.OnEvent(second->index, MakeEvent(1, "longer"));
+  job.OnRunEnd(first->index, ItemRunOutcome::kInterrupted, kStart);
+  job.OnRunEnd(second->index, ItemRunOutcome::kNotRun, kStart);
+  CHECK(job.WaitingOrigins(kStart) == std::vector{kOrigin});
+  CHECK(job.WaitingOrigins(kStart + seconds(1)) ==
+        std::vector{kNewVersion, kOrigin});
+}
+
 TEST_CASE("each item is listed once, whatever the outcomes of its runs") {
-  rc::prop("no result or event is lost or duplicated", [] {
+  rc::prop("no event is lost or duplicated or of another version", [] {
     const auto count = *rc::gen::inRange<std::size_t>(1, 8);
     std::mt19937 random(*rc::gen::arbitrary<std::uint32_t>());
     std::vector<JobItem> items;
@@ -181,12 +296,16 @@
     auto now = kStart;
     for (int step = 0; step < 2000 && !job.all_listed(); ++step) {
       now += milliseconds(100);
-      if (const auto start = job.StartNextItem(now)) {
+      const auto& origin = random() % 2 == 0 ? kOrigin : kNewVersion;
+      ItemStartFilter filter;
+      filter.may_restart = [&](auto, const auto&) { return random() % 4 == 0; };
+      if (const auto start = job.StartNextItem(origin, now, filter)) {
         auto next = start->after_event.value_or(0) + 1;
         const auto events = random() % 4;
         for (std::uint64_t i = 0; i < events && next <= 3; ++i, ++next) {
-          RC_ASSERT(
-              job.OnEvent(start->index, MakeEvent(next, std::to_string(next))));
+          RC_ASSERT(job.OnEvent(
+              start->index,
+              MakeEvent(next, std::to_string(next) + origin.version)));
         }
         const auto end = next > 3            ? ItemRunOutcome::kComplete
                          : random() % 2 == 0 ? ItemRunOutcome::kInterrupted
@@ -201,7 +320,8 @@
     std::set<std::string> ids;
     for (const auto& result : listed) {
       ids.insert(result.item);
-      RC_ASSERT(result.output == "1\n2\n3");
+      RC_ASSERT((result.output == "1v1\n2v1\n3v1" ||
+                 result.output == "1v2\n2v2\n3v2"));
     }
     RC_ASSERT(ids.size() == count);
   });
--- a/packages/policy/test/serving/serving_rules_test.cc
+++ b/packages/policy/test/serving/serving_rules_test.cc
@@ -57,6 +57,18 @@
       ++picked[PickService(route, random).text];
     }
     CHECK(picked == std::map<std::string, int>{{"a", 900}, {"b", 100}});
+    SECTION("the route leads to those that can be picked") {
+      CHECK(LeadsTo(route, base::Service("a")));
+      CHECK(LeadsTo(route, base::Service("b")));
+      CHECK_FALSE(LeadsTo(route, base::Service("c")));
+      CHECK_FALSE(LeadsTo(route, base::Service("d")));
+    }
+    SECTION("without weights it leads to the first") {
+      for (auto& each : route.services) each.weight = 0;
+      CHECK(PickService(route, 7).text == "a");
+      CHECK(LeadsTo(route, base::Service("a")));
+      CHECK_FALSE(LeadsTo(route, base::Service("b")));
+    }
   }
 }
 
