--- a/packages/gateway/include/gypsumtrack/gateway/serving/serving_context.h
+++ b/packages/gateway/include/gypsumtrack/gateway/serving/serving_context.h
@@ -20,7 +20,7 @@
 #include "gypsumtrack/policy/serving/crash_quarantine.h"
 #include "gypsumtrack/policy/serving/endpoint_registry.h"
 #include "gypsumtrack/policy/serving/fleet_quota.h"
-#include "gypsumtrack/policy/serving/stream_versions.h"
+#include "gypsumtrack/policy/serving/output_origin.h"
 #include "gypsumtrack/telemetry/metrics.h"
 
 /// State that the components of a serving daemon share.
@@ -93,12 +93,12 @@
   /// Starts to record who begins the stream of a request in an attempt.
   std::function<std::shared_ptr<StreamRecord>(
       const std::string& request, std::uint32_t attempt,
-      const policy::StreamOrigin& origin, base::Instant deadline)>
+      const policy::OutputOrigin& origin, base::Instant deadline)>
       record;
   /// Finds who began the stream of a request, which is at the default version
   /// of `service` unless recorded otherwise. Errors: those of a read, and
   /// kNotFound if it can't be told.
-  std::function<boost::asio::awaitable<base::Outcome<policy::StreamOrigin>>(
+  std::function<boost::asio::awaitable<base::Outcome<policy::OutputOrigin>>(
       std::string request, base::Service service)>
       find_origin;
 };
--- a/packages/gateway/include/gypsumtrack/gateway/serving/store_layout.h
+++ b/packages/gateway/include/gypsumtrack/gateway/serving/store_layout.h
@@ -13,7 +13,7 @@
 #include "gypsumtrack/gateway/serving/fleet_service.h"
 #include "gypsumtrack/policy/serving/crash_quarantine.h"
 #include "gypsumtrack/policy/serving/job_run.h"
-#include "gypsumtrack/policy/serving/stream_versions.h"
+#include "gypsumtrack/policy/serving/output_origin.h"
 
 /// Tables, keys and row formats in the platform's store. All rows of a batch
 /// job are in the partition of its organisation, so that one transaction can
@@ -115,7 +115,8 @@
 base::Outcome<ResultRow> ParseResult(std::string_view value);
 /// Serializes the partial output of a job's unfinished items.
 std::string SerializePartials(const std::vector<policy::PartialItem>& partials);
-/// Parses a row of partial output. Errors: kInvalid.
+/// Parses a row of partial output. Leaves out output of unknown origin, as
+/// written by earlier versions of this software. Errors: kInvalid.
 base::Outcome<std::vector<policy::PartialItem>> ParsePartials(
     std::string_view value);
 
@@ -145,9 +146,9 @@
 /// The range of the rows of all attempts of a request.
 base::RowRange StreamRange(const std::string& request);
 /// Serializes which endpoints begin a stream.
-std::string SerializeStreamOrigin(const policy::StreamOrigin& origin);
+std::string SerializeStreamOrigin(const policy::OutputOrigin& origin);
 /// Parses which endpoints began a stream. Errors: kInvalid.
-base::Outcome<policy::StreamOrigin> ParseStreamOrigin(std::string_view value);
+base::Outcome<policy::OutputOrigin> ParseStreamOrigin(std::string_view value);
 
 /// Name of the object that holds a job as submitted.
 std::string SubmissionObjectName(const base::Organisation& organisation,
--- a/packages/gateway/src/serving/relay_service.cc
+++ b/packages/gateway/src/serving/relay_service.cc
@@ -161,12 +161,8 @@
   }
 
   policy::EndpointQuery MakeContinuationQuery() const {
-    const auto& services = this->route.services;
-    const bool is_routed =
-        std::any_of(services.begin(), services.end(), [this](const auto& each) {
-          return each.service == this->origin->service && each.weight > 0;
-        });
     // The rules in force may have moved the route to another service.
+    const bool is_routed = policy::LeadsTo(this->route, this->origin->service);
     auto query = is_routed ? this->context.MakeQuery(this->origin->service)
                            : this->context.MakeQuery(this->route);
     query.version = this->origin->version;
@@ -765,9 +761,9 @@
   bool response_started = false;
   /// Who began the stream, once its first event was relayed, here or for an
   /// earlier request that this one continues.
-  std::optional<policy::StreamOrigin> origin;
+  std::optional<policy::OutputOrigin> origin;
   /// Where the current attempt was sent.
-  policy::StreamOrigin attempt_origin;
+  policy::OutputOrigin attempt_origin;
   /// The newest record of who begins the stream; null if none is needed.
   std::shared_ptr<StreamRecord> record;
   /// The endpoint of the next attempt, which is counted there already.
--- a/packages/gateway/src/serving/store_layout.cc
+++ b/packages/gateway/src/serving/store_layout.cc
@@ -186,7 +186,9 @@
     list.push_back(json::object{{"item", partial.item},
                                 {"last_event", partial.last_event},
                                 {"events", partial.events},
-                                {"text", partial.text}});
+                                {"text", partial.text},
+                                {"service", partial.origin.service.text},
+                                {"version", partial.origin.version}});
   }
   return json::serialize(json::object{{"partials", std::move(list)}});
 }
@@ -206,7 +208,15 @@
     const auto text = StringField(fields, "text");
     if (!item || !last_event || !events || !text)
       return MalformedRow("partial");
-    partials.push_back({*item, *last_event, *events, *text});
+    const auto service = StringField(fields, "service");
+    const auto version = StringField(fields, "version");
+    // Of a daemon that didn't know versions: no endpoint surely fits.
+    if (!service || !version) continue;
+    partials.push_back({*item,
+                        *last_event,
+                        *events,
+                        *text,
+                        {base::Service(*service), *version}});
   }
   return partials;
 }
@@ -309,17 +319,17 @@
   return range;
 }
 
-std::string SerializeStreamOrigin(const policy::StreamOrigin& origin) {
+std::string SerializeStreamOrigin(const policy::OutputOrigin& origin) {
   return json::serialize(json::object{{"service", origin.service.text},
                                       {"version", origin.version}});
 }
 
-base::Outcome<policy::StreamOrigin> ParseStreamOrigin(std::string_view value) {
+base::Outcome<policy::OutputOrigin> ParseStreamOrigin(std::string_view value) {
   const auto object = ParseObject(value);
   const auto service = StringField(object, "service");
   const auto version = StringField(object, "version");
   if (!service || !version) return MalformedRow("streams");
-  return policy::StreamOrigin{base::Service(*service), *version};
+  return policy::OutputOrigin{base::Service(*service), *version};
 }
 
 std::string SubmissionObjectName(const base::Organisation& organisation,
--- a/packages/gateway/src/serving/stream_version_service.cc
+++ b/packages/gateway/src/serving/stream_version_service.cc
@@ -12,6 +12,7 @@
 #include "gypsumtrack/gateway/serving/row_store_await.h"
 #include "gypsumtrack/gateway/serving/store_layout.h"
 #include "gypsumtrack/gateway/serving/table_follower.h"
+#include "gypsumtrack/policy/serving/stream_versions.h"
 
 namespace gypsumtrack::gateway {
 namespace {
@@ -88,7 +89,7 @@
       return this->context.clock.now() >= this->failing_until;
     };
     hooks.record = [this](const std::string& request, std::uint32_t attempt,
-                          const policy::StreamOrigin& origin,
+                          const policy::OutputOrigin& origin,
                           base::Instant deadline) {
       return this->Record(request, attempt, origin, deadline);
     };
@@ -184,7 +185,7 @@
 
   std::shared_ptr<StreamRecord> Record(const std::string& request,
                                        std::uint32_t attempt,
-                                       const policy::StreamOrigin& origin,
+                                       const policy::OutputOrigin& origin,
                                        base::Instant deadline) {
     auto record = std::make_shared<StreamRecord>();
     base::RowPut put{layout::StreamRowKey(request, attempt),
@@ -226,18 +227,18 @@
     }
   }
 
-  asio::awaitable<base::Outcome<policy::StreamOrigin>> FindOrigin(
+  asio::awaitable<base::Outcome<policy::OutputOrigin>> FindOrigin(
       std::string request, base::Service service) {
     auto origin = co_await this->ReadOrigin(request, service);
     if (origin.ok()) co_return origin;
     const auto sole =
         this->defaults.SoleVersion(service, this->context.clock.now());
     if (!sole) co_return origin;
-    origin = policy::StreamOrigin{service, *sole};
+    origin = policy::OutputOrigin{service, *sole};
     co_return origin;
   }
 
-  asio::awaitable<base::Outcome<policy::StreamOrigin>> ReadOrigin(
+  asio::awaitable<base::Outcome<policy::OutputOrigin>> ReadOrigin(
       std::string request, base::Service service) {
     if (request.empty())
       co_return base::Error(base::Errc::kNotFound, "no request is named");
@@ -258,7 +259,7 @@
       co_return base::Error(base::Errc::kNotFound, "no default version");
     const auto version = layout::ParseDefaultVersion(row->rows.front().value);
     if (!version.ok()) co_return version.error();
-    policy::StreamOrigin origin{service, *version};
+    policy::OutputOrigin origin{service, *version};
     co_return origin;
   }
 
--- a/packages/gateway/test/serving/job_ownership_test.cc
+++ b/packages/gateway/test/serving/job_ownership_test.cc
@@ -8,6 +8,7 @@
 using std::chrono::seconds;
 
 constexpr base::Instant kNow(seconds(1000));
+const policy::OutputOrigin kOrigin{base::Service("clocks"), "v1"};
 
 /// A job of the items "a" and "b" that was accepted 20 s before it was read.
 AcquiredJob MakeAcquiredJob(const policy::RouteRule* route) {
@@ -56,19 +57,19 @@
     acquired.listed_ids = {"a"};
     const auto job = MakeOwnedJob(acquired, kNow);
     REQUIRE(job->run.waiting_count() == 1);
-    CHECK(job->run.StartNextItem(kNow)->index == 1);
+    CHECK(job->run.StartNextItem(kOrigin, kNow)->index == 1);
   }
   SECTION("from the output that the previous owner saved") {
-    acquired.partials = {{"b", 5, 5, "half"}};
+    acquired.partials = {{"b", 5, 5, "half", kOrigin}};
     const auto job = MakeOwnedJob(acquired, kNow);
-    const auto start = job->run.StartNextItem(kNow);
+    const auto start = job->run.StartNextItem(kOrigin, kNow);
     REQUIRE(start);
     CHECK(start->index == 1);
     CHECK(start->after_event == 5);
   }
   SECTION("as often as its route allows") {
     const auto job = MakeOwnedJob(acquired, kNow);
-    const auto start = job->run.StartNextItem(kNow);
+    const auto start = job->run.StartNextItem(kOrigin, kNow);
     job->run.OnRunEnd(start->index, policy::ItemRunOutcome::kFailed, kNow);
     CHECK(job->run.waiting_count() == 1);
     CHECK(job->run.UnlistedResults(2).size() == 1);
--- a/packages/gateway/test/serving/stream_version_service_test.cc
+++ b/packages/gateway/test/serving/stream_version_service_test.cc
@@ -13,8 +13,8 @@
 namespace {
 
 const base::Service kService("clocks");
-const policy::StreamOrigin kOld{kService, "v1"};
-const policy::StreamOrigin kNew{kService, "v2"};
+const policy::OutputOrigin kOld{kService, "v1"};
+const policy::OutputOrigin kNew{kService, "v2"};
 
 /// Two daemons that share a store.
 class StreamVersionFixture {
@@ -31,7 +31,7 @@
 
   std::shared_ptr<StreamRecord> Record(const std::string& request,
                                        std::uint32_t attempt,
-                                       const policy::StreamOrigin& origin) {
+                                       const policy::OutputOrigin& origin) {
     return this->first.serving.stream_versions.record(
         request, attempt, origin,
         this->first.clock.now() + std::chrono::seconds(5));
@@ -39,13 +39,13 @@
 
   /// Records at the first daemon and waits until that is done.
   void RecordWhole(const std::string& request, std::uint32_t attempt,
-                   const policy::StreamOrigin& origin) {
+                   const policy::OutputOrigin& origin) {
     const auto record = this->Record(request, attempt, origin);
     this->first.RunUntil([&] { return record->is_written; });
   }
 
   /// Asks the second daemon, which knows nothing of the first one's streams.
-  base::Outcome<policy::StreamOrigin> Find(const std::string& request) {
+  base::Outcome<policy::OutputOrigin> Find(const std::string& request) {
     return RunCoroutine(
         this->second.serving.stream_versions.find_origin(request, kService));
   }
--- a/packages/policy/include/gypsumtrack/policy/serving/stream_versions.h
+++ b/packages/policy/include/gypsumtrack/policy/serving/stream_versions.h
@@ -15,15 +15,6 @@
 /// that only streams of other versions have to be recorded.
 namespace gypsumtrack::policy {
 
-/// Which endpoints began a stream.
-struct StreamOrigin {
-  base::Service service;
-  /// Version of their software.
-  std::string version;
-
-  bool operator==(const StreamOrigin&) const = default;
-};
-
 /// A default version to be written, if its row still has the given version.
 struct DefaultVersionChange {
   std::string version;
