Don't use a call after it was moved in tests

clang-tidy (bugprone-use-after-move) rejects the test of an endpoint that is silent for a moment before each part of its body, and the newer one of a request that is being sent: it sees a section as a loop. They pass a copy now; their checks are the same.

--- a/packages/gateway/test/endpoint_client_test.cc
+++ b/packages/gateway/test/endpoint_client_test.cc
@@ -148,24 +148,24 @@
   call.progress_timeout = milliseconds(100);
   int times_asked = 0;
   SECTION("the call ends") {
-    CHECK(fixture.Send(std::move(call)).outcome == CallOutcome::kStalled);
+    CHECK(fixture.Send(call).outcome == CallOutcome::kStalled);
   }
   SECTION("the call goes on if it mustn't be abandoned") {
     call.may_abandon = [&] { return ++times_asked < 0; };
-    const auto result = fixture.Send(std::move(call));
+    const auto result = fixture.Send(call);
     CHECK(result.outcome == CallOutcome::kComplete);
     CHECK(result.body == "xx");
     CHECK(times_asked > 2);
   }
   SECTION("the call ends once it may be abandoned") {
     call.may_abandon = [&] { return ++times_asked == 3; };
-    CHECK(fixture.Send(std::move(call)).outcome == CallOutcome::kStalled);
+    CHECK(fixture.Send(call).outcome == CallOutcome::kStalled);
     CHECK(times_asked == 3);
   }
   SECTION("the call ends at its deadline in any case") {
     call.deadline = base::SystemClock().now() + milliseconds(250);
     call.may_abandon = [] { return false; };
-    CHECK(fixture.Send(std::move(call)).outcome == CallOutcome::kDeadline);
+    CHECK(fixture.Send(call).outcome == CallOutcome::kDeadline);
   }
 }
 
@@ -179,11 +179,11 @@
   call.body = std::string(kLargeRequestBytes, 'x');
   call.progress_timeout = milliseconds(100);
   SECTION("the call ends") {
-    CHECK(fixture.Send(std::move(call)).outcome == CallOutcome::kStalled);
+    CHECK(fixture.Send(call).outcome == CallOutcome::kStalled);
   }
   SECTION("the call goes on if it mustn't be abandoned") {
     call.may_abandon = [] { return false; };
-    CHECK(fixture.Send(std::move(call)).outcome == CallOutcome::kComplete);
+    CHECK(fixture.Send(call).outcome == CallOutcome::kComplete);
   }
 }
 
@@ -199,11 +199,11 @@
   auto call = fixture.MakeCall();
   call.may_abandon = [] { return false; };
   SECTION("a small one is answered") {
-    CHECK(fixture.Send(std::move(call)).outcome == CallOutcome::kComplete);
+    CHECK(fixture.Send(call).outcome == CallOutcome::kComplete);
   }
   SECTION("a large one is answered") {
     call.body = std::string(kLargeRequestBytes / 64, 'x');
-    CHECK(fixture.Send(std::move(call)).outcome == CallOutcome::kComplete);
+    CHECK(fixture.Send(call).outcome == CallOutcome::kComplete);
   }
 }
 
