Close a crashed stand-in's port before its connections

The stand-in closed the connection first, so that the daemon's probe could still connect and took the endpoint for alive.

--- a/packages/testing/include/gypsumtrack/testing/site_standin.h
+++ b/packages/testing/include/gypsumtrack/testing/site_standin.h
@@ -136,7 +136,7 @@
   std::vector<gateway::Header> CommonHeaders(
       const std::string& request_id) const;
   /// Closes the listener and all connections, as a crash does.
-  void Crash(gateway::Exchange& exchange);
+  boost::asio::awaitable<void> Crash(gateway::Exchange& exchange);
   /// Whether a request with this body crashes the engine once that many events
   /// of its answer were sent.
   bool CrashesAfter(const std::string& body, std::uint64_t events) const;
--- a/packages/testing/src/site_standin.cc
+++ b/packages/testing/src/site_standin.cc
@@ -31,6 +31,8 @@
 /// Internal status of a feed without changes; never sent.
 constexpr unsigned kFeedPending = 1;
 constexpr base::Duration kFeedPollInterval = std::chrono::milliseconds(10);
+/// Longer than it takes to close a listener.
+constexpr base::Duration kCrashDuration = std::chrono::milliseconds(20);
 
 std::unique_ptr<gateway::HttpServer> MakeServer(
     const asio::any_io_executor& executor, gateway::HttpHandler handler) {
@@ -364,13 +366,16 @@
          events == this->crashes_after_events;
 }
 
-void EngineStandin::Crash(Exchange& exchange) {
+asio::awaitable<void> EngineStandin::Crash(Exchange& exchange) {
   {
     const std::lock_guard lock(this->mutex);
     this->has_crashed = true;
   }
-  exchange.Abort();
   this->server->Stop();
+  // A caller that sees its connection end must find the port closed, as it is
+  // when a process ends.
+  co_await gateway::Pause(kCrashDuration);
+  exchange.Abort();
 }
 
 bool EngineStandin::crashed() const {
@@ -448,7 +453,7 @@
     co_return;
   }
   if (this->CrashesOn(request)) {
-    this->Crash(exchange);
+    co_await this->Crash(exchange);
     co_return;
   }
   const bool breaks_between_events = consume_fault(&EngineFaults::break_off);
@@ -471,7 +476,7 @@
     const auto pause = this->PauseBefore(run, id);
     if (pause > base::Duration::zero()) co_await gateway::Pause(pause);
     if (this->CrashesAfter(run.body, id - 1)) {
-      this->Crash(exchange);
+      co_await this->Crash(exchange);
       co_return;
     }
     if (breaks_between_events && id == 3) {
