Test when the runner restarts an interrupted item

One tick of the runner before endpoints of two versions, without network: an item goes on at its version if there is room, waits or restarts by its urgency while that is full, and restarts if its version has gone or its route leads elsewhere; other items go past it.

--- a/packages/gateway/test/serving/job_runner_test.cc
+++ b/packages/gateway/test/serving/job_runner_test.cc
@@ -1,11 +1,15 @@
 #include "../../src/serving/job_runner.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
 #include <utility>
+#include <vector>
 
+#include "gypsumtrack/gateway/serving/row_store_await.h"
 #include "gypsumtrack/testing/memory_row_store.h"
 #include "run_coroutine.h"
 #include "serving_fixture.h"
@@ -13,6 +17,7 @@
 namespace gypsumtrack::gateway {
 namespace {
 
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 const JobKey kKey{base::Organisation("club"), base::JobId("j1")};
@@ -169,5 +174,201 @@
   CHECK_FALSE(later_run->dropped);
 }
 
+/// A runner of a job of two items, of which the first was interrupted with some
+/// output of kOrigin. No endpoint can be connected to; the requests for which
+/// one was chosen are recorded.
+class InterruptedItemFixture {
+ public:
+  /// A request to run an item.
+  struct SentItem {
+    std::string item;
+    std::string endpoint;
+    std::optional<std::uint64_t> after_event;
+
+    auto operator<=>(const SentItem&) const = default;
+  };
+
+  InterruptedItemFixture()
+      : daemon(this->client, "vm-1", this->MakeWire(), this->MakeViewSource()),
+        runner(std::make_shared<JobRunner>(
+            this->daemon.serving,
+            JobStore{this->client, this->daemon.clock, {"vm-1", 1}})),
+        job(MakeJob()) {
+    this->runner->owners_confirmed_at = [this] { return this->Now(); };
+    this->route.name = "sheets";
+    this->route.services = {{kOrigin.service, 1}};
+    this->AddEndpoint("old", kOrigin);
+    this->AddEndpoint("new", {kOrigin.service, "v2"});
+  }
+
+  base::Instant Now() const { return this->daemon.clock.now(); }
+
+  /// Lets the first item receive kEvents events before it is interrupted.
+  void InterruptFirstItem(base::Duration ago) {
+    const auto at = this->Now() - ago;
+    REQUIRE(this->job->run.StartNextItem(kOrigin, at)->index == 0);
+    for (std::uint64_t id = 1; id <= kEvents; ++id) {
+      REQUIRE(this->job->run.OnEvent(0, {"", id, "word"}));
+    }
+    this->job->run.OnRunEnd(0, policy::ItemRunOutcome::kInterrupted, at);
+  }
+
+  void AddEndpoint(const std::string& id, const policy::OutputOrigin& origin) {
+    policy::EndpointEntry entry;
+    entry.id = base::EndpointId(id);
+    entry.address = "127.0.0.1:1";
+    entry.service = origin.service;
+    entry.version = origin.version;
+    entry.slots = kSlots;
+    this->entries.push_back(entry);
+  }
+
+  /// Occupies all slots of the endpoint of kOrigin.
+  void FillOldEndpoint() {
+    this->registry().ReplaceEntries(this->entries, {}, this->Now());
+    for (std::uint32_t i = 0; i < kSlots; ++i) {
+      this->registry().OnAttemptStarted(base::EndpointId("old"),
+                                        policy::WorkKind::kBatch, this->Now());
+    }
+  }
+
+  /// Runs one tick and returns what was sent, by item.
+  std::vector<SentItem> Tick() {
+    this->daemon.store_view.Start();
+    this->daemon.RunUntil(
+        [&] { return this->daemon.store_view.Current()->rules != nullptr; });
+    this->registry().ReplaceEntries(this->entries, {}, this->Now());
+    this->runner->Add(this->job);
+    this->daemon.Poll();
+    this->daemon.RunUntil([&] { return this->job->running.empty(); });
+    this->daemon.store_view.Stop();
+    this->daemon.Poll();
+    std::sort(this->sent.begin(), this->sent.end());
+    return this->sent;
+  }
+
+  /// Number of events of the item that was interrupted. They take 0.9 s of the
+  /// 4.5 s that a whole run is expected to take at first.
+  static constexpr std::uint64_t kEvents = 30;
+  static constexpr std::uint32_t kSlots = 8;
+
+  testing::MemoryRowStore rows;
+  base::RowStore client = this->rows.Client();
+  policy::RouteRule route;
+  std::vector<policy::EndpointEntry> entries;
+  std::vector<SentItem> sent;
+  ServingFixture daemon;
+  std::shared_ptr<JobRunner> runner;
+  OwnedJobPtr job;
+
+ private:
+  policy::EndpointRegistry& registry() {
+    return this->daemon.serving.endpoints;
+  }
+
+  Wire MakeWire() {
+    Wire wire;
+    wire.item_headers = [this](const SubmittedItem& item, const std::string&,
+                               const ForwardingMetadata& forwarding) {
+      this->sent.push_back(
+          {item.id, forwarding.endpoint.text, forwarding.after_event});
+      return std::vector<Header>{};
+    };
+    wire.read_response = [](const ResponseHead&) { return ResponseMetadata{}; };
+    return wire;
+  }
+
+  StoreViewSource MakeViewSource() {
+    base::RowTransaction put;
+    put.puts.push_back({{"rules", "", "rules"}, "rules"});
+    const auto written =
+        RunCoroutine(Transact(this->client, std::move(put), base::kNever));
+    REQUIRE(written.ok());
+    StoreViewSource source;
+    source.rules_table = "rules";
+    source.rules_key = "rules";
+    source.endpoints_table = "endpoints";
+    source.read_rules = [this](std::string_view) {
+      policy::ServingRules rules;
+      rules.version = 1;
+      rules.routes = {this->route};
+      return base::Outcome<policy::ServingRules>(std::move(rules));
+    };
+    return source;
+  }
+
+  static OwnedJobPtr MakeJob() {
+    std::vector<SubmittedItem> items(2);
+    items[0].id = "a";
+    items[1].id = "b";
+    layout::JobRow row;
+    row.route = "sheets";
+    return std::make_shared<OwnedJob>(OwnedJob{
+        kKey, row, items, policy::JobRun(ToJobItems(items), {}, {}), 1});
+  }
+};
+
+// Guards against an output that is joined from two origins, is thrown away for
+// nothing, or holds up other items.
+TEST_CASE("an interrupted item goes on at the origin of its output") {
+  using Sent = InterruptedItemFixture::SentItem;
+  constexpr auto kEvents = InterruptedItemFixture::kEvents;
+  InterruptedItemFixture fixture;
+  SECTION("if there is room at an endpoint of its version") {
+    fixture.InterruptFirstItem(seconds(0));
+    const auto sent = fixture.Tick();
+    REQUIRE(sent.size() == 2);
+    CHECK(sent[0] == Sent{"a", "old", kEvents});
+    CHECK(sent[1].item == "b");
+  }
+  SECTION("if these are full, other items go past it") {
+    fixture.FillOldEndpoint();
+    const Sent other{"b", "new", std::nullopt};
+    const Sent restarted{"a", "new", std::nullopt};
+    SECTION("a relaxed one waits") {
+      fixture.InterruptFirstItem(seconds(60));
+      fixture.job->due = fixture.Now() + seconds(60);
+      CHECK(fixture.Tick() == std::vector{other});
+      CHECK(fixture.job->run.event_count(0) == kEvents);
+    }
+    SECTION("an urgent one restarts if a whole run can be in time") {
+      fixture.InterruptFirstItem(seconds(0));
+      fixture.job->due = fixture.Now() + milliseconds(5000);
+      CHECK(fixture.Tick() == std::vector{restarted, other});
+    }
+    SECTION("an urgent one waits if only its output can be in time") {
+      fixture.InterruptFirstItem(seconds(60));
+      fixture.job->due = fixture.Now() + milliseconds(3750);
+      CHECK(fixture.Tick() == std::vector{other});
+    }
+    SECTION("a late one waits at first") {
+      fixture.InterruptFirstItem(seconds(0));
+      fixture.job->due = fixture.Now() - seconds(10);
+      CHECK(fixture.Tick() == std::vector{other});
+    }
+    SECTION("a late one restarts in the end") {
+      fixture.InterruptFirstItem(seconds(3));
+      fixture.job->due = fixture.Now() - seconds(10);
+      CHECK(fixture.Tick() == std::vector{restarted, other});
+    }
+  }
+  SECTION("if its version has gone it restarts, whatever the urgency") {
+    fixture.InterruptFirstItem(seconds(0));
+    std::erase_if(fixture.entries, [](const auto& each) {
+      return each.version == kOrigin.version;
+    });
+    CHECK(fixture.Tick() == std::vector<Sent>{{"a", "new", std::nullopt},
+                                              {"b", "new", std::nullopt}});
+  }
+  SECTION("if the route leads to another service it restarts there") {
+    fixture.InterruptFirstItem(seconds(0));
+    const base::Service other("s2");
+    fixture.AddEndpoint("other", {other, kOrigin.version});
+    fixture.route.services = {{other, 1}};
+    CHECK(fixture.Tick() == std::vector<Sent>{{"a", "other", std::nullopt},
+                                              {"b", "other", std::nullopt}});
+  }
+}
+
 }  // namespace
 }  // namespace gypsumtrack::gateway
--- a/packages/policy/test/serving/job_run_test.cc
+++ b/packages/policy/test/serving/job_run_test.cc
@@ -269,6 +269,7 @@
   CHECK(job.UnlistedResults(1)[0].output == "y");
 }
 
+// Guards against an output that waits behind shorter ones of other origins.
 TEST_CASE("origins wait in the order of their longest output") {
   JobRun job({{"a", 1}, {"b", 2}}, {}, {});
   const auto first = job.StartNextItem(kOrigin, kStart);
