Ping a suspect of another domain whose suspicion isn't ended in time

A VM of another domain isn't pinged from here unless two representatives happen to pair, and suspicion isn't part of the digests. Now a VM pings such a suspect itself after 20 s, and again each 20 s; the answer carries the newer generation. While the whole domain is unresponsive it waits. The ping carries no news for the domain, which a dead VM would swallow.

Not chosen: status in the digests, which would ask for whole domains at each passing suspicion.

The fixed case fails without the change.

--- a/packages/policy/include/gypsumtrack/policy/membership.h
+++ b/packages/policy/include/gypsumtrack/policy/membership.h
@@ -30,6 +30,10 @@
   base::Duration ping_timeout = std::chrono::milliseconds(900);
   /// A suspect that doesn't refute the suspicion for this long becomes lost.
   base::Duration suspicion_timeout = std::chrono::seconds(8);
+  /// Time between direct pings of a suspect of another domain. Longer than its
+  /// own domain takes to refute the suspicion or to consider it lost: after
+  /// this time the message that says so was probably lost.
+  base::Duration verification_period = std::chrono::seconds(20);
   /// Time between pings of a representative to other failure domains.
   base::Duration domain_ping_period = std::chrono::seconds(2);
   /// Time between increments of the own domain's heartbeat counter.
@@ -196,8 +200,10 @@
     bool listed = false;
     /// Whether this VM's own address and location were sent to the member.
     bool sent_self = false;
-    /// When a suspect becomes lost.
+    /// When a suspect of the own domain becomes lost.
     base::Instant lost_at = base::kNever;
+    /// When a suspect of another domain is pinged from here.
+    base::Instant verify_at = base::kNever;
     /// When a lost VM that is no longer listed is removed.
     base::Instant remove_at = base::kNever;
   };
@@ -234,13 +240,20 @@
   void RemoveExpiredDrainingMarks(base::Instant now);
   void ExtendTimeoutsAfterPause(base::Instant now);
   void ExpireSuspects(base::Instant now);
+  /// Pings the suspects of other domains that were neither refuted nor lost in
+  /// time, since the messages that end a suspicion may be lost on their way.
+  /// Waits while the whole domain is unresponsive.
+  void VerifyForeignSuspects(base::Instant now, MembershipActions& actions);
   void RemoveExpiredLostMembers(base::Instant now);
 
   void PingOwnDomain(base::Instant now, MembershipActions& actions);
   void PingOtherDomain(base::Instant now, MembershipActions& actions);
   void RequestSync(base::Instant now, MembershipActions& actions);
-  PingAction MakePing(base::Instant now, Member& member);
+  PingAction MakePing(base::Instant now, const Member& member,
+                      MembershipMessage message) const;
   MembershipMessage MakeMessage(Member* recipient);
+  /// Returns a message that tells only of this VM and of the recipient.
+  MembershipMessage MakeBareMessage(Member* recipient);
   void AddOwnDomainUpdates(MembershipMessage& message);
   void AddOtherDomainUpdates(const std::string& domain,
                              MembershipMessage& message);
--- a/packages/policy/src/membership.cc
+++ b/packages/policy/src/membership.cc
@@ -268,6 +268,7 @@
   const bool own_domain = this->IsInOwnDomain(member);
   member.known.status = status;
   member.lost_at = base::kNever;
+  member.verify_at = base::kNever;
   member.remove_at = base::kNever;
   if (status == MemberStatus::kSuspect && own_domain) {
     member.lost_at = now + this->options.suspicion_timeout;
@@ -278,6 +279,9 @@
       this->priority_targets.push_back(name);
     }
   }
+  if (status == MemberStatus::kSuspect && !own_domain) {
+    member.verify_at = now + this->options.verification_period;
+  }
   if (status == MemberStatus::kLost) {
     member.remove_at = now + this->options.lost_retention;
   }
@@ -326,6 +330,19 @@
   }
 }
 
+void Membership::VerifyForeignSuspects(base::Instant now,
+                                       MembershipActions& actions) {
+  for (auto& [name, member] : this->members) {
+    if (member.verify_at > now) continue;
+    const auto& domain = member.known.location.domain.text;
+    if (this->IsDomainUnresponsive(now, domain)) continue;
+    member.verify_at = now + this->options.verification_period;
+    // Carries no updates for the domain: a suspect may not receive them.
+    actions.pings.push_back(
+        this->MakePing(now, member, this->MakeBareMessage(&member)));
+  }
+}
+
 void Membership::RemoveExpiredLostMembers(base::Instant now) {
   std::erase_if(this->members, [now](const auto& entry) {
     return !entry.second.listed && entry.second.remove_at <= now;
--- a/packages/policy/src/membership_gossip.cc
+++ b/packages/policy/src/membership_gossip.cc
@@ -46,6 +46,7 @@
     this->next_domain_ping_at = now + this->options.domain_ping_period;
     this->PingOtherDomain(now, actions);
   }
+  this->VerifyForeignSuspects(now, actions);
   this->RequestSync(now, actions);
   actions.next_tick = std::min(this->next_ping_at, this->next_domain_ping_at);
   return actions;
@@ -62,7 +63,8 @@
   for (const auto& name : this->OwnDomainMembers(false)) {
     auto& member = this->members[name];
     member.sent_self = false;
-    actions.pings.push_back(this->MakePing(now, member));
+    actions.pings.push_back(
+        this->MakePing(now, member, this->MakeMessage(&member)));
   }
   return actions;
 }
@@ -70,7 +72,9 @@
 void Membership::PingOwnDomain(base::Instant now, MembershipActions& actions) {
   const auto name = this->NextPingTarget();
   if (name.empty()) return;
-  actions.pings.push_back(this->MakePing(now, this->members[name]));
+  auto& member = this->members[name];
+  actions.pings.push_back(
+      this->MakePing(now, member, this->MakeMessage(&member)));
 }
 
 std::string Membership::NextPingTarget() {
@@ -127,8 +131,9 @@
   if (targets.empty() || this->IsDomainUnresponsive(now, domain)) {
     targets = this->MembersOf(domain);
   }
-  const auto& target = targets[this->NextRandom() % targets.size()];
-  actions.pings.push_back(this->MakePing(now, this->members[target]));
+  auto& target = this->members[targets[this->NextRandom() % targets.size()]];
+  actions.pings.push_back(
+      this->MakePing(now, target, this->MakeMessage(&target)));
 }
 
 void Membership::RequestSync(base::Instant now, MembershipActions& actions) {
@@ -146,14 +151,15 @@
   actions.syncs.push_back({mismatch->address, {this->DomainDigests()}});
 }
 
-PingAction Membership::MakePing(base::Instant now, Member& member) {
+PingAction Membership::MakePing(base::Instant now, const Member& member,
+                                MembershipMessage message) const {
   return {.target = member.known.id.name,
           .address = member.known.address,
           .deadline = now + this->options.ping_timeout,
-          .message = this->MakeMessage(&member)};
+          .message = std::move(message)};
 }
 
-MembershipMessage Membership::MakeMessage(Member* recipient) {
+MembershipMessage Membership::MakeBareMessage(Member* recipient) {
   MembershipMessage message;
   message.incarnation = this->self.id.incarnation;
   message.generation = this->self.generation;
@@ -168,6 +174,12 @@
   const bool disputed =
       recipient->known.status != MemberStatus::kAlive && !recipient->list_only;
   if (disputed) message.updates.push_back(recipient->known);
+  return message;
+}
+
+MembershipMessage Membership::MakeMessage(Member* recipient) {
+  auto message = this->MakeBareMessage(recipient);
+  if (recipient == nullptr) return message;
   if (this->IsInOwnDomain(*recipient)) {
     this->AddOwnDomainUpdates(message);
   } else {
--- a/packages/testing/test/membership_fleet_test.cc
+++ b/packages/testing/test/membership_fleet_test.cc
@@ -69,6 +69,11 @@
     RC_ASSERT(
         RecoversToLive(MakeLossyOptions(*rc::gen::arbitrary<std::uint64_t>())));
   });
+  // Guards against a suspicion that stays at a VM of another domain after the
+  // messages that end it were lost.
+  SECTION("although messages that end a suspicion are lost") {
+    CHECK(RecoversToLive(MakeLossyOptions(5)));
+  }
   SECTION("fails if a VM does not refute its suspicion or loss") {
     auto options = MakeLossyOptions(1);
     options.membership.enable_refutation = false;
