Join the four replies that read the configuration log

The routes for rules, history, blame and keys each wrapped the log's revision and their own part in the same lines. ReplyFromLog does it once. Its closure is built as a named variable before the co_await, since it owns memory.

--- a/packages/gateway/src/config_routes.cc
+++ b/packages/gateway/src/config_routes.cc
@@ -101,6 +101,21 @@
       });
 }
 
+/// Replies with the log's revision and what `fill` adds from the log.
+AwaitableReply ReplyFromLog(
+    ConfigService& config,
+    std::function<void(const policy::ConfigLog&, Json::Value&)> fill) {
+  const auto query = [fill = std::move(fill)](const policy::ConfigLog& log) {
+    Json::Value value(Json::objectValue);
+    value["revision"] = ToJson(log.head());
+    fill(log, value);
+    return value;
+  };
+  AdminReply reply;
+  reply.body = co_await QueryLog(config, query);
+  co_return reply;
+}
+
 boost::asio::awaitable<policy::StatusResponse> QueryFleetStatus(
     ConfigService& config) {
   return AwaitHandler<policy::StatusResponse>(
@@ -173,14 +188,10 @@
 }
 
 AwaitableReply GetRules(ConfigService& config, AdminRequest /*request*/) {
-  AdminReply reply;
-  reply.body = co_await QueryLog(config, [](const policy::ConfigLog& log) {
-    Json::Value value(Json::objectValue);
-    value["revision"] = ToJson(log.head());
-    value["rules"] = policy::FormatRules(policy::RulesOf(log.state()));
-    return value;
-  });
-  co_return reply;
+  co_return co_await ReplyFromLog(
+      config, [](const policy::ConfigLog& log, Json::Value& value) {
+        value["rules"] = policy::FormatRules(policy::RulesOf(log.state()));
+      });
 }
 
 std::size_t ParseHistoryLimit(const AdminRequest& request) {
@@ -194,35 +205,27 @@
 
 AwaitableReply GetRuleHistory(ConfigService& config, AdminRequest request) {
   const auto limit = ParseHistoryLimit(request);
-  AdminReply reply;
-  reply.body = co_await QueryLog(config, [limit](const policy::ConfigLog& log) {
-    Json::Value value(Json::objectValue);
-    value["revision"] = ToJson(log.head());
-    auto& changes = value["changes"] = Json::Value(Json::arrayValue);
-    const auto& log_changes = log.changes();
-    for (auto change = log_changes.rbegin();
-         change != log_changes.rend() && changes.size() < limit; ++change) {
-      changes.append(EncodeChange(*change));
-    }
-    return value;
-  });
-  co_return reply;
+  co_return co_await ReplyFromLog(
+      config, [limit](const policy::ConfigLog& log, Json::Value& value) {
+        auto& changes = value["changes"] = Json::Value(Json::arrayValue);
+        const auto& log_changes = log.changes();
+        for (auto change = log_changes.rbegin();
+             change != log_changes.rend() && changes.size() < limit; ++change) {
+          changes.append(EncodeChange(*change));
+        }
+      });
 }
 
 AwaitableReply GetRuleBlame(ConfigService& config, AdminRequest /*request*/) {
-  AdminReply reply;
-  reply.body = co_await QueryLog(config, [](const policy::ConfigLog& log) {
-    Json::Value value(Json::objectValue);
-    value["revision"] = ToJson(log.head());
-    auto& rules = value["rules"] = Json::Value(Json::arrayValue);
-    for (const auto& [id, entry] : log.state().rules) {
-      auto entry_json = EncodeOrigin(entry.origin);
-      entry_json["rule"] = policy::FormatRule(entry.rule);
-      rules.append(std::move(entry_json));
-    }
-    return value;
-  });
-  co_return reply;
+  co_return co_await ReplyFromLog(
+      config, [](const policy::ConfigLog& log, Json::Value& value) {
+        auto& rules = value["rules"] = Json::Value(Json::arrayValue);
+        for (const auto& [id, entry] : log.state().rules) {
+          auto entry_json = EncodeOrigin(entry.origin);
+          entry_json["rule"] = policy::FormatRule(entry.rule);
+          rules.append(std::move(entry_json));
+        }
+      });
 }
 
 AwaitableReply GrantKey(const Runtime& runtime, ConfigService& config,
@@ -256,20 +259,16 @@
 }
 
 AwaitableReply ListKeys(ConfigService& config, AdminRequest /*request*/) {
-  AdminReply reply;
-  reply.body = co_await QueryLog(config, [](const policy::ConfigLog& log) {
-    Json::Value value(Json::objectValue);
-    value["revision"] = ToJson(log.head());
-    auto& keys = value["keys"] = Json::Value(Json::arrayValue);
-    for (const auto& [hash, entry] : log.state().keys) {
-      auto entry_json = EncodeOrigin(entry.origin);
-      entry_json["label"] = entry.grant.label;
-      entry_json["organisation"] = entry.grant.organisation.text;
-      keys.append(std::move(entry_json));
-    }
-    return value;
-  });
-  co_return reply;
+  co_return co_await ReplyFromLog(
+      config, [](const policy::ConfigLog& log, Json::Value& value) {
+        auto& keys = value["keys"] = Json::Value(Json::arrayValue);
+        for (const auto& [hash, entry] : log.state().keys) {
+          auto entry_json = EncodeOrigin(entry.origin);
+          entry_json["label"] = entry.grant.label;
+          entry_json["organisation"] = entry.grant.organisation.text;
+          keys.append(std::move(entry_json));
+        }
+      });
 }
 
 /// Returns the hash of the key with the label, or null if there is none.
