--- a/packages/gateway/src/serving/relay_service.cc
+++ b/packages/gateway/src/serving/relay_service.cc
@@ -6,13 +6,13 @@
 #include <utility>
 
 #include "gypsumtrack/base/event_log.h"
-#include "gypsumtrack/base/hash.h"
 #include "gypsumtrack/gateway/http_status.h"
 #include "gypsumtrack/gateway/serving/row_store_await.h"
 #include "gypsumtrack/policy/serving/attempts.h"
 #include "gypsumtrack/policy/serving/event_splitter.h"
 #include "gypsumtrack/policy/serving/request_fingerprint.h"
 #include "send_to_endpoint.h"
+#include "stream_origin_tracker.h"
 
 namespace gypsumtrack::gateway {
 namespace {
@@ -32,10 +32,6 @@
 /// kMinProgressTimeout if that is longer.
 constexpr int kMaxEventGaps = 3;
 constexpr base::Duration kMinProgressTimeout = std::chrono::milliseconds(1000);
-/// Time for which the first event of a stream waits for the record of its
-/// version before the stream is begun at the default version instead.
-constexpr base::Duration kRecordWait = std::chrono::milliseconds(400);
-constexpr base::Duration kRecordPollInterval = std::chrono::milliseconds(3);
 /// Retry delay for callers while it can't be read who began their stream.
 constexpr base::Duration kUnknownOriginRetryAfter =
     std::chrono::milliseconds(300);
@@ -65,7 +61,8 @@
                               this->route.timeout),
                           this->route.timeout)),
         cancel(std::make_shared<CallCancellation>()),
-        after_event(this->facts.after_event) {
+        after_event(this->facts.after_event),
+        origin(context, this->route, this->facts) {
     if (this->access.organisation != nullptr) {
       this->organisation = this->access.organisation->name;
     }
@@ -97,143 +94,17 @@
     }
     this->exchange.OnCallerDisconnect(
         [cancel = this->cancel] { cancel->Cancel(); });
-    bool retry = co_await this->FindOrigin();
+    const bool is_origin_known = co_await this->origin.FindOrigin();
+    if (!is_origin_known) {
+      co_await this->RefuseUnknownOrigin();
+      co_return;
+    }
+    bool retry = true;
     while (retry) retry = co_await this->Attempt();
     this->ReleaseReservation();
   }
 
  private:
-  // Software versions.
-
-  /// Whether a stream of this route may be continued at another endpoint. Other
-  /// requests begin anew in each attempt, so that any version may run them.
-  bool IsResumableStream() const {
-    return this->route.kind == policy::RequestKind::kStream &&
-           this->route.resumable;
-  }
-
-  /// The service that begins the stream of a request: always the same, so that
-  /// any daemon can tell it without a record.
-  const base::Service& FirstService(const std::string& request) const {
-    return policy::PickService(this->route, base::Hash64(request));
-  }
-
-  /// Finds out who began the stream that the caller takes up, if it does.
-  /// Refuses the request and returns false if that can't be told.
-  asio::awaitable<bool> FindOrigin() {
-    const auto& find = this->context.stream_versions.find_origin;
-    if (!this->IsResumableStream() || !this->after_event || !find)
-      co_return true;
-    const auto& begun_by = this->facts.continued_request;
-    auto found = co_await find(begun_by, this->FirstService(begun_by));
-    base::LogEvent(
-        "continued",
-        {{"request", this->facts.request_id},
-         {"begun_by", begun_by},
-         {"after", *this->after_event},
-         {"version", found.ok() ? found->version : std::string()},
-         {"reason", found.ok() ? std::string() : found.error().message}});
-    if (found.ok()) {
-      this->origin = std::move(*found);
-      co_return true;
-    }
-    this->context.quota.ReturnToken(this->organisation);
-    Refusal refusal{status::kUnavailable, "unknown_version",
-                    kUnknownOriginRetryAfter};
-    co_await SendRefusal(this->context, this->exchange, this->facts.request_id,
-                         std::move(refusal));
-    co_return false;
-  }
-
-  /// Makes a query for endpoints that may serve the next attempt.
-  policy::EndpointQuery MakeQuery() const {
-    if (this->origin) return this->MakeContinuationQuery();
-    if (!this->IsResumableStream() || this->attempts.attempt_count() > 0) {
-      auto query = this->context.MakeQuery(this->route);
-      if (this->IsResumableStream())
-        query.version = this->VersionWithoutRecords(query.service);
-      return query;
-    }
-    auto query =
-        this->context.MakeQuery(this->FirstService(this->facts.request_id));
-    query.version = this->VersionWithoutRecords(query.service);
-    return query;
-  }
-
-  policy::EndpointQuery MakeContinuationQuery() const {
-    // The rules in force may have moved the route to another service.
-    const bool is_routed = policy::LeadsTo(this->route, this->origin->service);
-    auto query = is_routed ? this->context.MakeQuery(this->origin->service)
-                           : this->context.MakeQuery(this->route);
-    query.version = this->origin->version;
-    return query;
-  }
-
-  /// Returns the default version if records can't be written now and endpoints
-  /// of it accept requests.
-  std::optional<std::string> VersionWithoutRecords(
-      const base::Service& service) const {
-    const auto& hooks = this->context.stream_versions;
-    if (!hooks.can_record || hooks.can_record()) return std::nullopt;
-    auto version = hooks.default_version(service);
-    if (!version || !this->HasEndpoints(service, *version)) return std::nullopt;
-    return version;
-  }
-
-  bool HasEndpoints(const base::Service& service,
-                    const std::string& version) const {
-    const auto counts = this->context.endpoints.CountByVersion(service);
-    const auto found = counts.find(version);
-    return found != counts.end() && found->second.accepting > 0;
-  }
-
-  /// Starts to record who begins the stream, unless all daemons can tell.
-  void RecordOrigin(const policy::EndpointEntry& endpoint) {
-    this->attempt_origin = {endpoint.service, endpoint.version};
-    const auto& hooks = this->context.stream_versions;
-    const bool may_begin = this->IsResumableStream() && !this->origin;
-    if (!may_begin || !hooks.record) return;
-    const bool is_implied =
-        endpoint.service == this->FirstService(this->facts.request_id) &&
-        hooks.default_version(endpoint.service) == endpoint.version;
-    this->AbandonRecord();
-    if (is_implied && !this->record) return;
-    this->record =
-        hooks.record(this->facts.request_id, this->attempts.attempt_count(),
-                     this->attempt_origin, this->deadline);
-  }
-
-  /// Ends the record of an earlier attempt. It stays in place if the store may
-  /// have it, because a newer one is needed then.
-  void AbandonRecord() {
-    if (!this->record) return;
-    this->record->is_abandoned = true;
-    if (!this->record->may_be_written) this->record.reset();
-  }
-
-  /// Waits until it is recorded who begins the stream. Returns false if that
-  /// takes too long and the default version can begin the stream instead.
-  asio::awaitable<bool> WaitForRecord() {
-    const auto wait_deadline =
-        std::min(this->Now() + kRecordWait, this->deadline);
-    while (this->record && !this->record->is_written) {
-      if (this->Now() >= wait_deadline) {
-        const auto version = this->context.stream_versions.default_version(
-            this->attempt_origin.service);
-        const bool has_alternative =
-            version && *version != this->attempt_origin.version &&
-            this->HasEndpoints(this->attempt_origin.service, *version);
-        base::LogEvent("stream_record_late",
-                       {{"request", this->facts.request_id},
-                        {"version", this->attempt_origin.version},
-                        {"begun", has_alternative ? 0 : 1}});
-        co_return !has_alternative;
-      }
-      co_await Pause(kRecordPollInterval);
-    }
-    co_return true;
-  }
-
   base::Instant Now() const { return this->context.clock.now(); }
   bool CallerDisconnected() const { return this->cancel->cancelled(); }
 
@@ -251,6 +122,16 @@
                          std::move(refusal));
   }
 
+  /// Refuses a request that continues a stream of which can't be told who began
+  /// it.
+  asio::awaitable<void> RefuseUnknownOrigin() {
+    this->context.quota.ReturnToken(this->organisation);
+    Refusal refusal{status::kUnavailable, "unknown_version",
+                    kUnknownOriginRetryAfter};
+    co_await SendRefusal(this->context, this->exchange, this->facts.request_id,
+                         std::move(refusal));
+  }
+
   asio::awaitable<void> RefuseOverQuota() {
     const auto now = this->Now();
     base::LogEvent("over_rate",
@@ -301,7 +182,7 @@
   /// none matches or the request has waited as long as it may.
   asio::awaitable<policy::EndpointChoice> ChooseEndpoint() {
     const auto wait_deadline = this->CapacityWaitDeadline();
-    auto query = this->MakeQuery();
+    auto query = this->origin.MakeQuery(this->attempts.attempt_count() == 0);
     for (;;) {
       const auto now = this->Now();
       const auto choice = this->ChooseNow(query, this->tried);
@@ -317,7 +198,7 @@
 
   base::Instant CapacityWaitDeadline() const {
     // Of a stream that is taken up the caller has lost the time already.
-    if (this->attempts.attempt_count() == 0 && !this->origin)
+    if (this->attempts.attempt_count() == 0 && !this->origin.must_continue())
       return policy::CapacityWaitDeadline(this->arrived, this->route);
     // The attempt that was abandoned might have gone on.
     if (this->attempts.abandoned()) return this->deadline;
@@ -353,7 +234,7 @@
       return false;
     if (!this->CanResume() || !this->IsKeyValid()) return false;
     if (FindQuarantined(this->context, this->suspects)) return false;
-    auto query = this->MakeQuery();
+    auto query = this->origin.MakeQuery(this->attempts.attempt_count() == 0);
     auto tried_endpoints = this->tried;
     auto choice = this->ChooseNow(query, tried_endpoints);
     if (choice.status != policy::ChoiceStatus::kChosen) return false;
@@ -387,7 +268,8 @@
   asio::awaitable<void> GiveUpWithoutEndpoint(
       policy::ChoiceStatus choice_status) {
     const bool no_capacity = choice_status == policy::ChoiceStatus::kNoCapacity;
-    const char* none_matches = this->origin ? "version_gone" : "no_endpoint";
+    const char* none_matches =
+        this->origin.must_continue() ? "version_gone" : "no_endpoint";
     const std::string reason = no_capacity ? "no_room" : none_matches;
     if (this->response_started) {
       this->AbortResponse(reason);
@@ -479,7 +361,8 @@
     this->splitter = {};
     this->attempt_events = 0;
     this->arrival_limit = {};
-    this->RecordOrigin(choice.endpoint);
+    this->origin.OnAttemptStarted(
+        choice.endpoint, this->attempts.attempt_count(), this->deadline);
     EndpointCall call;
     call.address = choice.endpoint.address;
     call.method = this->exchange.request().method;
@@ -562,13 +445,14 @@
                                             std::string bytes) {
     if (bytes.empty()) co_return base::Done{};
     if (!this->response_started) {
-      const bool is_recorded = co_await this->WaitForRecord();
+      const bool is_recorded =
+          co_await this->origin.WaitForRecord(this->deadline);
       if (!is_recorded) {
         this->after_event = this->facts.after_event;
         co_return base::Error(base::Errc::kTimeout,
                               "the version of the stream isn't recorded");
       }
-      if (!this->origin) this->origin = this->attempt_origin;
+      this->origin.OnFirstEvent();
       auto started = co_await this->StartStream(head);
       if (!started.ok()) co_return started;
     }
@@ -759,13 +643,7 @@
   /// caller reports to have received.
   std::optional<std::uint64_t> after_event;
   bool response_started = false;
-  /// Who began the stream, once its first event was relayed, here or for an
-  /// earlier request that this one continues.
-  std::optional<policy::OutputOrigin> origin;
-  /// Where the current attempt was sent.
-  policy::OutputOrigin attempt_origin;
-  /// The newest record of who begins the stream; null if none is needed.
-  std::shared_ptr<StreamRecord> record;
+  StreamOriginTracker origin;
   /// The endpoint of the next attempt, which is counted there already.
   std::optional<policy::EndpointChoice> reservation;
 };
