Report attempts to connect to endpoints, declare tunnelled calls

A daemon that is cut off from all endpoints has to notice that from its own attempts to connect. EndpointCall::on_connect tells each of them with when it began; attempts that were cancelled say nothing about the network and aren't reported.

The header also declares calls through a peer daemon, tunnel.h their types, so that the many files that include it are rebuilt once.

--- a/packages/gateway/include/gypsumtrack/gateway/endpoint_client.h
+++ b/packages/gateway/include/gypsumtrack/gateway/endpoint_client.h
@@ -15,6 +15,7 @@
 #include "gypsumtrack/base/error.h"
 #include "gypsumtrack/base/time.h"
 #include "gypsumtrack/gateway/http_server.h"
+#include "gypsumtrack/gateway/tunnel.h"
 #include "gypsumtrack/policy/run_state.h"
 
 /// HTTP/1.1 client for endpoints. Connections are pooled, and each carries one
@@ -122,6 +123,16 @@
   std::function<bool()> may_abandon;
   /// Cancels the call; may be null.
   std::shared_ptr<CallCancellation> cancel;
+  /// Opens the connection through this peer, not directly. Only connections
+  /// that were opened through the same peer are reused.
+  std::optional<TunnelHop> tunnel;
+  /// The endpoint at `address`, as the peer of `tunnel` knows it.
+  TunnelTarget tunnel_target;
+  /// Called when an attempt to open a direct connection has ended, with whether
+  /// it opened and when it began. Not called for attempts that were cancelled;
+  /// one that the deadline ended counts as failed. Called on the strand of the
+  /// call.
+  std::function<void(bool connected, base::Instant started_at)> on_connect;
 
   /// Handles one part of a response body.
   using PartHook = std::function<boost::asio::awaitable<base::Status>(
@@ -145,6 +156,9 @@
   bool draining = false;
   /// Whether the request was sent on a pooled connection.
   bool reused_connection = false;
+  /// How the attempt to open a tunnel ended; none for direct and for reused
+  /// connections, and if it was cancelled.
+  std::optional<TunnelStatus> tunnel_status;
   ResponseHead head;
   std::string body;
 };
@@ -152,6 +166,9 @@
 /// Timeouts and limits of an EndpointClient.
 struct EndpointClientOptions {
   base::Duration connect_timeout = std::chrono::seconds(1);
+  /// Maximum time from the connection to a peer to its reply that the tunnel is
+  /// open. The peer connects to the endpoint meanwhile.
+  base::Duration tunnel_timeout = std::chrono::seconds(1);
   /// An idle connection isn't reused this long after its last response. It is
   /// closed when another connection to the endpoint becomes idle.
   base::Duration max_idle = std::chrono::seconds(15);
@@ -183,13 +200,20 @@
   /// which must be a strand. Precondition: the client outlives the call.
   /// Thread-safe.
   boost::asio::awaitable<EndpointResult> Call(EndpointCall call);
-  /// Closes the idle connections to the endpoint. Thread-safe.
+  /// Closes the idle connections to the endpoint, direct and through peers.
+  /// Thread-safe.
   void DropIdle(const std::string& address);
+  /// Closes the idle connections to all endpoints through the peer of that
+  /// name. Thread-safe.
+  void DropIdleTunnels(const std::string& peer);
   /// Closes all idle connections. Thread-safe.
   void CloseIdle();
 
-  /// Number of idle connections to the endpoint. Thread-safe.
+  /// Number of idle direct connections to the endpoint. Thread-safe.
   std::size_t idle_count(const std::string& address) const;  // NOLINT
+  /// Number of idle connections to the endpoint through the peer. Thread-safe.
+  std::size_t idle_count(const std::string& address,  // NOLINT
+                         const TunnelHop& hop) const;
 
  private:
   class Pool;
--- a/packages/gateway/src/endpoint_client.cc
+++ b/packages/gateway/src/endpoint_client.cc
@@ -134,9 +134,13 @@
     if (!address.ok() || this->Cancelled()) co_return false;
     this->connection =
         std::make_unique<EndpointConnection>(asio::ip::tcp::socket(executor));
+    const auto started_at = this->clock.now();
     this->SetTimeout(this->options.connect_timeout);
     const auto [error] =
         co_await this->connection->socket.async_connect(*address, kAwaitTuple);
+    if (this->call.on_connect && !this->Cancelled()) {
+      this->call.on_connect(!error, started_at);
+    }
     if (error) {
       this->result.outcome =
           this->Cancelled() ? CallOutcome::kCancelled : CallOutcome::kConnect;
--- a/packages/gateway/test/endpoint_client_test.cc
+++ b/packages/gateway/test/endpoint_client_test.cc
@@ -3,10 +3,13 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <catch2/catch.hpp>
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "gypsumtrack/testing/raw_endpoint.h"
 #include "serving/run_coroutine.h"
@@ -426,5 +429,81 @@
   CHECK(result.run == policy::RunState::kNotRun);
 }
 
+/// A listener that accepts nothing and whose queue is full: connections to it
+/// hang.
+class HangingListener {
+ public:
+  HangingListener() : acceptor(this->context), queued(this->context) {
+    using boost::asio::ip::tcp;
+    const tcp::endpoint any_port(boost::asio::ip::make_address("127.0.0.1"), 0);
+    this->acceptor.open(any_port.protocol());
+    this->acceptor.bind(any_port);
+    this->acceptor.listen(0);
+    this->queued.connect(this->acceptor.local_endpoint());
+  }
+
+  std::string address() const {  // NOLINT
+    return "127.0.0.1:" +
+           std::to_string(this->acceptor.local_endpoint().port());
+  }
+
+ private:
+  boost::asio::io_context context;
+  boost::asio::ip::tcp::acceptor acceptor;
+  boost::asio::ip::tcp::socket queued;
+};
+
+/// An `ip:port` at which nothing listens.
+std::string ClosedAddress() {
+  boost::asio::io_context context;
+  using boost::asio::ip::tcp;
+  const tcp::acceptor acceptor(
+      context, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+  return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+}
+
+TEST_CASE("a call reports each attempt to open a connection") {
+  using std::chrono::milliseconds;
+  auto options = Options();
+  options.connect_timeout = milliseconds(200);
+  ClientFixture fixture(options);
+  fixture.endpoint.SetResponses({{Success("c-1"), RawEnd::kKeepOpen}});
+  std::vector<bool> attempts;
+  const auto before = base::SystemClock().now();
+  auto call = fixture.MakeCall();
+  call.on_connect = [&](bool connected, base::Instant started_at) {
+    attempts.push_back(connected);
+    CHECK(started_at >= before);
+    CHECK(started_at <= base::SystemClock().now());
+  };
+  SECTION("one that opens it, but none for a reused connection") {
+    CHECK(fixture.Send(call).outcome == CallOutcome::kComplete);
+    CHECK(attempts == std::vector{true});
+    CHECK(fixture.Send(call).reused_connection);
+    CHECK(attempts == std::vector{true});
+  }
+  SECTION("one that is refused") {
+    call.address = ClosedAddress();
+    CHECK(fixture.Send(call).outcome == CallOutcome::kConnect);
+    CHECK(attempts == std::vector{false});
+  }
+  SECTION("one that hangs") {
+    const HangingListener listener;
+    call.address = listener.address();
+    CHECK(fixture.Send(call).outcome == CallOutcome::kConnect);
+    CHECK(attempts == std::vector{false});
+    CHECK(base::SystemClock().now() >= before + milliseconds(200));
+  }
+  SECTION("but not one that was cancelled") {
+    const HangingListener listener;
+    call.address = listener.address();
+    call.cancel = std::make_shared<CallCancellation>();
+    boost::asio::steady_timer timer(fixture.context, milliseconds(50));
+    timer.async_wait([&](boost::system::error_code) { call.cancel->Cancel(); });
+    CHECK(fixture.Send(call).outcome == CallOutcome::kCancelled);
+    CHECK(attempts.empty());
+  }
+}
+
 }  // namespace
 }  // namespace gypsumtrack::gateway
