--- a/packages/gateway/include/gypsumtrack/gateway/serving/serving_context.h
+++ b/packages/gateway/include/gypsumtrack/gateway/serving/serving_context.h
@@ -103,6 +103,22 @@
       find_origin;
 };
 
+/// Hooks that tell of the direct connections to endpoints. Empty until the
+/// endpoint path service has started.
+struct EndpointPathHooks {
+  /// A call over a direct connection began.
+  std::function<void()> on_call_started;
+  /// Such a call ended; `lost` if its connection closed before its response
+  /// ended.
+  std::function<void(bool lost)> on_call_ended;
+  /// Bytes of an endpoint arrived on a direct connection.
+  std::function<void()> on_bytes;
+  /// An attempt to open a direct connection ended.
+  std::function<void(const base::EndpointId& endpoint, bool connected,
+                     base::Instant started_at)>
+      on_connect;
+};
+
 /// Shared state of a serving daemon. Must be used on the thread of `executor`,
 /// except for the store, the store view, the client and the metrics, which are
 /// thread-safe.
@@ -122,6 +138,7 @@
   policy::BatchStartLimiter batch_starts;
   CrashHooks crash_hooks;
   StreamVersionHooks stream_versions;
+  EndpointPathHooks path_hooks;
   std::minstd_rand random;
   /// Set once the daemon has been asked to stop.
   bool shutting_down = false;
--- a/packages/gateway/src/connection_probe.cc
+++ b/packages/gateway/src/connection_probe.cc
@@ -14,10 +14,11 @@
 
 namespace asio = boost::asio;
 
-asio::awaitable<bool> RefusesConnections(std::string address, base::Clock clock,
-                                         base::Duration timeout) {
+asio::awaitable<ProbeResult> ProbeConnection(std::string address,
+                                             base::Clock clock,
+                                             base::Duration timeout) {
   const auto parsed = ParseSocketAddress(address);
-  if (!parsed.ok()) co_return false;
+  if (!parsed.ok()) co_return ProbeResult::kUnreachable;
   const auto strand = co_await asio::this_coro::executor;
   const auto socket = std::make_shared<asio::ip::tcp::socket>(strand);
   const auto deadline = clock.now() + timeout;
@@ -30,7 +31,10 @@
   const auto [error] = co_await socket->async_connect(
       *parsed, asio::as_tuple(asio::use_awaitable));
   watchdog->Stop();
-  co_return error == asio::error::connection_refused;
+  if (!error) co_return ProbeResult::kOpened;
+  co_return error == asio::error::connection_refused
+      ? ProbeResult::kRefused
+      : ProbeResult::kUnreachable;
 }
 
 }  // namespace gypsumtrack::gateway
--- a/packages/gateway/src/connection_probe.h
+++ b/packages/gateway/src/connection_probe.h
@@ -6,16 +6,21 @@
 
 #include "gypsumtrack/base/time.h"
 
-/// Tells an ended process from a network fault.
+/// Finds out whether a process listens at an address.
 namespace gypsumtrack::gateway {
 
-/// Opens a connection to `address` (`ip:port`) and closes it. Returns whether
-/// it was refused, which shows that nothing listens there. False if the
-/// connection opened, failed in another way or took longer than `timeout`. Must
-/// run on a strand.
-boost::asio::awaitable<bool> RefusesConnections(std::string address,
-                                                base::Clock clock,
-                                                base::Duration timeout);
+/// What an attempt to open a connection showed.
+enum class ProbeResult {
+  kOpened,
+  kRefused,      ///< nothing listens there, or the path rejects connections
+  kUnreachable,  ///< no answer in time, or another error
+};
+
+/// Opens a connection to `address` (`ip:port`) and closes it. Must run on a
+/// strand.
+boost::asio::awaitable<ProbeResult> ProbeConnection(std::string address,
+                                                    base::Clock clock,
+                                                    base::Duration timeout);
 
 }  // namespace gypsumtrack::gateway
 
--- a/packages/gateway/src/serving/crash_service.cc
+++ b/packages/gateway/src/serving/crash_service.cc
@@ -112,10 +112,10 @@
   /// Nothing listens any more where an endpoint has crashed.
   asio::awaitable<void> Probe(EndpointIncarnation endpoint,
                               std::string address) {
-    const bool refused = co_await RefusesConnections(
+    const auto result = co_await ProbeConnection(
         std::move(address), this->context.clock, kProbeTimeout);
     const auto lost = this->probed.extract(endpoint);
-    if (!refused) co_return;
+    if (result != ProbeResult::kRefused) co_return;
     for (const auto& run : lost.mapped()) this->OnCrashed(run);
     // Written at once: each further request with the suspect costs an endpoint.
     co_await this->WriteReports();
--- a/packages/gateway/src/serving/send_to_endpoint.cc
+++ b/packages/gateway/src/serving/send_to_endpoint.cc
@@ -79,6 +79,32 @@
                                       {"source", "response"}});
 }
 
+/// Makes a direct call report what it shows about the path to endpoints.
+/// Returns false if nobody asks for it.
+bool ReportDirectPath(const ServingContext& context,
+                      const policy::EndpointEntry& endpoint,
+                      EndpointCall& call) {
+  const auto& hooks = context.path_hooks;
+  if (!hooks.on_call_started) return false;
+  hooks.on_call_started();
+  call.on_connect = [&hooks, id = endpoint.id](bool connected,
+                                               base::Instant started_at) {
+    hooks.on_connect(id, connected, started_at);
+  };
+  call.on_head = [&hooks,
+                  on_head = std::move(call.on_head)](const ResponseHead& head) {
+    hooks.on_bytes();
+    on_head(head);
+  };
+  if (!call.on_part) return true;
+  call.on_part = [&hooks, on_part = std::move(call.on_part)](
+                     const ResponseHead& head, std::string_view part) {
+    hooks.on_bytes();
+    return on_part(head, part);
+  };
+  return true;
+}
+
 }  // namespace
 
 std::string FormatParts(const std::vector<base::PromptPart>& parts) {
@@ -140,7 +166,10 @@
   call.on_head = [&context, &endpoint, sent_at](const ResponseHead& head) {
     RecordReports(context, endpoint, context.wire.read_response(head), sent_at);
   };
+  const bool reports_path = ReportDirectPath(context, endpoint, call);
   auto result = co_await context.client.Call(std::move(call));
+  if (reports_path)
+    context.path_hooks.on_call_ended(result.outcome == CallOutcome::kClosed);
   const auto now = context.clock.now();
   const bool responded = result.outcome == CallOutcome::kComplete ||
                          result.outcome == CallOutcome::kRefused;
--- a/packages/gateway/src/serving/serving_daemon.cc
+++ b/packages/gateway/src/serving/serving_daemon.cc
@@ -19,6 +19,7 @@
 #include "gypsumtrack/base/event_log.h"
 #include "gypsumtrack/gateway/http_status.h"
 #include "gypsumtrack/gateway/serving/crash_service.h"
+#include "gypsumtrack/gateway/serving/endpoint_path_service.h"
 #include "gypsumtrack/gateway/serving/gossip_service.h"
 #include "gypsumtrack/gateway/serving/job_service.h"
 #include "gypsumtrack/gateway/serving/relay_service.h"
@@ -147,6 +148,7 @@
     this->crashes = std::make_unique<CrashService>(this->serving, *this->fleet);
     this->stream_versions =
         std::make_unique<StreamVersionService>(this->serving, *this->fleet);
+    this->paths = std::make_unique<EndpointPathService>(this->serving);
     this->AddGauges();
   }
 
@@ -166,6 +168,7 @@
     this->jobs->Start();
     this->crashes->Start();
     this->stream_versions->Start();
+    this->paths->Start();
     asio::co_spawn(
         this->context, [this] { return this->RunPeriodicTasks(); },
         asio::detached);
@@ -205,6 +208,7 @@
     this->serving.endpoints.ReplaceEntries(view->endpoints,
                                            view->store_recovered_at, now);
     this->endpoints_applied = true;
+    this->paths->SetEndpoints(view->endpoints);
     this->RemoveExpiredEndpoints(now);
     for (const auto& each : view->endpoints) {
       this->endpoints_by_hash[HashName(each.id.text)] = each.id;
@@ -544,6 +548,7 @@
   std::unique_ptr<JobService> jobs;
   std::unique_ptr<CrashService> crashes;
   std::unique_ptr<StreamVersionService> stream_versions;
+  std::unique_ptr<EndpointPathService> paths;
   std::unique_ptr<HttpServer> caller_server;
   std::unique_ptr<HttpServer> readiness_server;
   std::unique_ptr<HttpServer> metrics_server;
--- a/packages/gateway/test/serving/serving_fixture.h
+++ b/packages/gateway/test/serving/serving_fixture.h
@@ -40,6 +40,7 @@
                 .batch_starts = policy::BatchStartLimiter({}),
                 .crash_hooks = {},
                 .stream_versions = {},
+                .path_hooks = {},
                 .random = std::minstd_rand(1)},
         fleet(this->context.get_executor(), this->clock, row_store,
               Settings(vm_name), this->serving.self,
