Move the TCP options of endpoint connections to a file of their own

Tunnels between daemons will need them too. Nothing changes.

Run: gateway_tests [#endpoint_client_test], 256 assertions in 11 test cases passed.

--- a/packages/gateway/src/endpoint_client.cc
+++ b/packages/gateway/src/endpoint_client.cc
@@ -1,7 +1,5 @@
 #include "gypsumtrack/gateway/endpoint_client.h"
 
-#include <netinet/tcp.h>
-
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -14,6 +12,7 @@
 #include "gypsumtrack/gateway/header_syntax.h"
 #include "gypsumtrack/gateway/http_status.h"
 #include "socket_address.h"
+#include "tcp_options.h"
 #include "watchdog.h"
 
 namespace gypsumtrack::gateway {
@@ -28,8 +27,6 @@
 constexpr std::size_t kBodyPartBytes = std::size_t{16} * 1024;
 constexpr std::uint32_t kMaxHeaderBytes = 64 * 1024;
 constexpr unsigned kHttp11 = 11;
-/// Idle time before TCP keep-alive probes, and the interval between them.
-constexpr int kTcpKeepAliveSeconds = 1;
 /// Maximum number of late responses to earlier requests that are discarded.
 constexpr int kMaxLateResponses = 3;
 /// Maximum number of responses with a 1xx status before the final one.
@@ -43,28 +40,6 @@
 /// connection stays idle here.
 constexpr unsigned long kMaxKeepAliveSeconds = 3600;
 
-using TcpKeepAliveIdle =
-    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
-using TcpKeepAliveInterval =
-    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
-using TcpUserTimeout =
-    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
-
-/// Makes the kernel detect connections that were dropped by the network or a
-/// middlebox.
-void SetTcpTimeouts(asio::ip::tcp::socket& socket,
-                    base::Duration user_timeout) {
-  const auto timeout_ms =
-      std::chrono::duration_cast<std::chrono::milliseconds>(user_timeout);
-  error_code ignored;
-  socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-  socket.set_option(asio::socket_base::keep_alive(true), ignored);
-  socket.set_option(TcpKeepAliveIdle(kTcpKeepAliveSeconds), ignored);
-  socket.set_option(TcpKeepAliveInterval(kTcpKeepAliveSeconds), ignored);
-  socket.set_option(TcpUserTimeout(static_cast<int>(timeout_ms.count())),
-                    ignored);
-}
-
 ResponseHead CopyHead(const Parser& parser) {
   ResponseHead head;
   head.status = parser.get().result_int();
