Let calls reach an endpoint through a peer daemon

EndpointCall::tunnel names the peer. The client connects to it, sends the handshake and sends the request only once the peer has replied that the tunnel is open, so that any other end means that the request didn't run. Idle connections are kept by the route they take: one through a peer never serves a direct call or one through another peer. A call that is ended early resets its tunnel, since a close would wait behind the unsent rest of the request.

--- a/packages/gateway/src/connection_pool.cc
+++ b/packages/gateway/src/connection_pool.cc
@@ -27,18 +27,28 @@
 
 }  // namespace
 
+EndpointRoute::EndpointRoute(const std::string& address) : address(address) {}
+
+EndpointRoute::EndpointRoute(const std::string& address,
+                             const std::optional<TunnelHop>& tunnel)
+    : address(address) {
+  if (tunnel) this->via = tunnel->peer + "/" + tunnel->address;
+}
+
 ConnectionPool::ConnectionPool(EndpointClientOptions client_options)
     : options(std::move(client_options)) {}
 
-EndpointConnectionPtr ConnectionPool::Take(const std::string& address,
+EndpointConnectionPtr ConnectionPool::Take(const EndpointRoute& route,
                                            const std::string& request_id,
                                            base::Instant min_last_response_at,
                                            base::Instant now) {
   const auto request_hash = base::Hash64(request_id);
-  Shard& shard = this->ShardOf(address);
+  Shard& shard = this->ShardOf(route.address);
   const std::lock_guard lock(shard.mutex);
-  const auto found = shard.idle.find(address);
-  if (found == shard.idle.end()) return nullptr;
+  const auto routes = shard.idle.find(route.address);
+  if (routes == shard.idle.end()) return nullptr;
+  const auto found = routes->second.find(route.via);
+  if (found == routes->second.end()) return nullptr;
   auto& idle = found->second;
   for (auto i = idle.size(); i > 0; --i) {
     auto& candidate = idle[i - 1];
@@ -52,24 +62,43 @@
   return nullptr;
 }
 
-void ConnectionPool::Put(const std::string& address,
+void ConnectionPool::Put(const EndpointRoute& route,
                          EndpointConnectionPtr connection) {
   if (connection->calls >= this->options.max_calls_per_connection) return;
   const auto now = connection->last_response_at;
-  Shard& shard = this->ShardOf(address);
+  Shard& shard = this->ShardOf(route.address);
   const std::lock_guard lock(shard.mutex);
-  auto& idle = shard.idle[address];
+  auto& idle = shard.idle[route.address][route.via];
   this->DropExpired(idle, now);
   if (idle.size() >= this->options.max_idle_per_endpoint) return;
   idle.push_back(std::move(connection));
 }
 
-void ConnectionPool::Drop(const std::string& address) {
+void ConnectionPool::Drop(const EndpointRoute& route) {
+  Shard& shard = this->ShardOf(route.address);
+  const std::lock_guard lock(shard.mutex);
+  const auto found = shard.idle.find(route.address);
+  if (found != shard.idle.end()) found->second.erase(route.via);
+}
+
+void ConnectionPool::DropEndpoint(const std::string& address) {
   Shard& shard = this->ShardOf(address);
   const std::lock_guard lock(shard.mutex);
   shard.idle.erase(address);
 }
 
+void ConnectionPool::DropPeer(const std::string& peer) {
+  for (auto& shard : this->shards) {
+    const std::lock_guard lock(shard.mutex);
+    for (auto& [address, routes] : shard.idle) {
+      std::erase_if(routes, [&](const auto& entry) {
+        const IdleConnections& idle = entry.second;
+        return !idle.empty() && idle.front()->peer == peer;
+      });
+    }
+  }
+}
+
 void ConnectionPool::DropAll() {
   for (auto& shard : this->shards) {
     const std::lock_guard lock(shard.mutex);
@@ -77,11 +106,13 @@
   }
 }
 
-std::size_t ConnectionPool::idle_count(const std::string& address) const {
-  const Shard& shard = this->ShardOf(address);
+std::size_t ConnectionPool::idle_count(const EndpointRoute& route) const {
+  const Shard& shard = this->ShardOf(route.address);
   const std::lock_guard lock(shard.mutex);
-  const auto found = shard.idle.find(address);
-  return found == shard.idle.end() ? 0 : found->second.size();
+  const auto routes = shard.idle.find(route.address);
+  if (routes == shard.idle.end()) return 0;
+  const auto found = routes->second.find(route.via);
+  return found == routes->second.end() ? 0 : found->second.size();
 }
 
 ConnectionPool::Shard& ConnectionPool::ShardOf(const std::string& address) {
--- a/packages/gateway/src/connection_pool.h
+++ b/packages/gateway/src/connection_pool.h
@@ -7,8 +7,10 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -31,6 +33,8 @@
       : socket(std::move(connected)) {}
 
   boost::asio::ip::tcp::socket socket;
+  /// Name of the VM that the connection runs through; empty if it is direct.
+  std::string peer;
   boost::beast::flat_buffer buffer{kMaxConnectionBufferBytes};
   /// Number of requests sent on this connection.
   std::uint32_t calls = 0;
@@ -44,7 +48,21 @@
 
 using EndpointConnectionPtr = std::unique_ptr<EndpointConnection>;
 
-/// Idle connections by endpoint address. Thread-safe.
+/// The way that a connection takes to an endpoint.
+struct EndpointRoute {
+  /// The direct way to the endpoint.
+  explicit EndpointRoute(const std::string& address);
+  /// The way to the endpoint through the peer, or the direct one without.
+  EndpointRoute(const std::string& address,
+                const std::optional<TunnelHop>& tunnel);
+
+  /// `ip:port` of the endpoint.
+  std::string address;
+  /// Unique among the routes to the endpoint, empty for the direct one.
+  std::string via;
+};
+
+/// Idle connections by route. Thread-safe.
 class ConnectionPool {
  public:
   /// Uses the limits on idle connections and on calls per connection.
@@ -55,20 +73,24 @@
   /// that the endpoint closed or that are past `reusable_until`. A connection
   /// on which the request with this id got an error isn't used for it again: if
   /// the endpoint sent that error once more, it would pass for the response.
-  EndpointConnectionPtr Take(const std::string& address,
+  EndpointConnectionPtr Take(const EndpointRoute& route,
                              const std::string& request_id,
                              base::Instant min_last_response_at,
                              base::Instant now);
   /// Adds an idle connection, or closes it if a limit is reached. Also closes
-  /// connections to the endpoint that have been idle for too long.
-  void Put(const std::string& address, EndpointConnectionPtr connection);
-  /// Closes all idle connections to the endpoint.
-  void Drop(const std::string& address);
+  /// connections of the route that have been idle for too long.
+  void Put(const EndpointRoute& route, EndpointConnectionPtr connection);
+  /// Closes the idle connections of the route.
+  void Drop(const EndpointRoute& route);
+  /// Closes the idle connections to the endpoint, of all routes.
+  void DropEndpoint(const std::string& address);
+  /// Closes the idle connections through the peer.
+  void DropPeer(const std::string& peer);
   /// Closes all idle connections.
   void DropAll();
 
-  /// Number of idle connections to the endpoint.
-  std::size_t idle_count(const std::string& address) const;  // NOLINT
+  /// Number of idle connections of the route.
+  std::size_t idle_count(const EndpointRoute& route) const;  // NOLINT
 
  private:
   static constexpr std::size_t kShardCount = 16;
@@ -77,7 +99,9 @@
   /// The idle connections of the addresses with one hash value.
   struct Shard {
     mutable std::mutex mutex;
-    std::unordered_map<std::string, IdleConnections> idle;
+    /// By EndpointRoute::address and EndpointRoute::via.
+    std::unordered_map<std::string, std::map<std::string, IdleConnections>>
+        idle;
   };
 
   Shard& ShardOf(const std::string& address);
--- a/packages/gateway/src/endpoint_client.cc
+++ b/packages/gateway/src/endpoint_client.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
 #include <utility>
 
@@ -26,6 +27,7 @@
 constexpr auto kAwaitTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t kBodyPartBytes = std::size_t{16} * 1024;
 constexpr std::uint32_t kMaxHeaderBytes = 64 * 1024;
+constexpr std::uint32_t kMaxTunnelReplyBytes = 4 * 1024;
 constexpr unsigned kHttp11 = 11;
 /// Maximum number of late responses to earlier requests that are discarded.
 constexpr int kMaxLateResponses = 3;
@@ -40,7 +42,8 @@
 /// connection stays idle here.
 constexpr unsigned long kMaxKeepAliveSeconds = 3600;
 
-ResponseHead CopyHead(const Parser& parser) {
+template <typename ResponseParser>
+ResponseHead CopyHead(const ResponseParser& parser) {
   ResponseHead head;
   head.status = parser.get().result_int();
   for (const auto& field : parser.get()) {
@@ -105,24 +108,8 @@
   /// Opens a connection. Returns false on failure, with the outcome kConnect or
   /// kCancelled.
   asio::awaitable<bool> Connect(const asio::any_io_executor& executor) {
-    const auto address = ParseSocketAddress(this->call.address);
-    if (!address.ok() || this->Cancelled()) co_return false;
-    this->connection =
-        std::make_unique<EndpointConnection>(asio::ip::tcp::socket(executor));
-    const auto started_at = this->clock.now();
-    this->SetTimeout(this->options.connect_timeout);
-    const auto [error] =
-        co_await this->connection->socket.async_connect(*address, kAwaitTuple);
-    if (this->call.on_connect && !this->Cancelled()) {
-      this->call.on_connect(!error, started_at);
-    }
-    if (error) {
-      this->result.outcome =
-          this->Cancelled() ? CallOutcome::kCancelled : CallOutcome::kConnect;
-      co_return false;
-    }
-    SetTcpTimeouts(this->connection->socket, this->options.tcp_user_timeout);
-    co_return true;
+    if (this->call.tunnel) return this->ConnectThroughPeer(executor);
+    return this->ConnectDirectly(executor);
   }
 
   /// Uses a connection from the pool.
@@ -175,10 +162,82 @@
   EndpointResult result;
 
  private:
+  asio::awaitable<bool> ConnectDirectly(const asio::any_io_executor& executor) {
+    const auto address = ParseSocketAddress(this->call.address);
+    if (!address.ok() || this->Cancelled()) co_return false;
+    const auto started_at = this->clock.now();
+    const bool connected = co_await this->OpenSocket(executor, *address);
+    if (this->call.on_connect && !this->Cancelled()) {
+      this->call.on_connect(connected, started_at);
+    }
+    co_return connected;
+  }
+
+  /// Connects within EndpointClientOptions::connect_timeout.
+  asio::awaitable<bool> OpenSocket(const asio::any_io_executor& executor,
+                                   const asio::ip::tcp::endpoint& address) {
+    this->connection =
+        std::make_unique<EndpointConnection>(asio::ip::tcp::socket(executor));
+    this->SetTimeout(this->options.connect_timeout);
+    const auto [error] =
+        co_await this->connection->socket.async_connect(address, kAwaitTuple);
+    if (error) {
+      this->result.outcome =
+          this->Cancelled() ? CallOutcome::kCancelled : CallOutcome::kConnect;
+      co_return false;
+    }
+    SetTcpTimeouts(this->connection->socket, this->options.tcp_user_timeout);
+    co_return true;
+  }
+
+  /// Sends no part of the request of the call before the tunnel is open.
+  asio::awaitable<bool> ConnectThroughPeer(
+      const asio::any_io_executor& executor) {
+    const auto& hop = *this->call.tunnel;
+    const auto address = ParseSocketAddress(hop.address);
+    const auto handshake = FormatTunnelRequest(
+        TunnelRequest{this->call.tunnel_target, hop.token}, hop.address);
+    auto tunnel_status = TunnelStatus::kPeerUnreachable;
+    if (address.ok() && handshake.ok() && !this->Cancelled()) {
+      const bool connected = co_await this->OpenSocket(executor, *address);
+      if (connected) tunnel_status = co_await this->OpenTunnel(*handshake);
+    }
+    if (this->Cancelled()) {
+      this->result.outcome = CallOutcome::kCancelled;
+      co_return false;
+    }
+    this->result.tunnel_status = tunnel_status;
+    if (tunnel_status == TunnelStatus::kOpen) co_return true;
+    this->result.outcome = CallOutcome::kConnect;
+    this->Close();
+    co_return false;
+  }
+
+  /// Asks the peer for the tunnel. Precondition: connected to the peer.
+  asio::awaitable<TunnelStatus> OpenTunnel(const std::string& handshake) {
+    this->connection->peer = this->call.tunnel->peer;
+    this->SetTimeout(this->options.tunnel_timeout);
+    const auto [write_error, sent] = co_await asio::async_write(
+        this->connection->socket, asio::buffer(handshake), kAwaitTuple);
+    if (write_error) co_return TunnelStatus::kPeerUnreachable;
+    http::response_parser<http::empty_body> reply;
+    reply.header_limit(kMaxTunnelReplyBytes);
+    const auto [read_error, received] = co_await http::async_read_header(
+        this->connection->socket, this->connection->buffer, reply, kAwaitTuple);
+    if (read_error) co_return TunnelStatus::kPeerUnreachable;
+    co_return ParseTunnelReply(CopyHead(reply));
+  }
+
   void Close() {
     if (!this->connection) return;
     error_code ignored;
-    this->connection->socket.close(ignored);
+    auto& socket = this->connection->socket;
+    if (!this->connection->peer.empty()) {
+      // A close would reach the peer only after the unsent part of the request,
+      // and the endpoint would go on meanwhile.
+      ResetOnClose(socket);
+    }
+    socket.close(ignored);
   }
 
   void OnTimeout() {
@@ -480,8 +539,8 @@
     const auto max_idle = call.idempotent ? this->options.max_idle
                                           : this->options.liveness_window;
     const auto now = this->clock.now();
-    auto pooled =
-        this->idle.Take(call.address, call.request_id, now - max_idle, now);
+    const EndpointRoute route(call.address, call.tunnel);
+    auto pooled = this->idle.Take(route, call.request_id, now - max_idle, now);
     bool connected = pooled != nullptr;
     if (connected) {
       connection_call.UseConnection(std::move(pooled));
@@ -490,7 +549,7 @@
     }
     if (!connected) co_return;
     co_await connection_call.Exchange();
-    this->ReturnToPool(connection_call, call.address);
+    this->ReturnToPool(connection_call, route);
   }
 
   const asio::any_io_executor executor;
@@ -500,14 +559,14 @@
 
  private:
   /// Returns the connection to the pool if another call may use it.
-  void ReturnToPool(ConnectionCall& call, const std::string& address) {
+  void ReturnToPool(ConnectionCall& call, const EndpointRoute& route) {
     const auto outcome = call.result.outcome;
-    // The cause may also affect the other connections to this endpoint.
+    // The cause may also affect the other connections of this route.
     if (outcome == CallOutcome::kStalled || outcome == CallOutcome::kClosed) {
-      this->idle.Drop(address);
+      this->idle.Drop(route);
     }
     auto reusable = call.TakeReusable();
-    if (reusable) this->idle.Put(address, std::move(reusable));
+    if (reusable) this->idle.Put(route, std::move(reusable));
   }
 };
 
@@ -528,13 +587,22 @@
 }
 
 void EndpointClient::DropIdle(const std::string& address) {
-  this->pool->idle.Drop(address);
+  this->pool->idle.DropEndpoint(address);
+}
+
+void EndpointClient::DropIdleTunnels(const std::string& peer) {
+  this->pool->idle.DropPeer(peer);
 }
 
 void EndpointClient::CloseIdle() { this->pool->idle.DropAll(); }
 
 std::size_t EndpointClient::idle_count(const std::string& address) const {
-  return this->pool->idle.idle_count(address);
+  return this->pool->idle.idle_count(EndpointRoute(address));
+}
+
+std::size_t EndpointClient::idle_count(const std::string& address,
+                                       const TunnelHop& hop) const {
+  return this->pool->idle.idle_count(EndpointRoute(address, hop));
 }
 
 }  // namespace gypsumtrack::gateway
--- a/packages/gateway/src/tcp_options.cc
+++ b/packages/gateway/src/tcp_options.cc
@@ -1,7 +1,11 @@
 #include "tcp_options.h"
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
 
+#include <algorithm>
 #include <chrono>
 
 namespace gypsumtrack::gateway {
@@ -16,9 +20,19 @@
     asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
 using TcpKeepAliveInterval =
     asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+using TcpKeepAliveCount =
+    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
 using TcpUserTimeout =
     asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 
+void SetKeepAlive(asio::ip::tcp::socket& socket) {
+  boost::system::error_code ignored;
+  socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+  socket.set_option(asio::socket_base::keep_alive(true), ignored);
+  socket.set_option(TcpKeepAliveIdle(kTcpKeepAliveSeconds), ignored);
+  socket.set_option(TcpKeepAliveInterval(kTcpKeepAliveSeconds), ignored);
+}
+
 }  // namespace
 
 void SetTcpTimeouts(asio::ip::tcp::socket& socket,
@@ -26,12 +40,40 @@
   const auto timeout_ms =
       std::chrono::duration_cast<std::chrono::milliseconds>(user_timeout);
   boost::system::error_code ignored;
-  socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-  socket.set_option(asio::socket_base::keep_alive(true), ignored);
-  socket.set_option(TcpKeepAliveIdle(kTcpKeepAliveSeconds), ignored);
-  socket.set_option(TcpKeepAliveInterval(kTcpKeepAliveSeconds), ignored);
+  SetKeepAlive(socket);
   socket.set_option(TcpUserTimeout(static_cast<int>(timeout_ms.count())),
                     ignored);
 }
 
+void SetTcpKeepAlive(asio::ip::tcp::socket& socket, base::Duration timeout) {
+  const auto seconds =
+      std::chrono::duration_cast<std::chrono::seconds>(timeout).count();
+  boost::system::error_code ignored;
+  SetKeepAlive(socket);
+  socket.set_option(TcpKeepAliveCount(std::max(static_cast<int>(seconds), 1)),
+                    ignored);
+}
+
+TcpState ReadTcpState(asio::ip::tcp::socket& socket) {
+  TcpState state;
+  const int handle = socket.native_handle();
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  if (::getsockopt(handle, IPPROTO_TCP, TCP_INFO, &info, &size) != 0)
+    return state;
+  state.remote_closed = info.tcpi_state != TCP_ESTABLISHED &&
+                        info.tcpi_state != TCP_FIN_WAIT1 &&
+                        info.tcpi_state != TCP_FIN_WAIT2;
+  state.unanswered = info.tcpi_retransmits > 0 || info.tcpi_probes > 0;
+  int unacknowledged = 0;
+  if (::ioctl(handle, SIOCOUTQ, &unacknowledged) == 0)  // NOLINT
+    state.unacknowledged_bytes = static_cast<std::size_t>(unacknowledged);
+  return state;
+}
+
+void ResetOnClose(asio::ip::tcp::socket& socket) {
+  boost::system::error_code ignored;
+  socket.set_option(asio::socket_base::linger(true, 0), ignored);
+}
+
 }  // namespace gypsumtrack::gateway
--- a/packages/gateway/src/tcp_options.h
+++ b/packages/gateway/src/tcp_options.h
@@ -2,6 +2,7 @@
 #define GYPSUMTRACK_GATEWAY_SRC_TCP_OPTIONS_H_
 
 #include <boost/asio/ip/tcp.hpp>
+#include <cstddef>
 
 #include "gypsumtrack/base/time.h"
 
@@ -14,6 +15,29 @@
 void SetTcpTimeouts(boost::asio::ip::tcp::socket& socket,
                     base::Duration user_timeout);
 
+/// As SetTcpTimeouts, but the kernel closes only idle connections, about
+/// `timeout` after the remote side was lost, in whole seconds. It keeps one
+/// whose remote side takes long to read.
+void SetTcpKeepAlive(boost::asio::ip::tcp::socket& socket,
+                     base::Duration timeout);
+
+/// What the kernel knows about the remote side of a connection.
+struct TcpState {
+  /// The remote side closed or reset the connection, though what it sent before
+  /// may not have been read.
+  bool remote_closed = false;
+  /// Data or probes were sent again because they weren't acknowledged.
+  bool unanswered = false;
+  /// Bytes that the remote side hasn't acknowledged.
+  std::size_t unacknowledged_bytes = 0;
+};
+
+/// Reads the state of an open socket.
+TcpState ReadTcpState(boost::asio::ip::tcp::socket& socket);
+
+/// Makes the next close of the socket a reset, which drops unsent bytes.
+void ResetOnClose(boost::asio::ip::tcp::socket& socket);
+
 }  // namespace gypsumtrack::gateway
 
 #endif  // GYPSUMTRACK_GATEWAY_SRC_TCP_OPTIONS_H_
