--- a/packages/gateway/src/tcp_options.cc
+++ b/packages/gateway/src/tcp_options.cc
@@ -16,6 +16,10 @@
 /// Idle time before TCP keep-alive probes, and the interval between them.
 constexpr int kTcpKeepAliveSeconds = 1;
 
+/// A lost probe is sent again only much later, and Linux may leave one of two
+/// within half a second without an answer.
+constexpr int kUnansweredProbes = 2;
+
 using TcpKeepAliveIdle =
     asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
 using TcpKeepAliveInterval =
@@ -64,7 +68,9 @@
   state.remote_closed = info.tcpi_state != TCP_ESTABLISHED &&
                         info.tcpi_state != TCP_FIN_WAIT1 &&
                         info.tcpi_state != TCP_FIN_WAIT2;
-  state.unanswered = info.tcpi_retransmits > 0 || info.tcpi_probes > 0;
+  const bool sent_again = info.tcpi_retransmits > 0 &&
+                          info.tcpi_last_data_sent < info.tcpi_last_ack_recv;
+  state.unanswered = sent_again || info.tcpi_probes >= kUnansweredProbes;
   int unacknowledged = 0;
   if (::ioctl(handle, SIOCOUTQ, &unacknowledged) == 0)  // NOLINT
     state.unacknowledged_bytes = static_cast<std::size_t>(unacknowledged);
--- a/packages/gateway/src/tcp_options.h
+++ b/packages/gateway/src/tcp_options.h
@@ -26,7 +26,8 @@
   /// The remote side closed or reset the connection, though what it sent before
   /// may not have been read.
   bool remote_closed = false;
-  /// Data or probes were sent again because they weren't acknowledged.
+  /// Data was sent again, or several probes were sent, without an answer since.
+  /// A remote side without room for the data answers nevertheless.
   bool unanswered = false;
   /// Bytes that the remote side hasn't acknowledged.
   std::size_t unacknowledged_bytes = 0;
