Reach endpoints through a peer while a VM is cut from all of them

Refusing sooner helps nobody, since a refused first try has failed.

Cause: a request could only run from the VM that its caller reached, though its peers reached the endpoints. Now a cut VM opens its connections to endpoints through a peer (docs/design/tunnels.md). It goes on deciding all of a request itself, so limits, keys, deadlines, attempts, versions and quarantine hold as before, and nothing is sent before the peer has said that it is connected. Failures that were those of the VM's own path are forgotten, so that endpoints aren't avoided when it is back.

--- a/packages/gateway/include/gypsumtrack/gateway/serving/fleet_service.h
+++ b/packages/gateway/include/gypsumtrack/gateway/serving/fleet_service.h
@@ -27,6 +27,10 @@
   std::string gossip_address;
   /// Processor cores that it may use.
   double cores = 1;
+  /// `ip:port` at which it opens tunnels to endpoints, and the secret that it
+  /// asks for. Both are empty for a daemon of a release without tunnels.
+  std::string tunnel_address;
+  std::string tunnel_token;
 };
 
 /// The leases of all daemons, each renewed by heartbeats. Not thread-safe; must
--- a/packages/gateway/include/gypsumtrack/gateway/serving/gossip_message.h
+++ b/packages/gateway/include/gypsumtrack/gateway/serving/gossip_message.h
@@ -58,6 +58,8 @@
   bool is_full = false;
   /// The sender wants the recipients' next messages to be full.
   bool wants_full = false;
+  /// The sender opens tunnels to endpoints for daemons that are cut from them.
+  bool opens_tunnels = false;
   /// Number of batch items of the sender's jobs that wait for a free slot.
   std::uint16_t waiting_items = 0;
   /// The sender's requests in progress, by the hash of the endpoint.
--- a/packages/gateway/include/gypsumtrack/gateway/serving/serving_context.h
+++ b/packages/gateway/include/gypsumtrack/gateway/serving/serving_context.h
@@ -47,6 +47,7 @@
   telemetry::Counter& items_yielded;
   telemetry::Counter& jobs_taken_over;
   telemetry::Counter& crashed_runs;
+  telemetry::Counter& tunnelled;
   telemetry::Counter& quarantined;
   telemetry::LatencyHistogram& first_byte;
   telemetry::LatencyHistogram& complete_response;
@@ -103,9 +104,37 @@
       find_origin;
 };
 
-/// Hooks that tell of the direct connections to endpoints. Empty until the
-/// endpoint path service has started.
+/// How connections to endpoints are opened.
+enum class PathKind {
+  kDirect,
+  kTunnel,  ///< through a peer: this daemon is cut from all endpoints
+  kNone,    ///< not at all: no peer reaches them either
+};
+
+/// The way to endpoints at a moment.
+struct EndpointPath {
+  PathKind kind = PathKind::kDirect;
+  /// Set only if the kind is kTunnel.
+  TunnelHop hop;
+  /// The location from which endpoints are reached: that of this daemon or of
+  /// the peer.
+  base::Location location;
+};
+
+/// Hooks that find the way to endpoints and tell of the connections to them.
+/// Empty until the endpoint path service has started: until then all
+/// connections are direct.
 struct EndpointPathHooks {
+  std::function<EndpointPath()> find_path;
+  /// A tunnel through the peer couldn't be opened, or a call through it made no
+  /// progress.
+  std::function<void(const TunnelHop& hop, const base::EndpointId& endpoint,
+                     TunnelStatus status)>
+      on_tunnel_failed;
+  /// Returns whether an endpoint whose port refused a connection has ended, and
+  /// not this daemon's own path to all endpoints.
+  std::function<boost::asio::awaitable<bool>(TunnelTarget endpoint)>
+      confirm_ended;
   /// A call over a direct connection began.
   std::function<void()> on_call_started;
   /// Such a call ended; `lost` if its connection closed before its response
@@ -152,15 +181,23 @@
   }
   /// Returns a query for an endpoint of the service.
   policy::EndpointQuery MakeQuery(const base::Service& service) {
+    const auto path = this->FindPath();
     policy::EndpointQuery query;
     query.service = service;
-    query.origin = this->settings.location;
+    query.origin = path.location;
     query.random_value = this->NextRandom();
-    query.has_idle_connection = [this](const std::string& address) {
-      return this->client.idle_count(address) > 0;
+    query.has_idle_connection = [this, path](const std::string& address) {
+      const bool is_tunnel = path.kind == PathKind::kTunnel;
+      return (is_tunnel ? this->client.idle_count(address, path.hop)
+                        : this->client.idle_count(address)) > 0;
     };
     return query;
   }
+  /// Returns the way to endpoints now.
+  EndpointPath FindPath() const {
+    if (this->path_hooks.find_path) return this->path_hooks.find_path();
+    return {PathKind::kDirect, {}, this->settings.location};
+  }
   /// Returns the time since the cached rules were confirmed.
   base::Duration StoreViewAge() const {
     return this->clock.now() - this->store_view.confirmed_at();
--- a/packages/gateway/include/gypsumtrack/gateway/serving/serving_settings.h
+++ b/packages/gateway/include/gypsumtrack/gateway/serving/serving_settings.h
@@ -22,6 +22,8 @@
   std::string metrics_listen;
   /// UDP listen address for gossip messages of other daemons, `ip:port`.
   std::string gossip_listen;
+  /// TCP listen address for tunnels of other daemons to endpoints, `ip:port`.
+  std::string tunnel_listen;
   std::string store_address;
   /// Processor cores that this VM may use; may be a fraction.
   double cpu_cores = 1;
--- a/packages/gateway/src/serving/fleet_service.cc
+++ b/packages/gateway/src/serving/fleet_service.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "gypsumtrack/base/event_log.h"
+#include "gypsumtrack/base/hash.h"
 #include "gypsumtrack/gateway/serving/row_store_await.h"
 #include "gypsumtrack/gateway/serving/store_layout.h"
 #include "gypsumtrack/policy/serving/job_owners.h"
@@ -25,6 +26,8 @@
 /// removed: it serves no callers any more. One that lives registers anew.
 constexpr base::Duration kStaleRowAge =
     kLeaseOptions.lease_duration + kLeaseOptions.serving_grace_period;
+/// Random bytes of the secret that peers present to open a tunnel.
+constexpr std::size_t kTunnelTokenBytes = 16;
 /// Registrations rarely change, so the store may hold the feed for long.
 constexpr base::Duration kRegistrationPollTimeout = std::chrono::seconds(5);
 
@@ -38,8 +41,9 @@
     : executor(run_on),
       clock(std::move(system_clock)),
       store(row_store),
-      own{std::move(self_id), settings.location, settings.gossip_listen,
-          settings.cpu_cores},
+      own{std::move(self_id),     settings.location,
+          settings.gossip_listen, settings.cpu_cores,
+          settings.tunnel_listen, base::RandomHex(kTunnelTokenBytes)},
       on_peers(std::move(hook)),
       leases(settings.location.domain, kFleetOptions) {}
 
--- a/packages/gateway/src/serving/gossip_message.cc
+++ b/packages/gateway/src/serving/gossip_message.cc
@@ -73,6 +73,8 @@
 constexpr std::uint8_t kOtherDomainsFlag = 8;
 constexpr std::uint8_t kHoldsLeaseFlag = 16;
 constexpr std::uint8_t kWantsFullFlag = 32;
+/// Daemons of earlier releases neither set nor read it.
+constexpr std::uint8_t kOpensTunnelsFlag = 64;
 
 std::uint8_t FlagsOf(const GossipMessage& message) {
   std::uint8_t flags = 0;
@@ -82,6 +84,7 @@
   if (message.to_other_domains) flags |= kOtherDomainsFlag;
   if (message.holds_lease) flags |= kHoldsLeaseFlag;
   if (message.wants_full) flags |= kWantsFullFlag;
+  if (message.opens_tunnels) flags |= kOpensTunnelsFlag;
   return flags;
 }
 
@@ -92,6 +95,7 @@
   message.to_other_domains = (flags & kOtherDomainsFlag) != 0;
   message.holds_lease = (flags & kHoldsLeaseFlag) != 0;
   message.wants_full = (flags & kWantsFullFlag) != 0;
+  message.opens_tunnels = (flags & kOpensTunnelsFlag) != 0;
 }
 
 /// A daemon that puts more load than this on an endpoint counts as putting this
--- a/packages/gateway/src/serving/job_runner.cc
+++ b/packages/gateway/src/serving/job_runner.cc
@@ -143,6 +143,8 @@
 }
 
 bool JobRunner::MayStartItems() const {
+  // Items are owed on while no endpoint can be reached.
+  if (this->context.FindPath().kind == PathKind::kNone) return false;
   return policy::MayStartItems(this->context.settings.cancel_bound,
                                this->owners_confirmed_at(),
                                this->context.clock.now());
--- a/packages/gateway/src/serving/relay_service.cc
+++ b/packages/gateway/src/serving/relay_service.cc
@@ -35,6 +35,8 @@
 /// Retry delay for callers while it can't be read who began their stream.
 constexpr base::Duration kUnknownOriginRetryAfter =
     std::chrono::milliseconds(300);
+/// Error code while neither this daemon nor a peer reaches endpoints.
+constexpr const char* kNoPathCode = "endpoints_unreachable";
 /// Error codes of requests that crash endpoints, by themselves or by a part of
 /// their prompt.
 constexpr const char* kBadRequestCode = "request_crashes_endpoints";
@@ -151,6 +153,10 @@
 
   /// Makes one attempt. Returns whether to retry the request.
   asio::awaitable<bool> Attempt() {
+    if (this->attempts.attempt_count() == 0 && !this->HasPath()) {
+      co_await this->RefuseNotRun(kNoPathCode);
+      co_return false;
+    }
     const auto choice = co_await this->NextEndpoint();
     if (this->CallerDisconnected()) {
       this->OnCallerDisconnected("before_send");
@@ -171,6 +177,11 @@
     co_return retry;
   }
 
+  /// Whether endpoints can be reached, directly or through a peer.
+  bool HasPath() const {
+    return this->context.FindPath().kind != PathKind::kNone;
+  }
+
   /// Returns the endpoint with the reserved slot, or waits for one.
   asio::awaitable<policy::EndpointChoice> NextEndpoint() {
     if (this->reservation) co_return *this->reservation;
@@ -212,6 +223,9 @@
       policy::EndpointQuery& query,
       std::set<base::EndpointId>& tried_endpoints) const {
     const auto now = this->Now();
+    policy::EndpointChoice no_path;
+    no_path.status = policy::ChoiceStatus::kNoCapacity;
+    if (!this->HasPath()) return no_path;
     query.random_value = this->context.NextRandom();
     query.tried = tried_endpoints;
     auto choice = this->context.endpoints.ChooseOnline(query, now);
@@ -270,7 +284,8 @@
     const bool no_capacity = choice_status == policy::ChoiceStatus::kNoCapacity;
     const char* none_matches =
         this->origin.must_continue() ? "version_gone" : "no_endpoint";
-    const std::string reason = no_capacity ? "no_room" : none_matches;
+    const char* none_free = this->HasPath() ? "no_room" : kNoPathCode;
+    const std::string reason = no_capacity ? none_free : none_matches;
     if (this->response_started) {
       this->AbortResponse(reason);
       co_return;
@@ -352,6 +367,7 @@
                             {"version", choice.endpoint.version},
                             {"continues", this->facts.continued_request},
                             {"load", choice.known_load},
+                            {"via", this->context.FindPath().hop.peer},
                             {"send", this->attempts.attempt_count() + 1},
                             {"rules", this->access.rules->version},
                             {"belief_age_ms",
@@ -517,6 +533,7 @@
       // It is avoided for a while, and may go on by then.
       this->tried.erase(choice.endpoint.id);
     }
+    if (FailedAtPeer(result)) this->tried.erase(choice.endpoint.id);
     auto step = this->attempts.OnAttemptEnd(
         this->route, outcome, this->response_started, this->deadline - now);
     if (step == policy::NextStep::kRetry && !this->CanResume())
--- a/packages/gateway/src/serving/send_to_endpoint.cc
+++ b/packages/gateway/src/serving/send_to_endpoint.cc
@@ -79,6 +79,27 @@
                                       {"source", "response"}});
 }
 
+/// Reports a tunnel that couldn't be opened or whose call made no progress.
+void ReportTunnel(const ServingContext& context, const TunnelHop& hop,
+                  const policy::EndpointEntry& endpoint,
+                  const EndpointResult& result) {
+  const bool is_silent = result.outcome == CallOutcome::kStalled;
+  const auto status = result.tunnel_status.value_or(TunnelStatus::kOpen);
+  if (status == TunnelStatus::kOpen && !is_silent) return;
+  context.path_hooks.on_tunnel_failed(hop, endpoint.id, status);
+}
+
+/// Whether a failure says nothing about the endpoint: the peer's tunnel failed,
+/// or this daemon lost its links to all endpoints while the call was under way.
+bool IsPathFailure(const ServingContext& context, bool is_tunnel,
+                   const EndpointResult& result) {
+  if (is_tunnel) return FailedAtPeer(result);
+  const bool has_failed = result.outcome == CallOutcome::kConnect ||
+                          result.outcome == CallOutcome::kStalled ||
+                          result.outcome == CallOutcome::kClosed;
+  return has_failed && context.FindPath().kind != PathKind::kDirect;
+}
+
 /// Makes a direct call report what it shows about the path to endpoints.
 /// Returns false if nobody asks for it.
 bool ReportDirectPath(const ServingContext& context,
@@ -107,6 +128,24 @@
 
 }  // namespace
 
+bool FailedAtPeer(const EndpointResult& result) {
+  if (!result.tunnel_status) return false;
+  switch (*result.tunnel_status) {
+    case TunnelStatus::kPeerCut:
+    case TunnelStatus::kPeerLeaving:
+    case TunnelStatus::kPeerBusy:
+    case TunnelStatus::kDenied:
+    case TunnelStatus::kPeerUnreachable:
+    case TunnelStatus::kUnknownEndpoint:
+      return true;
+    case TunnelStatus::kOpen:
+    case TunnelStatus::kEndpointRefused:
+    case TunnelStatus::kEndpointUnreachable:
+      break;
+  }
+  return false;
+}
+
 std::string FormatParts(const std::vector<base::PromptPart>& parts) {
   return FormatSuspects(policy::ToSuspects(parts));
 }
@@ -166,17 +205,29 @@
   call.on_head = [&context, &endpoint, sent_at](const ResponseHead& head) {
     RecordReports(context, endpoint, context.wire.read_response(head), sent_at);
   };
-  const bool reports_path = ReportDirectPath(context, endpoint, call);
+  const auto path = context.FindPath();
+  const bool is_tunnel = path.kind == PathKind::kTunnel;
+  if (is_tunnel) {
+    context.metrics.tunnelled.Add();
+    call.tunnel = path.hop;
+    call.tunnel_target = {endpoint.id, endpoint.incarnation};
+  }
+  const bool reports_path =
+      !is_tunnel && ReportDirectPath(context, endpoint, call);
   auto result = co_await context.client.Call(std::move(call));
   if (reports_path)
     context.path_hooks.on_call_ended(result.outcome == CallOutcome::kClosed);
+  if (is_tunnel) ReportTunnel(context, path.hop, endpoint, result);
   const auto now = context.clock.now();
   const bool responded = result.outcome == CallOutcome::kComplete ||
                          result.outcome == CallOutcome::kRefused;
   ResponseMetadata response;
   if (responded) response = context.wire.read_response(result.head);
   context.endpoints.OnAttemptEnded(endpoint.id, kind,
-                                   ToAttemptResult(result, response), now);
+                                   IsPathFailure(context, is_tunnel, result)
+                                       ? policy::AttemptResult::kUnknown
+                                       : ToAttemptResult(result, response),
+                                   now);
   co_return result;
 }
 
--- a/packages/gateway/src/serving/send_to_endpoint.h
+++ b/packages/gateway/src/serving/send_to_endpoint.h
@@ -35,11 +35,16 @@
                   const policy::EndpointEntry& endpoint,
                   const EndpointResult& result, std::uint64_t events);
 
+/// Whether the call failed because the peer didn't open the tunnel for it, so
+/// that the endpoint received nothing and may be tried again. Thread-safe.
+bool FailedAtPeer(const EndpointResult& result);
+
 /// Makes one attempt to send a request: runs the call and records its start,
 /// the load that the response reports and its result in the endpoint registry.
 /// Must run on the context's thread. Precondition: `call.address` is the
-/// endpoint's, `call.on_head` is empty, and `context` outlives the call. If
-/// `is_counted`, the registry has recorded the start already.
+/// endpoint's, `call.on_head` is empty, there is a path to endpoints, and
+/// `context` outlives the call. If `is_counted`, the registry has recorded the
+/// start already.
 boost::asio::awaitable<EndpointResult> SendToEndpoint(
     ServingContext& context, policy::EndpointEntry endpoint,
     policy::WorkKind kind, EndpointCall call, bool is_counted = false);
--- a/packages/gateway/src/serving/serving_context.cc
+++ b/packages/gateway/src/serving/serving_context.cc
@@ -35,6 +35,9 @@
                                           "", "Jobs taken from lost daemons.")),
       crashed_runs(registry.GetCounter("gypsumtrack_crashed_runs_total", "",
                                        "Runs that an endpoint's crash ended.")),
+      tunnelled(registry.GetCounter(
+          "gypsumtrack_tunnelled_sends_total", "",
+          "Requests and items sent to endpoints through a peer.")),
       quarantined(registry.GetCounter("gypsumtrack_quarantined_total", "",
                                       "Requests refused because they or a part "
                                       "of their prompt crash endpoints.")),
--- a/packages/gateway/src/serving/serving_daemon.cc
+++ b/packages/gateway/src/serving/serving_daemon.cc
@@ -163,12 +163,13 @@
     auto gossip_started =
         this->gossip->Start(this->serving.settings.gossip_listen);
     if (!gossip_started.ok()) return gossip_started;
+    auto tunnels_started = this->paths->Start(this->fleet->self_daemon());
+    if (!tunnels_started.ok()) return tunnels_started;
     this->store_view.Start();
     this->fleet->Start();
     this->jobs->Start();
     this->crashes->Start();
     this->stream_versions->Start();
-    this->paths->Start();
     asio::co_spawn(
         this->context, [this] { return this->RunPeriodicTasks(); },
         asio::detached);
@@ -235,6 +236,7 @@
     for (const auto& peer : peers) names.push_back(peer.vm.name);
     this->serving.quota.SetPeers(names, this->clock.now());
     this->gossip->SetPeers(peers);
+    this->paths->SetPeers(peers);
     this->UpdateFleetPosition();
   }
 
@@ -257,6 +259,7 @@
     GossipMessage message;
     message.sender = this->serving.self;
     message.holds_lease = this->fleet->HoldsLease();
+    message.opens_tunnels = this->paths->OpensTunnels();
     for (const auto& [id, load] : this->serving.endpoints.OwnLoads()) {
       message.loads.emplace_back(HashName(id.text), load);
     }
@@ -287,6 +290,7 @@
   void OnGossipMessage(const GossipMessage& received) {
     const auto now = this->clock.now();
     if (received.holds_lease) this->fleet->OnHolderReport(received.sender);
+    this->paths->OnGossip(received);
     policy::EndpointLoads loads;
     for (const auto& [name_hash, load] : received.loads) {
       const auto found = this->endpoints_by_hash.find(name_hash);
@@ -445,6 +449,15 @@
     this->registry.AddGauge(
         "gypsumtrack_endpoints", "", "Endpoints known.",
         [this] { return static_cast<double>(this->serving.endpoints.size()); });
+    this->registry.AddGauge("gypsumtrack_cut_from_endpoints", "",
+                            "1 while this VM is cut from all endpoints.",
+                            [this] {
+                              const auto path = this->serving.FindPath();
+                              return path.kind == PathKind::kDirect ? 0.0 : 1.0;
+                            });
+    this->registry.AddGauge(
+        "gypsumtrack_tunnels", "", "Tunnels of other VMs to endpoints.",
+        [this] { return static_cast<double>(this->paths->tunnel_count()); });
     this->registry.AddGauge(
         "gypsumtrack_log_dropped_lines", "",
         "Log lines dropped since the start.",
@@ -518,13 +531,15 @@
   /// before `killed_at`, when the process is killed.
   asio::awaitable<void> ShutDown(base::Instant killed_at) {
     this->caller_server->Drain([this] { this->callers_drained = true; });
+    this->paths->Drain();
     co_await this->jobs->ShutDown(killed_at - kJobHandoverMargin);
     base::LogEvent("jobs_handed_over", {});
-    while (!this->callers_drained &&
+    while ((!this->callers_drained || this->paths->tunnel_count() > 0) &&
            this->clock.now() < killed_at - kShutdownMargin) {
       co_await Pause(std::chrono::milliseconds(50));
     }
-    base::LogEvent("callers_gone", {{"all", this->callers_drained ? 1 : 0}});
+    base::LogEvent("callers_gone", {{"all", this->callers_drained ? 1 : 0},
+                                    {"tunnels", this->paths->tunnel_count()}});
     co_await this->fleet->Deregister();
     this->gossip->Stop();
     this->context.stop();
--- a/packages/gateway/src/serving/store_layout.cc
+++ b/packages/gateway/src/serving/store_layout.cc
@@ -55,6 +55,8 @@
       {"region", daemon.location.region.text},
       {"gossip", daemon.gossip_address},
       {"cores", daemon.cores},
+      {"tunnel", daemon.tunnel_address},
+      {"tunnel_token", daemon.tunnel_token},
   });
 }
 
@@ -89,6 +91,8 @@
     const auto number = cores->to_number<double>(error);
     if (!error && number > 0) daemon.cores = number;
   }
+  daemon.tunnel_address = StringField(object, "tunnel").value_or("");
+  daemon.tunnel_token = StringField(object, "tunnel_token").value_or("");
   return daemon;
 }
 
--- a/packages/gateway/test/serving/fleet_service_test.cc
+++ b/packages/gateway/test/serving/fleet_service_test.cc
@@ -23,6 +23,7 @@
     settings.vm_name = name;
     settings.location = {base::FailureDomain(domain), base::Region("delta")};
     settings.gossip_listen = "127.0.0.1:7360";
+    settings.tunnel_listen = "127.0.0.1:7361";
     settings.cpu_cores = 0.5;
     this->daemons.push_back(std::make_unique<FleetService>(
         this->context.get_executor(), base::SystemClock(), this->client,
@@ -72,6 +73,10 @@
     CHECK(peer.location.domain.text == "alex");
     CHECK(peer.gossip_address == "127.0.0.1:7360");
     CHECK(peer.cores == 0.5);
+    CHECK(peer.tunnel_address == "127.0.0.1:7361");
+    CHECK(peer.tunnel_token == second.self_daemon().tunnel_token);
+    CHECK(peer.tunnel_token != first.self_daemon().tunnel_token);
+    CHECK(peer.tunnel_token.size() == 32);
     CHECK(fleet.Exists(layout::kDaemonTable, "alex", "vm-2"));
     CHECK(fleet.Exists(layout::kLeaseTable, "alex", "vm-2"));
   }
@@ -98,5 +103,15 @@
   }
 }
 
+// In a rolling upgrade such a daemon can't be asked for tunnels.
+TEST_CASE("the registration of an earlier release names no tunnels") {
+  const auto daemon = layout::ParseDaemon(
+      "vm-1",
+      R"({"incarnation":7,"domain":"cairo","region":"delta","gossip":"g"})");
+  REQUIRE(daemon.ok());
+  CHECK(daemon->tunnel_address.empty());
+  CHECK(daemon->tunnel_token.empty());
+}
+
 }  // namespace
 }  // namespace gypsumtrack::gateway
--- a/packages/gateway/test/serving/gossip_message_test.cc
+++ b/packages/gateway/test/serving/gossip_message_test.cc
@@ -40,6 +40,7 @@
     messages.front().to_other_domains = true;
     messages.front().holds_lease = true;
     messages.front().wants_full = true;
+    messages.front().opens_tunnels = true;
     const auto datagrams = EncodeGossip(messages);
     REQUIRE(datagrams.size() == 1);
     CHECK(DecodeGossip(datagrams.front()) == messages);
--- a/packages/policy/include/gypsumtrack/policy/serving/endpoint_registry.h
+++ b/packages/policy/include/gypsumtrack/policy/serving/endpoint_registry.h
@@ -218,6 +218,9 @@
   /// Ends an attempt that was counted, and records what it showed.
   void OnAttemptEnded(const base::EndpointId& id, WorkKind kind,
                       AttemptResult result, base::Instant now);
+  /// Forgets the failures of all endpoints, which turned out to be those of
+  /// this daemon's own path to them.
+  void ForgetFailures();
   /// Records the load that an endpoint reports in a response.
   void OnReport(const base::EndpointId& id, const EndpointReport& report,
                 base::Instant now);
--- a/packages/policy/src/serving/endpoint_registry.cc
+++ b/packages/policy/src/serving/endpoint_registry.cc
@@ -173,6 +173,13 @@
   }
 }
 
+void EndpointRegistry::ForgetFailures() {
+  for (auto& [id, state] : this->states) {
+    state.failures = 0;
+    state.avoided_until = {};
+  }
+}
+
 void EndpointRegistry::StartBackoff(State& state, base::Instant now) const {
   // Requests that fail during a backoff, as concurrent ones do, don't extend
   // it.
--- a/packages/policy/test/serving/endpoint_registry_test.cc
+++ b/packages/policy/test/serving/endpoint_registry_test.cc
@@ -412,5 +412,33 @@
   }
 }
 
+// A daemon that lost its own links must not avoid all endpoints afterwards.
+TEST_CASE("failures that were those of the daemon's path are forgotten") {
+  EndpointRegistry registry({});
+  std::vector<EndpointEntry> entries(2);
+  for (std::size_t i = 0; i < entries.size(); ++i) {
+    entries[i].id = base::EndpointId("i-" + std::to_string(i));
+    entries[i].address = entries[i].id.text;
+    entries[i].service = base::Service("s1");
+    entries[i].slots = 8;
+  }
+  const base::Instant now(std::chrono::seconds(100));
+  registry.ReplaceEntries(entries, {}, now);
+  registry.OnAttemptStarted(entries[0].id, WorkKind::kOnline, now);
+  registry.OnAttemptEnded(entries[0].id, WorkKind::kOnline,
+                          AttemptResult::kUnreachable, now);
+  EndpointQuery query;
+  query.service = base::Service("s1");
+  const auto chosen_of_20 = [&] {
+    int chosen = 0;
+    for (query.random_value = 0; query.random_value < 20; ++query.random_value)
+      chosen += registry.ChooseOnline(query, now).endpoint.id == entries[0].id;
+    return chosen;
+  };
+  CHECK(chosen_of_20() == 0);
+  registry.ForgetFailures();
+  CHECK(chosen_of_20() > 0);
+}
+
 }  // namespace
 }  // namespace gypsumtrack::policy
