Don't take the loss of a VM's links for crashes of endpoints

Sound prompts and requests were refused on all VMs (prompt_crashes_endpoints) after one VM had lost its links: a run whose connection closed counted as a crash if the endpoint's port then refused a connection, and where a cut resets and refuses, all do.

Now such a run counts only if another endpoint answers, which shows that the VM isn't cut, or if a peer is refused there too. Then a crash on a request that went through a peer counts as well.

--- a/packages/gateway/src/serving/crash_service.cc
+++ b/packages/gateway/src/serving/crash_service.cc
@@ -112,15 +112,34 @@
   /// Nothing listens any more where an endpoint has crashed.
   asio::awaitable<void> Probe(EndpointIncarnation endpoint,
                               std::string address) {
-    const auto result = co_await ProbeConnection(
-        std::move(address), this->context.clock, kProbeTimeout);
+    const bool has_ended =
+        co_await this->HasEnded(endpoint, std::move(address));
     const auto lost = this->probed.extract(endpoint);
-    if (result != ProbeResult::kRefused) co_return;
+    if (!has_ended) co_return;
     for (const auto& run : lost.mapped()) this->OnCrashed(run);
     // Written at once: each further request with the suspect costs an endpoint.
     co_await this->WriteReports();
   }
 
+  /// Whether the endpoint has ended, and not this daemon's path to endpoints.
+  asio::awaitable<bool> HasEnded(EndpointIncarnation endpoint,
+                                 std::string address) {
+    if (this->context.FindPath().kind == PathKind::kDirect) {
+      const auto result = co_await ProbeConnection(
+          std::move(address), this->context.clock, kProbeTimeout);
+      if (result != ProbeResult::kRefused) co_return false;
+    }
+    const auto& confirm = this->context.path_hooks.confirm_ended;
+    if (!confirm) co_return true;
+    TunnelTarget target{endpoint.first, endpoint.second};
+    const bool has_ended = co_await confirm(std::move(target));
+    if (!has_ended) {
+      base::LogEvent("crash_not_confirmed", {{"endpoint", endpoint.first.text},
+                                             {"incarnation", endpoint.second}});
+    }
+    co_return has_ended;
+  }
+
   void OnCrashed(const LostRun& run) {
     this->context.metrics.crashed_runs.Add();
     base::LogEvent("run_crashed", {{"run_of", run.request},
