Keep the connections that responses promised to keep while draining

Callers saw the connection end after a response whose head didn't say Connection: close, if the VM began to drain (SIGTERM) between the head and the end of the response. A request that they sent at once was read, discarded and never answered.

Cause: whether the connection stays open was decided twice, for the head and again after the response, and a drain may begin in between. It then lingered, which reads and discards all input for 2 s.

The decision is now taken once, for the head. The connection takes another request until the grace period ends, and that response says close.

--- a/packages/gateway/src/http_connection.cc
+++ b/packages/gateway/src/http_connection.cc
@@ -143,6 +143,7 @@
   this->watchdog->Set(now + limits.header_timeout);
   this->exchange_deadline = now + this->context->options.request_timeout;
   this->started = this->streaming = this->ended = false;
+  this->keeps_alive = false;
   this->body_bytes = 0;
   this->exchange_number++;
   this->head = {};
@@ -234,7 +235,8 @@
     discarded += part->size();
     if (discarded > kMaxDiscardBytes) break;
   }
-  if (this->KeepAlive() && this->parser->is_done()) co_return true;
+  const bool may_keep = this->keeps_alive && !this->must_close;
+  if (may_keep && this->parser->is_done()) co_return true;
   co_await this->LingeringClose();
   co_return false;
 }
@@ -255,7 +257,7 @@
   this->Close();
 }
 
-bool Connection::KeepAlive() const {
+bool Connection::MayKeepAlive() const {
   return this->parser && this->parser->get().keep_alive() &&
          !this->must_close && !this->context->draining.load();
 }
@@ -345,7 +347,8 @@
   if (!headers_only) message.body() = std::move(body);
   const bool body_not_requested =
       this->parser && !this->parser->is_done() && this->continue_pending;
-  message.keep_alive(this->KeepAlive() && !body_not_requested);
+  this->keeps_alive = this->MayKeepAlive() && !body_not_requested;
+  message.keep_alive(this->keeps_alive);
   http::response_serializer<http::string_body> serializer(message);
   this->watchdog->Set(this->context->clock.now() +
                       this->context->options.idle_timeout);
@@ -371,7 +374,8 @@
   message.version(version);
   AddHeaders(response_head, message);
   this->AddRequestId(message);
-  message.keep_alive(this->KeepAlive() && version >= kHttp11);
+  this->keeps_alive = this->MayKeepAlive() && version >= kHttp11;
+  message.keep_alive(this->keeps_alive);
   if (version >= kHttp11) {
     message.chunked(true);
   } else {
--- a/packages/gateway/src/http_connection.h
+++ b/packages/gateway/src/http_connection.h
@@ -92,7 +92,8 @@
   base::Status HandleWriteResult(boost::system::error_code error);
   /// Fills in `head`; returns false if the target is invalid.
   bool ParseHead();
-  bool KeepAlive() const;
+  /// Whether a response that begins now may say that the connection stays open.
+  bool MayKeepAlive() const;
   /// Returns when the body is too slow, if no more of it is received.
   base::Instant BodyDeadline() const;
   void WatchForDisconnect();
@@ -123,6 +124,10 @@
   bool streaming = false;
   /// Whether the response was sent or aborted.
   bool ended = false;
+  /// Whether the head of the response says that the connection stays open. A
+  /// drain that begins later doesn't change it: the caller may send its next
+  /// request at once.
+  bool keeps_alive = false;
   /// Whether the connection can't be kept alive after this exchange.
   bool must_close = false;
 };
--- /dev/null
+++ b/packages/gateway/test/http_connection_test.cc
@@ -0,0 +1,162 @@
+#include "../src/http_connection.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <functional>
+#include <future>
+#include <memory>
+#include <string>
+#include <thread>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+#include "gypsumtrack/gateway/http_server.h"
+#include "test_caller.h"
+
+namespace gypsumtrack::gateway {
+namespace {
+
+namespace asio = boost::asio;
+
+const std::string kRequest = "GET /s HTTP/1.1\r\nHost: g\r\n\r\n";
+/// Long enough that a test ends before it on the busiest machine.
+constexpr base::Duration kLong = std::chrono::seconds(60);
+constexpr base::Duration kShort = std::chrono::milliseconds(20);
+
+/// A server on one thread, which runs only while a test lets it.
+class ServerFixture {
+ public:
+  ServerFixture() {
+    this->options.address = "127.0.0.1:0";
+    this->options.limits = [this] { return this->limits; };
+    this->options.drain_grace = kLong;
+    this->limits.idle_timeout = kLong;
+    this->limits.header_timeout = kLong;
+  }
+
+  ~ServerFixture() {
+    this->server->Stop();
+    this->RunReady();
+  }
+
+  ServerFixture(const ServerFixture&) = delete;
+  ServerFixture& operator=(const ServerFixture&) = delete;
+
+  /// Starts the server with a handler for all requests.
+  void Start(HttpHandler handler) {
+    Router router;
+    router.Add("*", "/", std::move(handler));
+    base::Clock clock = base::SystemClock();
+    clock.now = [this] { return this->now; };
+    this->server = std::make_unique<HttpServer>(
+        this->context.get_executor(), clock, this->options, std::move(router));
+    REQUIRE(this->server->Start().ok());
+  }
+
+  /// Starts the server with a handler that responds at once.
+  void Start() {
+    this->Start([](Exchange& exchange) { return Respond(exchange); });
+  }
+
+  TestCaller& Connect() {
+    this->callers.push_back(
+        std::make_unique<TestCaller>(this->server->address()));
+    return *this->callers.back();
+  }
+
+  /// Runs the server while another thread runs `action`.
+  template <typename Action>
+  auto RunDuring(Action action) {
+    auto pending = std::async(std::launch::async, std::move(action));
+    while (pending.wait_for(base::Duration::zero()) !=
+           std::future_status::ready) {
+      this->context.run_for(std::chrono::milliseconds(1));
+    }
+    return pending.get();
+  }
+
+  /// Runs the server until it has nothing left to do at present.
+  void RunReady() {
+    while (this->context.run_for(std::chrono::milliseconds(1)) > 0) continue;
+  }
+
+  /// Lets the clock of the server pass that time, and its timers expire.
+  void Advance(base::Duration duration) {
+    this->now += duration;
+    std::this_thread::sleep_for(kShort);
+  }
+
+  /// Returns how many callers get a response to the request that they have
+  /// sent.
+  std::size_t CountAnswered() {
+    return this->RunDuring([this] {
+      std::size_t answered = 0;
+      for (auto& caller : this->callers) {
+        if (caller->Read().status == 200) ++answered;
+      }
+      return answered;
+    });
+  }
+
+  static asio::awaitable<void> Respond(Exchange& exchange) {
+    ResponseHead head;
+    std::string body = "done";
+    std::ignore = co_await exchange.Send(std::move(head), std::move(body));
+  }
+
+  asio::io_context context;
+  base::Instant now{std::chrono::hours(1)};
+  CallerLimits limits;
+  HttpServerOptions options;
+  std::unique_ptr<HttpServer> server;
+  std::vector<std::unique_ptr<TestCaller>> callers;
+};
+
+// Guards against responses that promise to keep the connection and then end it,
+// because the daemon began to drain meanwhile: the next request was discarded.
+TEST_CASE("a drain begins while a response is sent") {
+  ServerFixture fixture;
+  bool is_sending = false;
+  bool may_end = false;
+  const auto pause = [&]() -> asio::awaitable<void> {
+    asio::steady_timer timer(fixture.context);
+    is_sending = true;
+    while (!may_end) {
+      timer.expires_after(std::chrono::milliseconds(1));
+      co_await timer.async_wait(asio::use_awaitable);
+    }
+  };
+  const auto stream = [&](Exchange& exchange) -> asio::awaitable<void> {
+    ResponseHead head;
+    std::ignore = co_await exchange.BeginStream(std::move(head));
+    co_await pause();
+    std::string part = "part";
+    std::ignore = co_await exchange.WritePart(std::move(part));
+    std::ignore = co_await exchange.EndStream();
+  };
+  fixture.Start(stream);
+  auto& caller = fixture.Connect();
+  caller.SendRaw(kRequest);
+  while (!is_sending) fixture.context.run_one();
+  fixture.server->Drain([] {});
+  fixture.RunDuring([] {});
+  may_end = true;
+  const auto response = fixture.RunDuring([&] { return caller.Read(); });
+  CHECK(response.complete);
+  CHECK(response.connection.empty());
+  // The caller may send as long as it hasn't seen that the connection ends.
+  const auto next = fixture.RunDuring([&] {
+    caller.SendRaw(kRequest);
+    return caller.Read();
+  });
+  CHECK(next.status == 200);
+  CHECK(next.complete);
+  CHECK(next.connection == "close");
+}
+
+}  // namespace
+}  // namespace gypsumtrack::gateway
