Serve requests that wait in the socket when a timeout expires

Callers saw connections closed on which their request had already arrived, after the process had stood still: one of a pause of the VM, for example, or of a used up quota of the core. All its timers are due at once then.

Cause: the system reports 128 descriptors at a time, one of them the timer. The timers that are due run after the first sockets and before the others, and the idle timeout, the time for a header and the end of a drain's grace period closed the sockets of the others without asking whether they could be read. Connections that were accepted when the grace period ended were closed in any case.

Before it closes a connection that awaits input, the server now asks whether input has arrived. If so, it is served.

Evidence: 300 connections whose requests arrive while the server stands still.

--- a/packages/gateway/src/http_connection.cc
+++ b/packages/gateway/src/http_connection.cc
@@ -29,6 +29,8 @@
 constexpr std::uint64_t kMaxDiscardBytes = std::uint64_t{256} * 1024;
 /// Time for a caller to read the response before the connection is closed.
 constexpr base::Duration kLingerTimeout = std::chrono::seconds(2);
+/// Time to read input that has arrived by the time at which a timeout expires.
+constexpr base::Duration kUnreadInputTimeout = std::chrono::seconds(1);
 constexpr unsigned kHttp11 = 11;
 
 /// Whether a segment of the path is `.` or `..`.
@@ -78,7 +80,7 @@
       buffer(this->context->options.max_header_bytes + kReadAheadBytes) {
   this->watchdog = std::make_shared<Watchdog>(this->socket.get_executor(),
                                               this->context->clock,
-                                              [this] { this->Close(); });
+                                              [this] { this->OnTimeout(); });
 }
 
 Connection::~Connection() { this->watchdog->Stop(); }
@@ -93,7 +95,24 @@
 }
 
 void Connection::CloseIfIdle() {
-  if (this->waiting_for_request) this->Close();
+  const bool is_idle = this->awaited == Awaited::kRequest;
+  if (is_idle && !this->HasUnreadInput()) this->Close();
+}
+
+void Connection::OnTimeout() {
+  // After a standstill of the process, the timer may fire before the socket is
+  // found to be readable.
+  const bool awaits_input = this->awaited != Awaited::kOther;
+  if (awaits_input && this->HasUnreadInput()) {
+    this->watchdog->Set(this->context->clock.now() + kUnreadInputTimeout);
+    return;
+  }
+  this->Close();
+}
+
+bool Connection::HasUnreadInput() const {
+  error_code error;
+  return this->socket.available(error) > 0 && !error;
 }
 
 asio::awaitable<void> Connection::Run() {
@@ -127,13 +146,14 @@
 
 asio::awaitable<bool> Connection::WaitForRequest() {
   if (this->buffer.size() > 0) co_return true;
-  if (this->context->drain_grace_over.load()) co_return false;
+  const bool takes_no_more = this->context->drain_grace_over.load();
+  if (takes_no_more && !this->HasUnreadInput()) co_return false;
   const auto now = this->context->clock.now();
   this->watchdog->Set(now + this->context->Limits().idle_timeout);
-  this->waiting_for_request = true;
+  this->awaited = Awaited::kRequest;
   const auto [error] = co_await this->socket.async_wait(
       asio::socket_base::wait_read, kAwaitTuple);
-  this->waiting_for_request = false;
+  this->awaited = Awaited::kOther;
   co_return !error;
 }
 
@@ -153,8 +173,10 @@
   this->parser->header_limit(
       static_cast<std::uint32_t>(limits.max_header_bytes));
   this->parser->body_limit(boost::none);
+  this->awaited = Awaited::kInput;
   const auto [error, size] = co_await http::async_read_header(
       this->socket, this->buffer, *this->parser, kAwaitTuple);
+  this->awaited = Awaited::kOther;
   if (error == http::error::end_of_stream) co_return false;
   if (error) {
     co_await this->RefuseHead(error);
--- a/packages/gateway/src/http_connection.h
+++ b/packages/gateway/src/http_connection.h
@@ -51,8 +51,8 @@
   boost::asio::awaitable<void> Run();
   /// Responds that there are too many connections, and closes.
   boost::asio::awaitable<void> Refuse();
-  /// Closes the connection if it waits for a request. Must be called on the
-  /// strand.
+  /// Closes the connection if it waits for a request and none has arrived. Must
+  /// be called on the strand.
   void CloseIfIdle();
   /// Closes the connection. Must be called on the strand.
   void Close();
@@ -78,6 +78,17 @@
   using Parser =
       boost::beast::http::request_parser<boost::beast::http::buffer_body>;
 
+  /// What the connection waits for.
+  enum class Awaited {
+    kRequest,  ///< the first byte of a request
+    kInput,    ///< more bytes of a request
+    kOther,
+  };
+
+  void OnTimeout();
+  /// Whether the caller has sent bytes that aren't read yet.
+  bool HasUnreadInput() const;
+
   /// Serves one exchange; returns whether the connection stays open.
   boost::asio::awaitable<bool> ServeOne();
   boost::asio::awaitable<bool> WaitForRequest();
@@ -117,7 +128,7 @@
   std::function<void()> on_caller_disconnect;
   /// Whether the caller expects `100 Continue` before it sends the body.
   bool continue_pending = false;
-  bool waiting_for_request = false;
+  Awaited awaited = Awaited::kOther;
   /// Whether sending of the response has begun.
   bool started = false;
   /// Whether the response was begun by BeginStream.
--- a/packages/gateway/test/http_connection_test.cc
+++ b/packages/gateway/test/http_connection_test.cc
@@ -84,11 +84,8 @@
     while (this->context.run_for(std::chrono::milliseconds(1)) > 0) continue;
   }
 
-  /// Lets the clock of the server pass that time, and its timers expire.
-  void Advance(base::Duration duration) {
-    this->now += duration;
-    std::this_thread::sleep_for(kShort);
-  }
+  /// Lets timers of kShort fire while the server stands still.
+  static void AwaitTimers() { std::this_thread::sleep_for(2 * kShort); }
 
   /// Returns how many callers get a response to the request that they have
   /// sent.
@@ -158,5 +155,61 @@
   CHECK(next.connection == "close");
 }
 
+// Guards against closing connections whose requests have arrived: after a
+// standstill of the process all timers are due at once, and the system reports
+// the sockets that can be read only a few at a time.
+TEST_CASE("requests wait in more sockets than are reported at once") {
+  constexpr std::size_t kConnections = 300;
+  ServerFixture fixture;
+  const auto send_all = [&] {
+    for (auto& caller : fixture.callers) caller->SendRaw(kRequest);
+  };
+  SECTION("while the idle timeout of their connections passes") {
+    fixture.limits.idle_timeout = kShort;
+    fixture.Start();
+    for (std::size_t i = 0; i < kConnections; ++i) fixture.Connect();
+    fixture.RunReady();
+    ServerFixture::AwaitTimers();
+    send_all();
+    fixture.now += kShort;
+    CHECK(fixture.CountAnswered() == kConnections);
+    SECTION("which still closes the connections without one") {
+      fixture.now += kShort;
+      CHECK_FALSE(fixture.RunDuring(
+          [&] { return fixture.callers.front()->Read().complete; }));
+    }
+  }
+  SECTION("while the time for their header passes") {
+    fixture.limits.header_timeout = kShort;
+    fixture.Start();
+    for (std::size_t i = 0; i < kConnections; ++i)
+      fixture.Connect().SendRaw("GET /s HTTP/1.1\r\n");
+    fixture.RunReady();
+    ServerFixture::AwaitTimers();
+    for (auto& caller : fixture.callers) caller->SendRaw("Host: g\r\n\r\n");
+    fixture.now += kShort;
+    CHECK(fixture.CountAnswered() == kConnections);
+  }
+  SECTION("while the grace period of a drain ends") {
+    fixture.options.drain_grace = kShort;
+    fixture.Start();
+    for (std::size_t i = 0; i < kConnections; ++i) fixture.Connect();
+    fixture.RunReady();
+    fixture.server->Drain([] {});
+    fixture.context.poll();
+    ServerFixture::AwaitTimers();
+    send_all();
+    CHECK(fixture.CountAnswered() == kConnections);
+  }
+  SECTION("of connections that weren't accepted when the grace period ended") {
+    fixture.options.drain_grace = {};
+    fixture.Start();
+    for (std::size_t i = 0; i < kConnections; ++i) fixture.Connect();
+    send_all();
+    fixture.server->Drain([] {});
+    CHECK(fixture.CountAnswered() == kConnections);
+  }
+}
+
 }  // namespace
 }  // namespace gypsumtrack::gateway
