Close idle connections by the idle timeout in force

Callers saw a connection closed that they were allowed to keep: a wait for the next request kept the idle timeout that was in force when it began. After a configuration that raises it, a request could arrive as the older one expired.

When the timer fires, the server now asks for the timeout in force and waits on if that hasn't passed. After one that lowers it, connections that are idle already stay open for the older time, as before: that harms no caller.

--- a/packages/gateway/src/http_connection.cc
+++ b/packages/gateway/src/http_connection.cc
@@ -100,16 +100,25 @@
 }
 
 void Connection::OnTimeout() {
+  const auto now = this->context->clock.now();
   // After a standstill of the process, the timer may fire before the socket is
   // found to be readable.
   const bool awaits_input = this->awaited != Awaited::kOther;
   if (awaits_input && this->HasUnreadInput()) {
-    this->watchdog->Set(this->context->clock.now() + kUnreadInputTimeout);
+    this->watchdog->Set(now + kUnreadInputTimeout);
+    return;
+  }
+  if (this->awaited == Awaited::kRequest && now < this->IdleDeadline()) {
+    this->watchdog->Set(this->IdleDeadline());
     return;
   }
   this->Close();
 }
 
+base::Instant Connection::IdleDeadline() const {
+  return this->idle_since + this->context->Limits().idle_timeout;
+}
+
 bool Connection::HasUnreadInput() const {
   error_code error;
   return this->socket.available(error) > 0 && !error;
@@ -148,8 +157,8 @@
   if (this->buffer.size() > 0) co_return true;
   const bool takes_no_more = this->context->drain_grace_over.load();
   if (takes_no_more && !this->HasUnreadInput()) co_return false;
-  const auto now = this->context->clock.now();
-  this->watchdog->Set(now + this->context->Limits().idle_timeout);
+  this->idle_since = this->context->clock.now();
+  this->watchdog->Set(this->IdleDeadline());
   this->awaited = Awaited::kRequest;
   const auto [error] = co_await this->socket.async_wait(
       asio::socket_base::wait_read, kAwaitTuple);
--- a/packages/gateway/src/http_connection.h
+++ b/packages/gateway/src/http_connection.h
@@ -86,6 +86,8 @@
   };
 
   void OnTimeout();
+  /// When the connection has been idle too long, by the limits in force now.
+  base::Instant IdleDeadline() const;
   /// Whether the caller has sent bytes that aren't read yet.
   bool HasUnreadInput() const;
 
@@ -121,6 +123,8 @@
   std::string id;
   base::Instant exchange_deadline = base::kNever;
   base::Instant body_started_at{};
+  /// When it began to wait for a request.
+  base::Instant idle_since{};
   std::uint64_t body_bytes = 0;
   /// Incremented when an exchange begins and ends, so that a late readiness
   /// event of an earlier exchange is recognised and ignored.
--- a/packages/gateway/test/http_connection_test.cc
+++ b/packages/gateway/test/http_connection_test.cc
@@ -211,5 +211,33 @@
   }
 }
 
+// Guards against closing a connection after an idle timeout that is no longer
+// in force: a caller who knows the longer one sends its next request on it.
+TEST_CASE("the idle timeout changes while a connection is idle") {
+  using std::chrono::seconds;
+  ServerFixture fixture;
+  fixture.limits.idle_timeout = kShort;
+  fixture.Start();
+  auto& caller = fixture.Connect();
+  fixture.RunReady();
+  const auto pass_time = [&](base::Duration duration) {
+    fixture.now += duration;
+    ServerFixture::AwaitTimers();
+    fixture.RunReady();
+  };
+  SECTION("to a longer one, which applies") {
+    fixture.limits.idle_timeout = seconds(10);
+    pass_time(seconds(8));
+    caller.SendRaw(kRequest);
+    CHECK(fixture.CountAnswered() == 1);
+  }
+  SECTION("to a shorter one, and the connection is closed") {
+    fixture.limits.idle_timeout = kShort / 2;
+    pass_time(kShort);
+    caller.SendRaw(kRequest);
+    CHECK(fixture.CountAnswered() == 0);
+  }
+}
+
 }  // namespace
 }  // namespace gypsumtrack::gateway
