Send the refusals of requests that arrive too slowly

Callers whose header or body came too slowly saw the connection end without a response: the timeout closed it, and the refusal with 408, which the log says was sent, had nowhere to go. A response to a malformed body could be lost too, since the connection was closed at once, which resets it if there is unread input.

The timeout now ends the read and leaves the connection open for the refusal, for 2 s at most. It asks first whether input has arrived, as for other input. After a response the connection lingers in any case.

Submissions of jobs named each body that can't be read as too large, 413, after which callers never submit again. They now share the refusals of other requests: 408 if it came too slowly.

--- a/packages/gateway/include/gypsumtrack/gateway/serving/relay_service.h
+++ b/packages/gateway/include/gypsumtrack/gateway/serving/relay_service.h
@@ -28,6 +28,14 @@
                                          std::string request_id,
                                          Refusal refusal);
 
+/// Refuses a request whose body can't be read, for the error of
+/// Exchange::ReadBody; ends the exchange if the caller has disconnected. Must
+/// run on the context's thread.
+boost::asio::awaitable<void> RefuseUnreadBody(ServingContext& context,
+                                              Exchange& exchange,
+                                              std::string request_id,
+                                              const base::Error& error);
+
 /// Whether a request is allowed, and the rules that apply to it.
 struct AccessDecision {
   /// Null if the request is refused, and for decisions by key alone.
--- a/packages/gateway/src/http_connection.cc
+++ b/packages/gateway/src/http_connection.cc
@@ -112,6 +112,14 @@
     this->watchdog->Set(this->IdleDeadline());
     return;
   }
+  if (this->awaited == Awaited::kInput && !this->input_timed_out) {
+    // The connection stays open for the refusal.
+    this->input_timed_out = true;
+    error_code ignored;
+    this->socket.cancel(ignored);
+    this->watchdog->Set(now + kLingerTimeout);
+    return;
+  }
   this->Close();
 }
 
@@ -182,7 +190,7 @@
   this->parser->header_limit(
       static_cast<std::uint32_t>(limits.max_header_bytes));
   this->parser->body_limit(boost::none);
-  this->awaited = Awaited::kInput;
+  this->BeginRead();
   const auto [error, size] = co_await http::async_read_header(
       this->socket, this->buffer, *this->parser, kAwaitTuple);
   this->awaited = Awaited::kOther;
@@ -197,6 +205,11 @@
   co_return false;
 }
 
+void Connection::BeginRead() {
+  this->awaited = Awaited::kInput;
+  this->input_timed_out = false;
+}
+
 bool Connection::ParseHead() {
   const auto& message = this->parser->get();
   this->head.method = std::string(message.method_string());
@@ -219,11 +232,10 @@
 }
 
 asio::awaitable<void> Connection::RefuseHead(error_code error) {
-  const bool expired = this->watchdog->expired();
-  if (expired || !this->socket.is_open()) co_return;
+  if (!this->socket.is_open()) co_return;
   const auto now = this->context->clock.now();
   this->watchdog->Set(now + kLingerTimeout);
-  auto reply = RenderError(HeadError(error, expired));
+  auto reply = RenderError(HeadError(error, this->input_timed_out));
   this->must_close = true;
   std::ignore =
       co_await this->Send(std::move(reply.head), std::move(reply.body));
@@ -258,9 +270,10 @@
   this->exchange_number++;
   error_code ignored;
   this->socket.cancel(ignored);
-  if (this->must_close || !this->socket.is_open()) co_return false;
+  if (!this->socket.is_open()) co_return false;
   std::uint64_t discarded = 0;
-  while (!this->parser->is_done() && !this->continue_pending) {
+  const bool may_read = !this->must_close && !this->continue_pending;
+  while (may_read && !this->parser->is_done()) {
     const auto part = co_await this->ReadPart();
     if (!part.ok() || part->empty()) break;
     discarded += part->size();
@@ -321,12 +334,15 @@
     body.size = part.size();
     body.more = true;
     this->watchdog->Set(this->BodyDeadline());
+    this->BeginRead();
     auto [error, size] = co_await http::async_read_some(
         this->socket, this->buffer, *this->parser, kAwaitTuple);
+    this->awaited = Awaited::kOther;
     if (error == http::error::need_buffer) error = {};
     if (error) {
+      this->watchdog->Set(base::kNever);
       this->must_close = true;
-      if (this->watchdog->expired()) {
+      if (this->input_timed_out) {
         co_return base::Error(base::Errc::kTimeout,
                               "The body came too slowly.");
       }
--- a/packages/gateway/src/http_connection.h
+++ b/packages/gateway/src/http_connection.h
@@ -105,6 +105,8 @@
   base::Status HandleWriteResult(boost::system::error_code error);
   /// Fills in `head`; returns false if the target is invalid.
   bool ParseHead();
+  /// Prepares to read input, with the deadline of the watchdog.
+  void BeginRead();
   /// Whether a response that begins now may say that the connection stays open.
   bool MayKeepAlive() const;
   /// Returns when the body is too slow, if no more of it is received.
@@ -133,6 +135,8 @@
   /// Whether the caller expects `100 Continue` before it sends the body.
   bool continue_pending = false;
   Awaited awaited = Awaited::kOther;
+  /// Whether input that the connection read for came too slowly.
+  bool input_timed_out = false;
   /// Whether sending of the response has begun.
   bool started = false;
   /// Whether the response was begun by BeginStream.
--- a/packages/gateway/src/serving/access_decision.cc
+++ b/packages/gateway/src/serving/access_decision.cc
@@ -124,4 +124,21 @@
   std::ignore = co_await exchange.Send(std::move(head), std::move(body));
 }
 
+boost::asio::awaitable<void> RefuseUnreadBody(ServingContext& context,
+                                              Exchange& exchange,
+                                              std::string request_id,
+                                              const base::Error& error) {
+  if (error.Is(base::Errc::kCancelled)) {
+    exchange.Abort();
+    co_return;
+  }
+  const bool timed_out = error.Is(base::Errc::kTimeout);
+  Refusal refusal{
+      timed_out ? status::kRequestTimeout : status::kPayloadTooLarge,
+      timed_out ? "body_too_slow" : "body_refused",
+      {}};
+  co_await SendRefusal(context, exchange, std::move(request_id),
+                       std::move(refusal));
+}
+
 }  // namespace gypsumtrack::gateway
--- a/packages/gateway/src/serving/job_submissions.cc
+++ b/packages/gateway/src/serving/job_submissions.cc
@@ -46,8 +46,8 @@
   this->context.metrics.requests.Add();
   auto body = co_await exchange.ReadBody(access.rules->max_body_bytes);
   if (!body.ok()) {
-    Refusal refusal{status::kPayloadTooLarge, "body_refused", {}};
-    co_await Refuse(this->context, exchange, metadata, std::move(refusal));
+    co_await RefuseUnreadBody(this->context, exchange, metadata.request_id,
+                              body.error());
     co_return;
   }
   auto items = this->context.wire.read_submission(*body);
--- a/packages/gateway/src/serving/relay_service.cc
+++ b/packages/gateway/src/serving/relay_service.cc
@@ -73,7 +73,8 @@
     auto read =
         co_await this->exchange.ReadBody(this->access.rules->max_body_bytes);
     if (!read.ok()) {
-      co_await this->RefuseUnreadBody(read.error());
+      co_await RefuseUnreadBody(this->context, this->exchange,
+                                this->facts.request_id, read.error());
       co_return;
     }
     this->body = std::move(*read);
@@ -108,20 +109,6 @@
   base::Instant Now() const { return this->context.clock.now(); }
   bool CallerDisconnected() const { return this->cancel->cancelled(); }
 
-  asio::awaitable<void> RefuseUnreadBody(const base::Error& error) {
-    if (error.Is(base::Errc::kCancelled)) {
-      this->exchange.Abort();
-      co_return;
-    }
-    const bool timed_out = error.Is(base::Errc::kTimeout);
-    Refusal refusal{
-        timed_out ? status::kRequestTimeout : status::kPayloadTooLarge,
-        timed_out ? "body_too_slow" : "body_refused",
-        {}};
-    co_await SendRefusal(this->context, this->exchange, this->facts.request_id,
-                         std::move(refusal));
-  }
-
   /// Refuses a request that continues a stream of which can't be told who began
   /// it.
   asio::awaitable<void> RefuseUnknownOrigin() {
--- a/packages/gateway/test/http_connection_test.cc
+++ b/packages/gateway/test/http_connection_test.cc
@@ -190,6 +190,23 @@
     fixture.now += kShort;
     CHECK(fixture.CountAnswered() == kConnections);
   }
+  SECTION("while the time for their body passes") {
+    fixture.options.slow_body_grace = kShort;
+    fixture.Start([](Exchange& exchange) -> asio::awaitable<void> {
+      constexpr std::uint64_t kMaxBytes = 100;
+      const auto body = co_await exchange.ReadBody(kMaxBytes);
+      if (body.ok()) co_await ServerFixture::Respond(exchange);
+    });
+    for (std::size_t i = 0; i < kConnections; ++i) {
+      fixture.Connect().SendRaw(
+          "POST /s HTTP/1.1\r\nHost: g\r\nContent-Length: 2\r\n\r\na");
+    }
+    fixture.RunReady();
+    ServerFixture::AwaitTimers();
+    for (auto& caller : fixture.callers) caller->SendRaw("b");
+    fixture.now += kShort;
+    CHECK(fixture.CountAnswered() == kConnections);
+  }
   SECTION("while the grace period of a drain ends") {
     fixture.options.drain_grace = kShort;
     fixture.Start();
@@ -239,5 +256,54 @@
   }
 }
 
+// Guards against refusals that never reach the caller, because the timeout
+// closes the connection before they are sent.
+TEST_CASE("a request arrives too slowly") {
+  constexpr unsigned kRequestTimeout = 408;
+  ServerFixture fixture;
+  fixture.limits.header_timeout = kShort;
+  fixture.options.slow_body_grace = kShort;
+  std::string error;
+  fixture.Start([&error](Exchange& exchange) -> asio::awaitable<void> {
+    constexpr std::uint64_t kMaxBytes = 100;
+    const auto body = co_await exchange.ReadBody(kMaxBytes);
+    if (!body.ok()) error = body.error().message;
+    ResponseHead head;
+    head.status = body.ok() ? 200 : kRequestTimeout;
+    std::ignore = co_await exchange.Send(std::move(head), std::string());
+  });
+  auto& caller = fixture.Connect();
+  const auto pass_time = [&] {
+    fixture.RunReady();
+    fixture.now += kShort;
+    ServerFixture::AwaitTimers();
+  };
+  const auto read = [&] { return caller.Read(); };
+  const std::string start = "POST /s HTTP/1.1\r\nHost: g\r\n";
+  const std::string body_start = start + "Content-Length: 4\r\n\r\nab";
+  SECTION("and is refused if its header isn't complete") {
+    caller.SendRaw(start);
+    pass_time();
+    const auto response = fixture.RunDuring(read);
+    CHECK(response.status == kRequestTimeout);
+    CHECK(response.connection == "close");
+    CHECK(error.empty());
+  }
+  SECTION("and is refused if its body isn't complete") {
+    caller.SendRaw(body_start);
+    pass_time();
+    const auto response = fixture.RunDuring(read);
+    CHECK(response.status == kRequestTimeout);
+    CHECK(response.connection == "close");
+    CHECK(error == "The body came too slowly.");
+  }
+  SECTION("and is served if the rest has arrived as the timeout expires") {
+    caller.SendRaw(body_start);
+    pass_time();
+    caller.SendRaw("cd");
+    CHECK(fixture.RunDuring(read).status == 200);
+  }
+}
+
 }  // namespace
 }  // namespace gypsumtrack::gateway
--- a/packages/gateway/test/serving/job_service_test.cc
+++ b/packages/gateway/test/serving/job_service_test.cc
@@ -2,11 +2,14 @@
 
 #include <catch2/catch.hpp>
 #include <functional>
+#include <future>
+#include <memory>
 #include <optional>
 #include <string>
 #include <utility>
 
 #include "../../src/serving/job_store.h"
+#include "../test_caller.h"
 #include "gypsumtrack/gateway/serving/row_store_await.h"
 #include "gypsumtrack/gateway/serving/store_layout.h"
 #include "gypsumtrack/testing/memory_row_store.h"
@@ -163,5 +166,33 @@
   CHECK(takeover.jobs.CountWaitingItems() == 0);
 }
 
+// Guards against a refusal that tells the caller never to submit the job again.
+TEST_CASE("a submission arrives too slowly") {
+  JobServiceFixture fixture;
+  policy::RouteRule route;
+  AccessDecision access;
+  access.rules = std::make_shared<const policy::ServingRules>();
+  access.route = &route;
+  Router router;
+  router.Add("*", "/", [&](Exchange& exchange) {
+    return fixture.jobs.HandleSubmission(exchange, {}, access);
+  });
+  HttpServerOptions options;
+  options.address = "127.0.0.1:0";
+  options.slow_body_grace = std::chrono::milliseconds(20);
+  HttpServer server(fixture.daemon.context.get_executor(), fixture.daemon.clock,
+                    std::move(options), std::move(router));
+  REQUIRE(server.Start().ok());
+  TestCaller caller(server.address());
+  caller.SendRaw("POST /s HTTP/1.1\r\nHost: g\r\nContent-Length: 2\r\n\r\na");
+  auto pending =
+      std::async(std::launch::async, [&caller] { return caller.Read(); });
+  fixture.daemon.RunUntil([&pending] {
+    return pending.wait_for(base::Duration::zero()) ==
+           std::future_status::ready;
+  });
+  CHECK(pending.get().status == 408);
+}
+
 }  // namespace
 }  // namespace gypsumtrack::gateway
