--- a/packages/gateway/src/http_connection.cc
+++ b/packages/gateway/src/http_connection.cc
@@ -29,6 +29,8 @@
 constexpr std::uint64_t kMaxDiscardBytes = std::uint64_t{256} * 1024;
 /// Time for a caller to read the response before the connection is closed.
 constexpr base::Duration kLingerTimeout = std::chrono::seconds(2);
+/// Time to read input that has arrived by the time at which a timeout expires.
+constexpr base::Duration kUnreadInputTimeout = std::chrono::seconds(1);
 constexpr unsigned kHttp11 = 11;
 
 /// Whether a segment of the path is `.` or `..`.
@@ -78,7 +80,7 @@
       buffer(this->context->options.max_header_bytes + kReadAheadBytes) {
   this->watchdog = std::make_shared<Watchdog>(this->socket.get_executor(),
                                               this->context->clock,
-                                              [this] { this->Close(); });
+                                              [this] { this->OnTimeout(); });
 }
 
 Connection::~Connection() { this->watchdog->Stop(); }
@@ -93,7 +95,41 @@
 }
 
 void Connection::CloseIfIdle() {
-  if (this->waiting_for_request) this->Close();
+  const bool is_idle = this->awaited == Awaited::kRequest;
+  if (is_idle && !this->HasUnreadInput()) this->Close();
+}
+
+void Connection::OnTimeout() {
+  const auto now = this->context->clock.now();
+  // After a standstill of the process, the timer may fire before the socket is
+  // found to be readable.
+  const bool awaits_input = this->awaited != Awaited::kOther;
+  if (awaits_input && this->HasUnreadInput()) {
+    this->watchdog->Set(now + kUnreadInputTimeout);
+    return;
+  }
+  if (this->awaited == Awaited::kRequest && now < this->IdleDeadline()) {
+    this->watchdog->Set(this->IdleDeadline());
+    return;
+  }
+  if (this->awaited == Awaited::kInput && !this->input_timed_out) {
+    // The connection stays open for the refusal.
+    this->input_timed_out = true;
+    error_code ignored;
+    this->socket.cancel(ignored);
+    this->watchdog->Set(now + kLingerTimeout);
+    return;
+  }
+  this->Close();
+}
+
+base::Instant Connection::IdleDeadline() const {
+  return this->idle_since + this->context->Limits().idle_timeout;
+}
+
+bool Connection::HasUnreadInput() const {
+  error_code error;
+  return this->socket.available(error) > 0 && !error;
 }
 
 asio::awaitable<void> Connection::Run() {
@@ -127,13 +163,14 @@
 
 asio::awaitable<bool> Connection::WaitForRequest() {
   if (this->buffer.size() > 0) co_return true;
-  if (this->context->drain_grace_over.load()) co_return false;
-  const auto now = this->context->clock.now();
-  this->watchdog->Set(now + this->context->Limits().idle_timeout);
-  this->waiting_for_request = true;
+  const bool takes_no_more = this->context->drain_grace_over.load();
+  if (takes_no_more && !this->HasUnreadInput()) co_return false;
+  this->idle_since = this->context->clock.now();
+  this->watchdog->Set(this->IdleDeadline());
+  this->awaited = Awaited::kRequest;
   const auto [error] = co_await this->socket.async_wait(
       asio::socket_base::wait_read, kAwaitTuple);
-  this->waiting_for_request = false;
+  this->awaited = Awaited::kOther;
   co_return !error;
 }
 
@@ -143,6 +180,7 @@
   this->watchdog->Set(now + limits.header_timeout);
   this->exchange_deadline = now + this->context->options.request_timeout;
   this->started = this->streaming = this->ended = false;
+  this->keeps_alive = false;
   this->body_bytes = 0;
   this->exchange_number++;
   this->head = {};
@@ -152,8 +190,10 @@
   this->parser->header_limit(
       static_cast<std::uint32_t>(limits.max_header_bytes));
   this->parser->body_limit(boost::none);
+  this->BeginRead();
   const auto [error, size] = co_await http::async_read_header(
       this->socket, this->buffer, *this->parser, kAwaitTuple);
+  this->awaited = Awaited::kOther;
   if (error == http::error::end_of_stream) co_return false;
   if (error) {
     co_await this->RefuseHead(error);
@@ -165,6 +205,11 @@
   co_return false;
 }
 
+void Connection::BeginRead() {
+  this->awaited = Awaited::kInput;
+  this->input_timed_out = false;
+}
+
 bool Connection::ParseHead() {
   const auto& message = this->parser->get();
   this->head.method = std::string(message.method_string());
@@ -187,11 +232,10 @@
 }
 
 asio::awaitable<void> Connection::RefuseHead(error_code error) {
-  const bool expired = this->watchdog->expired();
-  if (expired || !this->socket.is_open()) co_return;
+  if (!this->socket.is_open()) co_return;
   const auto now = this->context->clock.now();
   this->watchdog->Set(now + kLingerTimeout);
-  auto reply = RenderError(HeadError(error, expired));
+  auto reply = RenderError(HeadError(error, this->input_timed_out));
   this->must_close = true;
   std::ignore =
       co_await this->Send(std::move(reply.head), std::move(reply.body));
@@ -226,15 +270,17 @@
   this->exchange_number++;
   error_code ignored;
   this->socket.cancel(ignored);
-  if (this->must_close || !this->socket.is_open()) co_return false;
+  if (!this->socket.is_open()) co_return false;
   std::uint64_t discarded = 0;
-  while (!this->parser->is_done() && !this->continue_pending) {
+  const bool may_read = !this->must_close && !this->continue_pending;
+  while (may_read && !this->parser->is_done()) {
     const auto part = co_await this->ReadPart();
     if (!part.ok() || part->empty()) break;
     discarded += part->size();
     if (discarded > kMaxDiscardBytes) break;
   }
-  if (this->KeepAlive() && this->parser->is_done()) co_return true;
+  const bool may_keep = this->keeps_alive && !this->must_close;
+  if (may_keep && this->parser->is_done()) co_return true;
   co_await this->LingeringClose();
   co_return false;
 }
@@ -255,7 +301,7 @@
   this->Close();
 }
 
-bool Connection::KeepAlive() const {
+bool Connection::MayKeepAlive() const {
   return this->parser && this->parser->get().keep_alive() &&
          !this->must_close && !this->context->draining.load();
 }
@@ -288,12 +334,15 @@
     body.size = part.size();
     body.more = true;
     this->watchdog->Set(this->BodyDeadline());
+    this->BeginRead();
     auto [error, size] = co_await http::async_read_some(
         this->socket, this->buffer, *this->parser, kAwaitTuple);
+    this->awaited = Awaited::kOther;
     if (error == http::error::need_buffer) error = {};
     if (error) {
+      this->watchdog->Set(base::kNever);
       this->must_close = true;
-      if (this->watchdog->expired()) {
+      if (this->input_timed_out) {
         co_return base::Error(base::Errc::kTimeout,
                               "The body came too slowly.");
       }
@@ -345,7 +394,8 @@
   if (!headers_only) message.body() = std::move(body);
   const bool body_not_requested =
       this->parser && !this->parser->is_done() && this->continue_pending;
-  message.keep_alive(this->KeepAlive() && !body_not_requested);
+  this->keeps_alive = this->MayKeepAlive() && !body_not_requested;
+  message.keep_alive(this->keeps_alive);
   http::response_serializer<http::string_body> serializer(message);
   this->watchdog->Set(this->context->clock.now() +
                       this->context->options.idle_timeout);
@@ -371,7 +421,8 @@
   message.version(version);
   AddHeaders(response_head, message);
   this->AddRequestId(message);
-  message.keep_alive(this->KeepAlive() && version >= kHttp11);
+  this->keeps_alive = this->MayKeepAlive() && version >= kHttp11;
+  message.keep_alive(this->keeps_alive);
   if (version >= kHttp11) {
     message.chunked(true);
   } else {
--- a/packages/gateway/src/http_connection.h
+++ b/packages/gateway/src/http_connection.h
@@ -51,8 +51,8 @@
   boost::asio::awaitable<void> Run();
   /// Responds that there are too many connections, and closes.
   boost::asio::awaitable<void> Refuse();
-  /// Closes the connection if it waits for a request. Must be called on the
-  /// strand.
+  /// Closes the connection if it waits for a request and none has arrived. Must
+  /// be called on the strand.
   void CloseIfIdle();
   /// Closes the connection. Must be called on the strand.
   void Close();
@@ -78,6 +78,19 @@
   using Parser =
       boost::beast::http::request_parser<boost::beast::http::buffer_body>;
 
+  /// What the connection waits for.
+  enum class Awaited {
+    kRequest,  ///< the first byte of a request
+    kInput,    ///< more bytes of a request
+    kOther,
+  };
+
+  void OnTimeout();
+  /// When the connection has been idle too long, by the limits in force now.
+  base::Instant IdleDeadline() const;
+  /// Whether the caller has sent bytes that aren't read yet.
+  bool HasUnreadInput() const;
+
   /// Serves one exchange; returns whether the connection stays open.
   boost::asio::awaitable<bool> ServeOne();
   boost::asio::awaitable<bool> WaitForRequest();
@@ -92,7 +105,10 @@
   base::Status HandleWriteResult(boost::system::error_code error);
   /// Fills in `head`; returns false if the target is invalid.
   bool ParseHead();
-  bool KeepAlive() const;
+  /// Prepares to read input, with the deadline of the watchdog.
+  void BeginRead();
+  /// Whether a response that begins now may say that the connection stays open.
+  bool MayKeepAlive() const;
   /// Returns when the body is too slow, if no more of it is received.
   base::Instant BodyDeadline() const;
   void WatchForDisconnect();
@@ -109,6 +125,8 @@
   std::string id;
   base::Instant exchange_deadline = base::kNever;
   base::Instant body_started_at{};
+  /// When it began to wait for a request.
+  base::Instant idle_since{};
   std::uint64_t body_bytes = 0;
   /// Incremented when an exchange begins and ends, so that a late readiness
   /// event of an earlier exchange is recognised and ignored.
@@ -116,13 +134,19 @@
   std::function<void()> on_caller_disconnect;
   /// Whether the caller expects `100 Continue` before it sends the body.
   bool continue_pending = false;
-  bool waiting_for_request = false;
+  Awaited awaited = Awaited::kOther;
+  /// Whether input that the connection read for came too slowly.
+  bool input_timed_out = false;
   /// Whether sending of the response has begun.
   bool started = false;
   /// Whether the response was begun by BeginStream.
   bool streaming = false;
   /// Whether the response was sent or aborted.
   bool ended = false;
+  /// Whether the head of the response says that the connection stays open. A
+  /// drain that begins later doesn't change it: the caller may send its next
+  /// request at once.
+  bool keeps_alive = false;
   /// Whether the connection can't be kept alive after this exchange.
   bool must_close = false;
 };
