Refuse a continued stream if its record can't be read

What callers saw: a stream that a new version had begun went on at the old one, when its caller took it up at a daemon that had been cut from the store before endpoints of the new version joined.

Cause: without an answer of the store a daemon continued at the only version that it had seen for long enough. Its list of endpoints is as old as the cut, so that was the version of before the release.

Why the fix works: a version that the daemon has seen alone decides only if the store was read and says nothing, and if the list of endpoints was read in the last 3 s. A caller is told to come back in 0.3 s, as before. The cost: while the store is away for all, streams that callers take up are refused.

--- a/packages/gateway/include/gypsumtrack/gateway/serving/store_view_service.h
+++ b/packages/gateway/include/gypsumtrack/gateway/serving/store_view_service.h
@@ -61,6 +61,8 @@
   /// Returns when the newest successful read of the rules was sent: the rules
   /// of the snapshot were in force then, or are newer. Wait-free.
   base::Instant confirmed_at() const;  // NOLINT
+  /// The same for the endpoints.
+  base::Instant endpoints_confirmed_at() const;  // NOLINT
 
  private:
   void ApplyRules(const std::vector<base::VersionedRow>& rows);
@@ -80,6 +82,8 @@
   RcuCell<StoreView> current;
   /// Value of confirmed_at() as a duration since the epoch.
   std::atomic<base::Duration::rep> confirmed{0};
+  /// The same of endpoints_confirmed_at().
+  std::atomic<base::Duration::rep> endpoints_confirmed{0};
   /// The next snapshot to publish. Used on the executor only, as are all
   /// members below.
   StoreView next;
--- a/packages/gateway/src/serving/store_view_service.cc
+++ b/packages/gateway/src/serving/store_view_service.cc
@@ -81,7 +81,8 @@
       [this](const std::vector<base::VersionedRow>& rows, std::uint64_t) {
         this->ApplyEndpoints(rows, false);
       };
-  endpoints_hooks.on_confirmed = [this](base::Instant) {
+  endpoints_hooks.on_confirmed = [this](base::Instant at) {
+    this->endpoints_confirmed.store(at.time_since_epoch().count());
     this->OnStoreReachable();
   };
   endpoints_hooks.on_failure = [this](const base::Error& error) {
@@ -105,6 +106,10 @@
   return base::Instant(base::Duration(this->confirmed.load()));
 }
 
+base::Instant StoreViewService::endpoints_confirmed_at() const {
+  return base::Instant(base::Duration(this->endpoints_confirmed.load()));
+}
+
 void StoreViewService::ApplyRules(const std::vector<base::VersionedRow>& rows) {
   this->OnStoreReachable();
   for (const auto& row : rows) {
--- a/packages/gateway/src/serving/stream_version_service.cc
+++ b/packages/gateway/src/serving/stream_version_service.cc
@@ -230,7 +230,11 @@
   asio::awaitable<base::Outcome<policy::OutputOrigin>> FindOrigin(
       std::string request, base::Service service) {
     auto origin = co_await this->ReadOrigin(request, service);
-    if (origin.ok()) co_return origin;
+    // If the store can't be read, this daemon may be the only one that doesn't
+    // know a new version.
+    const bool is_unknown_to_store =
+        !origin.ok() && origin.error().Is(base::Errc::kNotFound);
+    if (!is_unknown_to_store || !this->KnowsEndpoints()) co_return origin;
     const auto sole =
         this->defaults.SoleVersion(service, this->context.clock.now());
     if (!sole) co_return origin;
@@ -238,6 +242,13 @@
     co_return origin;
   }
 
+  /// Whether the list of endpoints is current.
+  bool KnowsEndpoints() const {
+    return policy::IsCurrentEndpointList(
+        this->context.store_view.endpoints_confirmed_at(),
+        this->context.clock.now());
+  }
+
   asio::awaitable<base::Outcome<policy::OutputOrigin>> ReadOrigin(
       std::string request, base::Service service) {
     if (request.empty())
--- a/packages/policy/include/gypsumtrack/policy/serving/stream_versions.h
+++ b/packages/policy/include/gypsumtrack/policy/serving/stream_versions.h
@@ -1,6 +1,7 @@
 #ifndef GYPSUMTRACK_POLICY_SERVING_STREAM_VERSIONS_H_
 #define GYPSUMTRACK_POLICY_SERVING_STREAM_VERSIONS_H_
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -15,6 +16,14 @@
 /// that only streams of other versions have to be recorded.
 namespace gypsumtrack::policy {
 
+/// Age up to which a daemon's list of endpoints counts as current. Longer than
+/// the store holds a read of them that finds no change, which is 2 s.
+inline constexpr base::Duration kMaxEndpointListAge = std::chrono::seconds(3);
+
+/// Whether a list of endpoints that was read by a call sent at `read_at` is
+/// current. In an older one versions may be missing that others use already.
+bool IsCurrentEndpointList(base::Instant read_at, base::Instant now);
+
 /// A default version to be written, if its row still has the given version.
 struct DefaultVersionChange {
   std::string version;
--- a/packages/policy/src/serving/stream_versions.cc
+++ b/packages/policy/src/serving/stream_versions.cc
@@ -17,6 +17,10 @@
 
 }  // namespace
 
+bool IsCurrentEndpointList(base::Instant read_at, base::Instant now) {
+  return now - read_at <= kMaxEndpointListAge;
+}
+
 void DefaultVersions::ApplyRow(const base::Service& service,
                                const std::string& version,
                                std::uint64_t row_version) {
--- a/packages/policy/test/serving/stream_versions_test.cc
+++ b/packages/policy/test/serving/stream_versions_test.cc
@@ -67,6 +67,14 @@
   }
 }
 
+TEST_CASE("a list of endpoints is current for a while") {
+  CHECK(IsCurrentEndpointList(kStart, kStart));
+  CHECK(IsCurrentEndpointList(kStart, kStart + kMaxEndpointListAge));
+  CHECK_FALSE(IsCurrentEndpointList(
+      kStart, kStart + kMaxEndpointListAge + std::chrono::milliseconds(1)));
+  CHECK_FALSE(IsCurrentEndpointList({}, kStart));
+}
+
 TEST_CASE("a daemon knows when all streams are of one software version") {
   DefaultVersions versions;
   const auto observe = [&](const VersionCounts& counts, base::Instant now) {
--- a/packages/testing/include/gypsumtrack/testing/site_standin.h
+++ b/packages/testing/include/gypsumtrack/testing/site_standin.h
@@ -1,6 +1,7 @@
 #ifndef GYPSUMTRACK_TESTING_SITE_STANDIN_H_
 #define GYPSUMTRACK_TESTING_SITE_STANDIN_H_
 
+#include <atomic>
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <cstdint>
@@ -19,12 +20,24 @@
 /// implement its published HTTP protocol.
 namespace gypsumtrack::testing {
 
+/// What becomes of the calls to a StoreStandin, those in progress included.
+enum class StorePath {
+  kSound,   ///< they are answered
+  kSilent,  ///< they are left without an answer until the path is sound again
+  kReset,   ///< their connections are closed
+  kSilentFeeds,  ///< feeds are left without an answer, others are answered
+};
+
 /// The platform's store over HTTP, backed by a MemoryRowStore and its injected
 /// faults.
 class StoreStandin {
  public:
   /// Serves requests on `executor`.
   explicit StoreStandin(const boost::asio::any_io_executor& executor);
+  /// Serves the rows of another stand-in, as a path of its own to the same
+  /// store. Precondition: `origin` outlives it and runs on the same thread.
+  StoreStandin(const boost::asio::any_io_executor& executor,
+               StoreStandin& origin);
 
   /// Starts to listen on a free port of the loopback interface.
   base::Status Start();
@@ -32,6 +45,8 @@
   std::string address() const;  // NOLINT
   /// The backing store. Thread-safe.
   MemoryRowStore& rows() { return this->store; }  // NOLINT
+  /// Sets what becomes of the calls that arrive here. Thread-safe.
+  void SetPath(StorePath next) { this->path = next; }
   /// Writes a row unconditionally, as an operator or an endpoint does.
   void Put(const std::string& table, const std::string& key,
            const std::string& value);
@@ -45,9 +60,15 @@
   std::string Dispatch(const gateway::RequestHead& request,
                        const std::string& body, unsigned& status);
 
+  /// Waits while the path leaves such a call without an answer.
+  boost::asio::awaitable<void> WaitForPath(std::string call_path) const;
+
   boost::asio::any_io_executor executor;
-  MemoryRowStore store;
+  /// Null for a further path to the store of another stand-in.
+  std::unique_ptr<MemoryRowStore> own_store;
+  MemoryRowStore& store;
   base::RowStore client;
+  std::atomic<StorePath> path{StorePath::kSound};
   std::unique_ptr<gateway::HttpServer> server;
 };
 
--- a/packages/testing/src/site_standin.cc
+++ b/packages/testing/src/site_standin.cc
@@ -30,6 +30,7 @@
 
 /// Internal status of a feed without changes; never sent.
 constexpr unsigned kFeedPending = 1;
+constexpr std::string_view kFeedPath = "/gypsumtrack/rows-feed";
 constexpr base::Duration kFeedPollInterval = std::chrono::milliseconds(10);
 /// Longer than it takes to close a listener.
 constexpr base::Duration kCrashDuration = std::chrono::milliseconds(20);
@@ -140,7 +141,16 @@
 }  // namespace
 
 StoreStandin::StoreStandin(const asio::any_io_executor& server_executor)
-    : executor(server_executor), client(this->store.Client()) {}
+    : executor(server_executor),
+      own_store(std::make_unique<MemoryRowStore>()),
+      store(*this->own_store),
+      client(this->store.Client()) {}
+
+StoreStandin::StoreStandin(const asio::any_io_executor& server_executor,
+                           StoreStandin& origin)
+    : executor(server_executor),
+      store(origin.store),
+      client(this->store.Client()) {}
 
 base::Status StoreStandin::Start() {
   this->server = MakeServer(this->executor, [this](Exchange& exchange) {
@@ -169,6 +179,7 @@
 asio::awaitable<void> StoreStandin::Serve(Exchange& exchange) {
   auto body = co_await exchange.ReadBody(kMaxBodyBytes);
   if (!body.ok()) co_return;
+  co_await this->WaitForPath(exchange.request().path);
   ResponseHead head;
   std::string out = this->Dispatch(exchange.request(), *body, head.status);
   const auto clock = base::SystemClock();
@@ -178,13 +189,22 @@
     out = this->Dispatch(exchange.request(), *body, head.status);
   }
   if (head.status == kFeedPending) head.status = code::kOk;
-  if (head.status == 0) {
+  co_await this->WaitForPath(exchange.request().path);
+  if (head.status == 0 || this->path == StorePath::kReset) {
     exchange.Abort();
     co_return;
   }
   std::ignore = co_await exchange.Send(std::move(head), std::move(out));
 }
 
+asio::awaitable<void> StoreStandin::WaitForPath(std::string call_path) const {
+  const bool is_feed = call_path == kFeedPath;
+  while (this->path == StorePath::kSilent ||
+         (is_feed && this->path == StorePath::kSilentFeeds)) {
+    co_await gateway::Pause(kFeedPollInterval);
+  }
+}
+
 std::string StoreStandin::Dispatch(const RequestHead& request,
                                    const std::string& body, unsigned& status) {
   const std::string_view path(request.path);
@@ -218,7 +238,7 @@
                                         {"ver", page->store_version},
                                         {"nowMs", 1000}});
   }
-  if (path == "/gypsumtrack/rows-feed") {
+  if (path == kFeedPath) {
     base::FeedRequest feed;
     feed.table = QueryParameter(request, "table");
     feed.after_version = ParseNumber(QueryParameter(request, "after"));
