Don't change a default version after time that wasn't observed

What callers would see: a stream that began at the old version, without a record as that was the default, goes on at the new one.

Cause: the daemon that changes defaults counts how long a version has been gone on its own clock. If it stood still for longer than streams last, and the last endpoint of the old version left meanwhile, it changed the default with its first look at the new list, though streams had begun until just before. The same after a time in which it couldn't read the endpoints.

The service's use of it is covered by reading only: no test stops a whole daemon.

Why the fix works: a list of endpoints that was read more than 3 s after the one before starts the wait anew, as a start of the daemon does, and no default changes while the newest list is older than 3 s.

--- a/packages/gateway/src/serving/stream_version_service.cc
+++ b/packages/gateway/src/serving/stream_version_service.cc
@@ -148,12 +148,17 @@
       if (!rules) continue;
       const auto services = ServicesOf(*rules);
       const auto lifetime = StreamLifetime(*rules);
+      this->defaults.OnEndpointsRead(
+          this->context.store_view.endpoints_confirmed_at(), lifetime,
+          this->context.clock.now());
       for (const auto& service : services) {
         this->defaults.Observe(service,
                                this->context.endpoints.CountByVersion(service),
                                lifetime, this->context.clock.now());
       }
-      if (!this->has_defaults || !this->fleet.IsCollector()) continue;
+      const bool may_change = this->has_defaults && this->KnowsEndpoints() &&
+                              this->fleet.IsCollector();
+      if (!may_change) continue;
       for (const auto& service : services) {
         const auto change =
             this->defaults.DueChange(service, this->context.clock.now());
--- a/packages/policy/include/gypsumtrack/policy/serving/stream_versions.h
+++ b/packages/policy/include/gypsumtrack/policy/serving/stream_versions.h
@@ -52,6 +52,13 @@
   void Observe(const base::Service& service, const VersionCounts& counts,
                base::Duration stream_lifetime, base::Instant now);
 
+  /// Records that a list of endpoints, read by a call sent at `read_at`, is the
+  /// newest one that Observe is given from now on. If the one before was read
+  /// longer ago than kMaxEndpointListAge, or this daemon stood still for so
+  /// long, versions may have come and gone unseen, as before its start.
+  void OnEndpointsRead(base::Instant read_at, base::Duration stream_lifetime,
+                       base::Instant now);
+
   // Queries.
 
   /// Returns the default version of the service, or none if it isn't known.
@@ -83,6 +90,8 @@
 
   std::map<base::Service, Row> rows;
   std::map<base::Service, ServiceState> services;
+  /// When the newest list of endpoints was read.
+  base::Instant endpoints_read_at{};
 };
 
 }  // namespace gypsumtrack::policy
--- a/packages/policy/src/serving/stream_versions.cc
+++ b/packages/policy/src/serving/stream_versions.cc
@@ -1,6 +1,7 @@
 #include "gypsumtrack/policy/serving/stream_versions.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace gypsumtrack::policy {
 namespace {
@@ -48,6 +49,15 @@
                 [&](const auto& each) { return each.second <= now; });
 }
 
+void DefaultVersions::OnEndpointsRead(base::Instant read_at,
+                                      base::Duration stream_lifetime,
+                                      base::Instant now) {
+  const auto before = std::exchange(this->endpoints_read_at, read_at);
+  if (IsCurrentEndpointList(before, read_at)) return;
+  for (auto& [service, state] : this->services)
+    state.unseen_streams_end_at = now + stream_lifetime;
+}
+
 std::optional<std::string> DefaultVersions::Find(
     const base::Service& service) const {
   const auto found = this->rows.find(service);
--- a/packages/policy/test/serving/stream_versions_test.cc
+++ b/packages/policy/test/serving/stream_versions_test.cc
@@ -57,6 +57,40 @@
     CHECK(versions.DueChange(kService, kStart + seconds(10)) ==
           Change(DefaultVersionChange{"v2", 7}));
   }
+  // Guards against a default that changes while streams of the old one go on,
+  // which endpoints began while this daemon stood still or couldn't read them.
+  SECTION("a daemon that didn't read the endpoints for a while can't either") {
+    versions.ApplyRow(kService, "v1", 7);
+    const auto read_at = [&](base::Instant at, base::Instant now) {
+      versions.OnEndpointsRead(at, kLifetime, now);
+    };
+    read_at(kStart, kStart);
+    observe(kOld, kStart);
+    read_at(kStart + seconds(3), kStart + seconds(4));
+    observe(kMixed, kStart + seconds(4));
+    const auto woken = kStart + seconds(24);
+    SECTION("until all streams of that time have ended") {
+      read_at(kStart + seconds(23), woken);
+      observe(kNew, woken);
+      CHECK_FALSE(versions.DueChange(kService, woken));
+      observe(kNew, woken + seconds(9));
+      CHECK_FALSE(versions.DueChange(kService, woken + seconds(9)));
+      CHECK_FALSE(versions.SoleVersion(kService, woken + seconds(9)));
+      observe(kNew, woken + seconds(10));
+      CHECK(versions.DueChange(kService, woken + seconds(10)) ==
+            Change(DefaultVersionChange{"v2", 7}));
+      CHECK(versions.SoleVersion(kService, woken + seconds(10)) == "v2");
+    }
+    SECTION("one that read them all the while can") {
+      for (int second = 5; second <= 14; ++second) {
+        const auto now = kStart + seconds(second);
+        read_at(now - seconds(1), now);
+        observe(kNew, now);
+      }
+      CHECK(versions.DueChange(kService, kStart + seconds(14)) ==
+            Change(DefaultVersionChange{"v2", 7}));
+    }
+  }
   SECTION("rows may be removed or read anew") {
     versions.ApplyRow(kService, "v1", 7);
     versions.ApplyRemoval(kService);
