--- a/packages/gateway/src/serving/stream_version_service.cc
+++ b/packages/gateway/src/serving/stream_version_service.cc
@@ -148,12 +148,17 @@
       if (!rules) continue;
       const auto services = ServicesOf(*rules);
       const auto lifetime = StreamLifetime(*rules);
+      this->defaults.OnEndpointsRead(
+          this->context.store_view.endpoints_confirmed_at(), lifetime,
+          this->context.clock.now());
       for (const auto& service : services) {
         this->defaults.Observe(service,
                                this->context.endpoints.CountByVersion(service),
                                lifetime, this->context.clock.now());
       }
-      if (!this->has_defaults || !this->fleet.IsCollector()) continue;
+      const bool may_change = this->has_defaults && this->KnowsEndpoints() &&
+                              this->fleet.IsCollector();
+      if (!may_change) continue;
       for (const auto& service : services) {
         const auto change =
             this->defaults.DueChange(service, this->context.clock.now());
@@ -230,7 +235,11 @@
   asio::awaitable<base::Outcome<policy::OutputOrigin>> FindOrigin(
       std::string request, base::Service service) {
     auto origin = co_await this->ReadOrigin(request, service);
-    if (origin.ok()) co_return origin;
+    // If the store can't be read, this daemon may be the only one that doesn't
+    // know a new version.
+    const bool is_unknown_to_store =
+        !origin.ok() && origin.error().Is(base::Errc::kNotFound);
+    if (!is_unknown_to_store || !this->KnowsEndpoints()) co_return origin;
     const auto sole =
         this->defaults.SoleVersion(service, this->context.clock.now());
     if (!sole) co_return origin;
@@ -238,6 +247,13 @@
     co_return origin;
   }
 
+  /// Whether the list of endpoints is current.
+  bool KnowsEndpoints() const {
+    return policy::IsCurrentEndpointList(
+        this->context.store_view.endpoints_confirmed_at(),
+        this->context.clock.now());
+  }
+
   asio::awaitable<base::Outcome<policy::OutputOrigin>> ReadOrigin(
       std::string request, base::Service service) {
     if (request.empty())
--- a/packages/policy/include/gypsumtrack/policy/serving/stream_versions.h
+++ b/packages/policy/include/gypsumtrack/policy/serving/stream_versions.h
@@ -1,6 +1,7 @@
 #ifndef GYPSUMTRACK_POLICY_SERVING_STREAM_VERSIONS_H_
 #define GYPSUMTRACK_POLICY_SERVING_STREAM_VERSIONS_H_
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -15,6 +16,14 @@
 /// that only streams of other versions have to be recorded.
 namespace gypsumtrack::policy {
 
+/// Age up to which a daemon's list of endpoints counts as current. Longer than
+/// the store holds a read of them that finds no change, which is 2 s.
+inline constexpr base::Duration kMaxEndpointListAge = std::chrono::seconds(3);
+
+/// Whether a list of endpoints that was read by a call sent at `read_at` is
+/// current. In an older one versions may be missing that others use already.
+bool IsCurrentEndpointList(base::Instant read_at, base::Instant now);
+
 /// A default version to be written, if its row still has the given version.
 struct DefaultVersionChange {
   std::string version;
@@ -43,6 +52,13 @@
   void Observe(const base::Service& service, const VersionCounts& counts,
                base::Duration stream_lifetime, base::Instant now);
 
+  /// Records that a list of endpoints, read by a call sent at `read_at`, is the
+  /// newest one that Observe is given from now on. If the one before was read
+  /// longer ago than kMaxEndpointListAge, or this daemon stood still for so
+  /// long, versions may have come and gone unseen, as before its start.
+  void OnEndpointsRead(base::Instant read_at, base::Duration stream_lifetime,
+                       base::Instant now);
+
   // Queries.
 
   /// Returns the default version of the service, or none if it isn't known.
@@ -74,6 +90,8 @@
 
   std::map<base::Service, Row> rows;
   std::map<base::Service, ServiceState> services;
+  /// When the newest list of endpoints was read.
+  base::Instant endpoints_read_at{};
 };
 
 }  // namespace gypsumtrack::policy
