Test that a daemon which is lost without a close ends its tunnel

A socket filter drops all packets to the daemon, so that it acknowledges none. An endpoint's pause of 2.5 s ends none.

--- a/packages/gateway/test/tunnel_server_test.cc
+++ b/packages/gateway/test/tunnel_server_test.cc
@@ -1,6 +1,10 @@
 #include "gypsumtrack/gateway/tunnel_server.h"
 
 #include <fmt/format.h>
+#include <linux/filter.h>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -8,6 +12,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -493,6 +498,83 @@
   CHECK(received == body.size());
 }
 
+/// A daemon that asks for a tunnel and sends a request through it, without an
+/// EndpointClient.
+class RawDaemon {
+ public:
+  explicit RawDaemon(TunnelFixture& fixture) : socket(fixture.context) {
+    const auto address = fixture.server.address();
+    const auto port = std::stoi(address.substr(address.find(':') + 1));
+    this->socket.connect({asio::ip::make_address("127.0.0.1"),
+                          static_cast<std::uint16_t>(port)});
+    const auto handshake =
+        *FormatTunnelRequest({{base::EndpointId("e-1"), 7}, kToken}, address);
+    asio::write(this->socket, asio::buffer(handshake));
+    std::string reply;
+    bool replied = false;
+    asio::async_read_until(this->socket, asio::dynamic_buffer(reply),
+                           "\r\n\r\n",
+                           [&](error_code, std::size_t) { replied = true; });
+    fixture.RunUntil([&] { return replied; });
+    REQUIRE(reply.starts_with("HTTP/1.1 101 "));
+    const std::string request = "GET /loans/1 HTTP/1.1\r\nHost: a\r\n\r\n";
+    asio::write(this->socket, asio::buffer(request));
+  }
+
+  /// From now on it receives no packets, so that it acknowledges none. It has
+  /// nothing to send again, which would show that it is there.
+  void Lose(TunnelFixture& fixture) {
+    fixture.RunUntil([this] {
+      int unacknowledged = 0;
+      REQUIRE(::ioctl(this->socket.native_handle(), SIOCOUTQ,
+                      &unacknowledged) == 0);
+      return unacknowledged == 0;
+    });
+    sock_filter drop_all{BPF_RET | BPF_K, 0, 0, 0};
+    const sock_fprog program{1, &drop_all};
+    REQUIRE(::setsockopt(this->socket.native_handle(), SOL_SOCKET,
+                         SO_ATTACH_FILTER, &program, sizeof(program)) == 0);
+  }
+
+  asio::ip::tcp::socket socket;
+};
+
+TEST_CASE("a daemon is lost without a close") {
+  auto options = ServerOptions();
+  options.lost_daemon_timeout = std::chrono::seconds(1);
+  TunnelFixture fixture(options);
+  const auto ended = [&] { return fixture.server.tunnel_count() == 0; };
+  SECTION("while the endpoint is silent") {
+    RecordingEndpoint endpoint(fixture.context.get_executor(), true);
+    fixture.admission.address = endpoint.address();
+    RawDaemon daemon(fixture);
+    fixture.RunUntil([&] { return endpoint.received > 0; });
+    daemon.Lose(fixture);
+    CHECK(fixture.RunUntil(ended) < std::chrono::seconds(4));
+    fixture.RunUntil([&] { return endpoint.ended == 1; });
+  }
+  SECTION("while the endpoint answers") {
+    fixture.endpoint.SetResponses(
+        {{kOkHead + "\r\n", RawEnd::kKeepOpen, "event\n", milliseconds(50)}});
+    RawDaemon daemon(fixture);
+    fixture.RunUntil([&] { return fixture.endpoint.endless_bytes() > 0; });
+    daemon.Lose(fixture);
+    CHECK(fixture.RunUntil(ended) < std::chrono::seconds(4));
+  }
+}
+
+// Guards against a peer that takes a pause between events for a lost daemon.
+TEST_CASE("an endpoint answers again after a pause") {
+  auto options = ServerOptions();
+  options.lost_daemon_timeout = std::chrono::seconds(1);
+  TunnelFixture fixture(options);
+  fixture.endpoint.SetResponses({{kOkHead + "Content-Length: 2\r\n\r\n",
+                                  RawEnd::kKeepOpen, "x", milliseconds(2500)}});
+  const auto result = fixture.Send();
+  CHECK(result.outcome == CallOutcome::kComplete);
+  CHECK(result.body == "xx");
+}
+
 TEST_CASE("an endpoint is slow to read a large request") {
   TunnelFixture fixture;
   fixture.endpoint.SetReadPause(std::chrono::seconds(1));
