Close tunnels that stay idle after an endpoint is reached directly again

The pool closed connections that had been idle for too long only when another one of the same route became idle. After a cut has ended none does, so the tunnels stayed open, each counting at its peer, until all tunnels of that peer were dropped. Now a connection of any route to the endpoint that becomes idle closes them, and routes without connections are forgotten.

Evidence: "an endpoint is reached directly after it was through a peer" failed before (1 of 10 assertions) and passes now, as does [#endpoint_client_test] (532 assertions in 15 test cases).

--- a/packages/gateway/src/connection_pool.cc
+++ b/packages/gateway/src/connection_pool.cc
@@ -68,8 +68,12 @@
   const auto now = connection->last_response_at;
   Shard& shard = this->ShardOf(route.address);
   const std::lock_guard lock(shard.mutex);
-  auto& idle = shard.idle[route.address][route.via];
-  this->DropExpired(idle, now);
+  auto& routes = shard.idle[route.address];
+  for (auto& entry : routes) this->DropExpired(entry.second, now);
+  std::erase_if(routes, [&](const auto& entry) {
+    return entry.second.empty() && entry.first != route.via;
+  });
+  auto& idle = routes[route.via];
   if (idle.size() >= this->options.max_idle_per_endpoint) return;
   idle.push_back(std::move(connection));
 }
--- a/packages/gateway/src/connection_pool.h
+++ b/packages/gateway/src/connection_pool.h
@@ -78,7 +78,8 @@
                              base::Instant min_last_response_at,
                              base::Instant now);
   /// Adds an idle connection, or closes it if a limit is reached. Also closes
-  /// connections of the route that have been idle for too long.
+  /// connections to the endpoint, of all routes, that have been idle for too
+  /// long.
   void Put(const EndpointRoute& route, EndpointConnectionPtr connection);
   /// Closes the idle connections of the route.
   void Drop(const EndpointRoute& route);
--- a/packages/gateway/test/endpoint_client_test.cc
+++ b/packages/gateway/test/endpoint_client_test.cc
@@ -586,6 +586,29 @@
   }
 }
 
+// Guards against tunnels that nobody uses but that count at their peers, after
+// a cut has ended.
+TEST_CASE("an endpoint is reached directly after it was through a peer") {
+  auto options = Options();
+  options.max_idle = std::chrono::milliseconds(100);
+  TunnelCallFixture fixture(options);
+  auto call = fixture.MakeTunnelCall();
+  call.address = fixture.endpoint.address();
+  CHECK(fixture.Send(call).tunnel_status == TunnelStatus::kOpen);
+  auto direct = call;
+  direct.tunnel.reset();
+  CHECK(fixture.Send(direct).outcome == CallOutcome::kComplete);
+  SECTION("the tunnel is kept for a while") {
+    CHECK(fixture.client.idle_count(call.address, *call.tunnel) == 1);
+  }
+  SECTION("the tunnel is closed when it has been idle for too long") {
+    fixture.context.run_for(std::chrono::milliseconds(150));
+    CHECK(fixture.Send(direct).outcome == CallOutcome::kComplete);
+    CHECK(fixture.client.idle_count(call.address, *call.tunnel) == 0);
+    CHECK(fixture.client.idle_count(call.address) == 1);
+  }
+}
+
 TEST_CASE("a peer opens no tunnel") {
   using std::chrono::milliseconds;
   auto options = Options();
