Let several stand-ins of the store serve the same rows

A store stand-in can serve the rows of another with addresses of its own in the entries of endpoints, so that a daemon reaches them through proxies that no other daemon uses. The soak needs that to cut a daemon from all endpoints.

--- a/packages/testing/include/gypsumtrack/testing/site_standin.h
+++ b/packages/testing/include/gypsumtrack/testing/site_standin.h
@@ -4,6 +4,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -19,19 +20,25 @@
 /// implement its published HTTP protocol.
 namespace gypsumtrack::testing {
 
+/// Returns the address at which an endpoint is reached, given its instance id.
+using EndpointAddressLookup = std::function<std::string(const std::string& id)>;
+
 /// The platform's store over HTTP, backed by a MemoryRowStore and its injected
 /// faults.
 class StoreStandin {
  public:
   /// Serves requests on `executor`.
   explicit StoreStandin(const boost::asio::any_io_executor& executor);
+  /// Serves the same rows and faults as `shared`, but with the address that
+  /// `find_address` returns in the entry of each endpoint.
+  StoreStandin(const StoreStandin& shared, EndpointAddressLookup find_address);
 
   /// Starts to listen on a free port of the loopback interface.
   base::Status Start();
   /// The bound `ip:port`. Precondition: Start succeeded.
   std::string address() const;  // NOLINT
   /// The backing store. Thread-safe.
-  MemoryRowStore& rows() { return this->store; }  // NOLINT
+  MemoryRowStore& rows() { return *this->store; }  // NOLINT
   /// Writes a row unconditionally, as an operator or an endpoint does.
   void Put(const std::string& table, const std::string& key,
            const std::string& value);
@@ -44,10 +51,14 @@
   /// Handles a request; sets `status` to 0 if the connection must be aborted.
   std::string Dispatch(const gateway::RequestHead& request,
                        const std::string& body, unsigned& status);
+  /// Replaces the addresses in the entries of endpoints among the rows.
+  void ReplaceAddresses(std::vector<base::VersionedRow>& rows) const;
 
   boost::asio::any_io_executor executor;
-  MemoryRowStore store;
+  std::shared_ptr<MemoryRowStore> store;
   base::RowStore client;
+  /// Empty if the entries are served as they are.
+  EndpointAddressLookup find_endpoint_address;
   std::unique_ptr<gateway::HttpServer> server;
 };
 
--- a/packages/testing/src/site_standin.cc
+++ b/packages/testing/src/site_standin.cc
@@ -26,6 +26,7 @@
 using gateway::RequestHead;
 using gateway::ResponseHead;
 
+constexpr const char* kEndpointTable = "servers";
 constexpr std::uint64_t kMaxBodyBytes = 8ULL * 1024 * 1024;
 
 /// Internal status of a feed without changes; never sent.
@@ -140,7 +141,16 @@
 }  // namespace
 
 StoreStandin::StoreStandin(const asio::any_io_executor& server_executor)
-    : executor(server_executor), client(this->store.Client()) {}
+    : executor(server_executor),
+      store(std::make_shared<MemoryRowStore>()),
+      client(this->store->Client()) {}
+
+StoreStandin::StoreStandin(const StoreStandin& shared,
+                           EndpointAddressLookup find_address)
+    : executor(shared.executor),
+      store(shared.store),
+      client(this->store->Client()),
+      find_endpoint_address(std::move(find_address)) {}
 
 base::Status StoreStandin::Start() {
   this->server = MakeServer(this->executor, [this](Exchange& exchange) {
@@ -166,6 +176,17 @@
                         [](const base::Outcome<base::TransactionReply>&) {});
 }
 
+void StoreStandin::ReplaceAddresses(
+    std::vector<base::VersionedRow>& rows) const {
+  if (!this->find_endpoint_address) return;
+  for (auto& row : rows) {
+    if (row.at.table != kEndpointTable || row.removed) continue;
+    auto entry = json::parse(row.value).as_object();
+    entry["addr"] = this->find_endpoint_address(row.at.key);
+    row.value = json::serialize(entry);
+  }
+}
+
 asio::awaitable<void> StoreStandin::Serve(Exchange& exchange) {
   auto body = co_await exchange.ReadBody(kMaxBodyBytes);
   if (!body.ok()) co_return;
@@ -210,9 +231,10 @@
     range.partition = QueryParameter(request, "part");
     range.from = QueryParameter(request, "from");
     range.until = QueryParameter(request, "target");
-    const auto page = CallSynchronously<base::RowPage>(
+    auto page = CallSynchronously<base::RowPage>(
         [&](auto handler) { this->client.read(range, base::kNever, handler); });
     if (!page.ok()) return SetErrorStatus(page.error(), status);
+    this->ReplaceAddresses(page->rows);
     return json::serialize(json::object{{"rows", FormatRows(page->rows)},
                                         {"hasMore", page->more},
                                         {"ver", page->store_version},
@@ -226,12 +248,13 @@
       this->client.feed(feed, base::kNever, std::move(handler));
     });
     if (!page.ok() && page.error().Is(base::Errc::kTimeout)) {
-      this->store.DropFeeds();
+      this->store->DropFeeds();
       page = base::FeedPage{{}, feed.after_version, false};
       status = kFeedPending;
     }
     if (!page.ok()) return SetErrorStatus(page.error(), status);
     if (page->history_lost) status = code::kGone;
+    this->ReplaceAddresses(page->rows);
     return json::serialize(json::object{{"rows", FormatRows(page->rows)},
                                         {"ver", page->next_version},
                                         {"nowMs", 1000}});
