Let the soak's proxies cut callers from their server

A proxy can hang connections, new ones too; reset open connections and refuse new ones; or refuse new ones while open ones live on. New connections hang as they do on a network: the queue of the listener is full, so that Linux ignores their first packet. A cut is independent of the fault that the proxy injects.

--- a/packages/testing/soak/loopback_proxy.cc
+++ b/packages/testing/soak/loopback_proxy.cc
@@ -27,7 +27,8 @@
                              const std::string& target_address)
     : executor(run_on),
       target(ParseEndpoint(target_address)),
-      acceptor(run_on, tcp::endpoint(asio::ip::address_v4::loopback(), 0)) {}
+      acceptor(run_on, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
+      queue_filler(run_on) {}
 
 std::string LoopbackProxy::address() const {
   return "127.0.0.1:" + std::to_string(this->acceptor.local_endpoint().port());
@@ -41,18 +42,57 @@
 void LoopbackProxy::SetFault(ProxyFault new_fault) {
   this->fault = new_fault;
   const bool drop_both = new_fault == ProxyFault::kDropBoth;
+  this->DropData(drop_both || new_fault == ProxyFault::kDropToServer,
+                 drop_both || new_fault == ProxyFault::kDropToCaller);
+}
+
+void LoopbackProxy::DropData(bool to_server, bool to_caller) {
   for (const auto& weak : this->connections) {
     const auto connection = weak.lock();
     if (!connection) continue;
-    if (drop_both || new_fault == ProxyFault::kDropToServer) {
-      connection->drop_to_server = true;
-    }
-    if (drop_both || new_fault == ProxyFault::kDropToCaller) {
-      connection->drop_to_caller = true;
-    }
+    if (to_server) connection->drop_to_server = true;
+    if (to_caller) connection->drop_to_caller = true;
   }
 }
 
+void LoopbackProxy::SetCut(ProxyCut new_cut) {
+  if (new_cut == this->cut) return;
+  this->cut = new_cut;
+  this->StopListening();
+  switch (new_cut) {
+    case ProxyCut::kNone:
+      this->acceptor.listen();
+      this->Start();
+      break;
+    case ProxyCut::kSilent:
+      this->DropData(true, true);
+      this->ListenWithFullQueue();
+      break;
+    case ProxyCut::kReset:
+      this->ResetConnections();
+      break;
+    case ProxyCut::kRefuseNew:
+      break;
+  }
+}
+
+void LoopbackProxy::StopListening() {
+  const auto bound = this->acceptor.local_endpoint();
+  this->queue_filler.close();
+  this->acceptor.close();
+  this->acceptor.open(bound.protocol());
+  this->acceptor.set_option(asio::socket_base::reuse_address(true));
+  this->acceptor.bind(bound);
+}
+
+void LoopbackProxy::ListenWithFullQueue() {
+  // The queue holds one connection more than its limit; Linux ignores the first
+  // packet of others, and their callers send it again after 1 s, 3 s and 7 s.
+  this->acceptor.listen(0);
+  this->queue_filler.async_connect(this->acceptor.local_endpoint(),
+                                   asio::detached);
+}
+
 void LoopbackProxy::Reset(tcp::socket& socket) {
   error_code ignored;
   socket.set_option(asio::socket_base::linger(true, 0), ignored);
@@ -60,6 +100,7 @@
 }
 
 void LoopbackProxy::ResetConnections() {
+  if (this->cut == ProxyCut::kSilent) return;
   for (const auto& weak : this->connections) {
     const auto connection = weak.lock();
     if (!connection) continue;
@@ -75,6 +116,7 @@
     const auto [error] =
         co_await this->acceptor.async_accept(connection->caller, kAwait);
     if (error == asio::error::operation_aborted) co_return;
+    if (this->cut != ProxyCut::kNone) co_return;
     if (error) continue;
     std::erase_if(this->connections,
                   [](const auto& weak) { return weak.expired(); });
