Check that daemons cut from all endpoints serve their callers

Tries that were refused for the caller's key or limit don't count: they say nothing about what the daemon reaches. A cut is no disruption, so it excuses nothing else.

--- a/packages/testing/soak/invariant_checker.cc
+++ b/packages/testing/soak/invariant_checker.cc
@@ -34,6 +34,25 @@
 constexpr double kLimitFactor = 1.5;
 constexpr double kLimitSlack = 5;
 
+/// From kContact after a cut began, daemons that are cut from all endpoints
+/// serve this share of what the others serve, unless at most so many tries fail
+/// there: a number and a share of them.
+constexpr double kCutServedShare = 2.0 / 3;
+constexpr double kCutFailures = 10;
+constexpr double kCutFailureShare = 1.0 / 50;
+
+/// The tries of a group of daemons that no limit or rule refused.
+struct TryCounts {
+  double sent = 0;
+  double served = 0;
+};
+
+/// Whether a try was refused for the caller's key or limit, which says nothing
+/// about the daemon's reach.
+bool WasRefusedByRules(unsigned status) {
+  return status == code::kUnauthorized || status == code::kTooManyRequests;
+}
+
 /// Whether a status guarantees that the request has not run and never will.
 bool GuaranteesNotRun(unsigned status) {
   constexpr std::array<unsigned, 4> kNotRunStatuses{
@@ -144,6 +163,16 @@
   this->limited_spans.push_back(std::move(span));
 }
 
+void InvariantChecker::RecordTry(StreamTry stream_try) {
+  const std::lock_guard lock(this->mutex);
+  this->tries.push_back(std::move(stream_try));
+}
+
+void InvariantChecker::RecordCut(EndpointCut cut) {
+  const std::lock_guard lock(this->mutex);
+  this->cuts.push_back(std::move(cut));
+}
+
 void InvariantChecker::AddViolation(std::string violation) {
   const std::lock_guard lock(this->mutex);
   this->caller_violations.push_back(std::move(violation));
@@ -167,6 +196,7 @@
   }
   for (const auto& span : this->limited_spans)
     this->CheckLimitedSpan(span, runs, find_sender, violations);
+  for (const auto& cut : this->cuts) this->CheckCut(cut, violations);
   this->CheckRates(runs, limits, violations);
   return violations;
 }
@@ -277,6 +307,39 @@
                   span.engine, span.per_second, most, allowed));
 }
 
+bool InvariantChecker::WasDisrupted(const StreamTry& stream_try) const {
+  return this->WasDisrupted(stream_try.daemon, stream_try.sent_at) ||
+         this->WasDisrupted(stream_try.daemon, stream_try.ended_at);
+}
+
+void InvariantChecker::CheckCut(const EndpointCut& cut,
+                                std::vector<std::string>& violations) const {
+  TryCounts there;
+  TryCounts elsewhere;
+  for (const auto& stream_try : this->tries) {
+    if (stream_try.sent_at < cut.from + kContact) continue;
+    if (stream_try.sent_at >= cut.until) continue;
+    if (WasRefusedByRules(stream_try.status)) continue;
+    if (this->WasDisrupted(stream_try)) continue;
+    const auto found =
+        std::find(cut.daemons.begin(), cut.daemons.end(), stream_try.daemon);
+    auto& counts = found == cut.daemons.end() ? elsewhere : there;
+    ++counts.sent;
+    if (stream_try.status == code::kOk) ++counts.served;
+  }
+  const auto failed = there.sent - there.served;
+  if (failed <= kCutFailures + there.sent * kCutFailureShare) return;
+  // Without a try elsewhere there is nothing to compare with.
+  if (there.served * elsewhere.sent >=
+      elsewhere.served * there.sent * kCutServedShare) {
+    return;
+  }
+  violations.push_back(fmt::format(
+      "{} cut from all endpoints served {} of {} tries, the others {} of {}",
+      fmt::join(cut.daemons, ", "), there.served, there.sent, elsewhere.served,
+      elsewhere.sent));
+}
+
 void InvariantChecker::CheckRates(
     const std::vector<EngineRun>& runs,
     const std::map<std::string, RateLimit>& limits,
--- a/packages/testing/soak/invariant_checker.h
+++ b/packages/testing/soak/invariant_checker.h
@@ -62,6 +62,24 @@
   base::Instant until{};
 };
 
+/// A caller's first try of a stream at a daemon. Callers that left aren't
+/// recorded.
+struct StreamTry {
+  std::string daemon;
+  base::Instant sent_at{};
+  base::Instant ended_at{};
+  /// 0 if the daemon wasn't reached or no complete response was received.
+  unsigned status = 0;
+};
+
+/// A span in which daemons were cut from all endpoints, but not from callers,
+/// the store and each other.
+struct EndpointCut {
+  std::vector<std::string> daemons;
+  base::Instant from{};
+  base::Instant until{};
+};
+
 /// What the soak does to a daemon that excuses it from bounds on time.
 enum class Disruption {
   kProcess,  ///< stopped, killed, started or paused
@@ -119,6 +137,10 @@
   void RecordRestoration(const std::string& key, base::Instant now);
   /// Adds a span in which an endpoint named a limit.
   void RecordLimitedSpan(LimitedSpan span);
+  /// Adds a try when it has ended.
+  void RecordTry(StreamTry stream_try);
+  /// Adds a cut when it has ended.
+  void RecordCut(EndpointCut cut);
   /// Adds a violation that was observed outside of Check().
   void AddViolation(std::string violation);
 
@@ -164,6 +186,12 @@
                         const std::vector<EngineRun>& runs,
                         const SenderLookup& find_sender,
                         std::vector<std::string>& violations) const;
+  /// Checks that daemons that were cut from all endpoints served callers at
+  /// least two thirds as often as the others did. A cut isn't a disruption.
+  void CheckCut(const EndpointCut& cut,
+                std::vector<std::string>& violations) const;
+  /// Whether the daemon was disrupted before or during the try.
+  bool WasDisrupted(const StreamTry& stream_try) const;
   /// Checks the number of requests per window against the limits.
   void CheckRates(const std::vector<EngineRun>& runs,
                   const std::map<std::string, RateLimit>& limits,
@@ -179,6 +207,8 @@
   std::vector<DisruptionRecord> disruptions;
   std::vector<Withdrawal> withdrawals;
   std::vector<LimitedSpan> limited_spans;
+  std::vector<StreamTry> tries;
+  std::vector<EndpointCut> cuts;
   std::vector<std::string> caller_violations;
 };
 
--- a/packages/testing/test/invariant_checker_test.cc
+++ b/packages/testing/test/invariant_checker_test.cc
@@ -107,5 +107,79 @@
   }
 }
 
+/// Daemons vm-0 and vm-1 of three are cut from all endpoints from 10 s to 16 s.
+struct CutDaemons {
+  InvariantChecker checker;
+
+  CutDaemons() {
+    this->checker.RecordCut({{"vm-0", "vm-1"}, At(10000), At(16000)});
+  }
+
+  /// Records tries that take 100 ms.
+  void Try(const std::string& daemon, int millis, unsigned status, int count) {
+    for (int i = 0; i < count; ++i) {
+      this->checker.RecordTry({daemon, At(millis), At(millis + 100), status});
+    }
+  }
+  /// Records tries in the span that is checked, of which 30 in 100 are served
+  /// at the daemons that are cut, and 90 in 100 at the others.
+  void TryEverywhere() {
+    this->Try("vm-0", 14000, 200, 30);
+    this->Try("vm-1", 15999, 0, 70);
+    this->Try("vm-2", 14000, 200, 90);
+    this->Try("vm-2", 15999, 503, 10);
+  }
+  std::vector<std::string> Check() const {
+    return this->checker.Check({}, {},
+                               [](const EngineRun&) { return std::nullopt; });
+  }
+};
+
+TEST_CASE("a daemon that is cut from all endpoints serves by other ways") {
+  CutDaemons cut;
+  SECTION("at least two thirds as often as the others") {
+    cut.TryEverywhere();
+    const auto violations = cut.Check();
+    REQUIRE(violations.size() == 1);
+    CHECK(violations.front() ==
+          "vm-0, vm-1 cut from all endpoints served 30 of 100 tries, the "
+          "others 90 of 100");
+
+    SECTION("which is enough") {
+      cut.Try("vm-0", 14000, 200, 75);
+      CHECK(cut.Check().empty());
+    }
+    SECTION("and less isn't") {
+      cut.Try("vm-0", 14000, 200, 74);
+      CHECK(cut.Check().size() == 1);
+    }
+    SECTION("from 4 s after the cut began until its end") {
+      cut.Try("vm-0", 13999, 200, 1000);
+      cut.Try("vm-0", 16000, 200, 1000);
+      CHECK(cut.Check().size() == 1);
+    }
+    SECTION("but for tries that the rules refuse") {
+      cut.Try("vm-0", 14000, 429, 1000);
+      cut.Try("vm-2", 14000, 401, 1000);
+      CHECK(cut.Check() == violations);
+    }
+    SECTION("unless it is also stopped, paused or cut from the store") {
+      cut.checker.RecordDisruption("vm-1", Disruption::kStore, At(16050));
+      CHECK(cut.Check().empty());
+    }
+    SECTION("and those that are don't count as the others") {
+      cut.checker.RecordDisruption("vm-2", Disruption::kProcess, At(13000));
+      CHECK(cut.Check().empty());
+    }
+  }
+  SECTION("unless 10 + 1 in 50 tries or fewer fail there") {
+    cut.Try("vm-2", 15000, 200, 1000);
+    cut.Try("vm-1", 15000, 0, 10);
+    CHECK(cut.Check().empty());
+    cut.Try("vm-1", 15000, 503, 1);
+    CHECK(cut.Check().size() == 1);
+  }
+}
+
 }  // namespace
 }  // namespace gypsumtrack::testing
