Don't let daemons of the soak inherit its sockets

A daemon that was started during the soak inherited all sockets of the soak, since Asio opens them without close-on-exec. While it ran, connections that a stand-in or proxy had closed stayed open for their other end, a reset among them, and the port of a listener that was closed couldn't be bound again: a proxy that ends a cut failed with "Address already in use".

Files from 3 on are closed when the child starts.

--- a/packages/testing/soak/daemon_process.cc
+++ b/packages/testing/soak/daemon_process.cc
@@ -73,6 +73,9 @@
   posix_spawn_file_actions_addopen(&files, STDOUT_FILENO, output.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0644);
   posix_spawn_file_actions_adddup2(&files, STDOUT_FILENO, STDERR_FILENO);
+  // Sockets that the daemon inherited would stay open when they are closed
+  // here.
+  posix_spawn_file_actions_addclosefrom_np(&files, STDERR_FILENO + 1);
   const int spawn_error =
       posix_spawn(&this->pid, this->config.program.c_str(), &files, nullptr,
                   arguments.data(), environment.data());
--- a/packages/testing/test/daemon_process_test.cc
+++ b/packages/testing/test/daemon_process_test.cc
@@ -1,8 +1,13 @@
 #include "../soak/daemon_process.h"
 
+#include <fcntl.h>
+#include <unistd.h>
+
 #include <catch2/catch.hpp>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
+#include <thread>
 
 namespace gypsumtrack::testing {
 namespace {
@@ -61,5 +66,49 @@
   CHECK(logs.Find(2000) == "vm-0");
 }
 
+/// A program that prints the numbers of its open files, removed at the end.
+struct ListingProgram {
+  std::filesystem::path path =
+      std::filesystem::temp_directory_path() / "gypsumtrack-process-test";
+
+  ListingProgram() {
+    std::filesystem::create_directories(this->path);
+    std::ofstream(this->path / "list") << "#!/bin/sh\nls /proc/self/fd\n";
+    std::filesystem::permissions(this->path / "list",
+                                 std::filesystem::perms::owner_all);
+  }
+  ~ListingProgram() { std::filesystem::remove_all(this->path); }
+  ListingProgram(const ListingProgram&) = delete;
+  ListingProgram& operator=(const ListingProgram&) = delete;
+
+  /// Runs the program and returns what it prints.
+  std::string Run() const {
+    DaemonConfig config;
+    config.program = (this->path / "list").string();
+    config.name = "vm-0";
+    config.directory = this->path.string();
+    DaemonProcess process(config);
+    process.Start();
+    while (process.running()) {
+      process.ReapExited();
+      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    std::ifstream log(this->path / "vm-0.log");
+    return {std::istreambuf_iterator<char>(log), {}};
+  }
+};
+
+// A restarted daemon held connections and ports that the soak had closed.
+TEST_CASE("a daemon inherits no open files but its output") {
+  const ListingProgram program;
+  constexpr int kNumber = 200;
+  const int number = fcntl(STDOUT_FILENO, F_DUPFD, kNumber);
+  REQUIRE(number >= kNumber);
+  const auto files = program.Run();
+  close(number);
+  CHECK(files.find("0\n1\n2\n") == 0);
+  CHECK(files.find(std::to_string(number)) == std::string::npos);
+}
+
 }  // namespace
 }  // namespace gypsumtrack::testing
