Let the soak cut daemons from all endpoints

Each daemon has proxies of its own to the endpoints, at addresses that only its front of the store names; faults of an endpoint are set on all of them. A cut lasts 2 to 8 s, one follows the other, and the other faults of a seed stay as they were. Callers record their first tries, also connections that fail, for the new promise.

--- a/packages/testing/soak/soak_callers.cc
+++ b/packages/testing/soak/soak_callers.cc
@@ -106,13 +106,25 @@
  private:
   asio::awaitable<bool> Open() {
     if (this->connection) co_return true;
-    this->connection = std::make_unique<CallConnection>(
-        this->context.executor, this->context.RandomDaemon());
+    const auto& daemon = this->context.RandomDaemon();
+    this->daemon = daemon.name;
+    this->connection = std::make_unique<CallConnection>(this->context.executor,
+                                                        daemon.address);
+    const auto started_at = this->context.clock.now();
     const bool open = co_await this->connection->Connect(kConnectTimeout);
-    if (!open) this->connection.reset();
+    if (!open) {
+      this->connection.reset();
+      this->RecordTry(started_at, 0);
+    }
     co_return open;
   }
 
+  /// Records a try that ends now.
+  void RecordTry(base::Instant sent_at, unsigned status) {
+    this->context.checker.RecordTry(
+        {this->daemon, sent_at, this->context.clock.now(), status});
+  }
+
   asio::awaitable<void> SendRequest() {
     const auto key =
         this->context
@@ -123,7 +135,8 @@
     record.key = key.key;
     record.resumable = this->context.RandomBelow(3) > 0;
     record.target = (record.resumable ? "/loans/" : "/returns/") + id;
-    record.sent_at = this->context.clock.now();
+    const auto sent_at = this->context.clock.now();
+    record.sent_at = sent_at;
     CallRequest request{"POST", record.target, MakeHeaders(id, key.key),
                         "prompt"};
     record.caller_left = this->context.RandomBelow(20) == 0;
@@ -138,7 +151,9 @@
     const auto response =
         co_await this->connection->Call(std::move(request), kCallTimeout);
     const bool incomplete = response.status == code::kOk && !response.complete;
-    this->context.checker.RecordResponse(id, incomplete ? 0 : response.status);
+    const auto status = incomplete ? 0 : response.status;
+    this->context.checker.RecordResponse(id, status);
+    this->RecordTry(sent_at, status);
     CheckStream(this->context.checker, id, response);
     if (!response.keep_alive || this->context.RandomBelow(10) == 0) {
       this->connection.reset();
@@ -146,6 +161,8 @@
   }
 
   CallerContext& context;
+  /// The name of the daemon that was chosen last.
+  std::string daemon;
   std::unique_ptr<CallConnection> connection;
 };
 
@@ -248,7 +265,7 @@
 asio::awaitable<unsigned> JobCaller::SendSubmission(const AcceptedJob& job) {
   CallRequest request{"POST", "/sheets/", MakeHeaders(job.id, job.key.key),
                       job.submission};
-  const auto response = co_await CallOnce(this->context.RandomDaemon(),
+  const auto response = co_await CallOnce(this->context.RandomDaemon().address,
                                           std::move(request), kCallTimeout);
   this->context.checker.RecordSubmission(job.id, response.status);
   co_return response.status;
@@ -260,7 +277,7 @@
                       fmt::format("/gypsumtrack/lots/{}", job.id),
                       MakeHeaders(this->context.NextId("end"), job.key.key),
                       {}};
-  const auto response = co_await CallOnce(this->context.RandomDaemon(),
+  const auto response = co_await CallOnce(this->context.RandomDaemon().address,
                                           std::move(request), kCallTimeout);
   this->CheckExists(job, response.status);
   if (response.status != code::kOk) co_return;
@@ -286,7 +303,7 @@
       fmt::format("/gypsumtrack/lots/{}?after={}", job.id, after),
       MakeHeaders(this->context.NextId("read"), job.key.key),
       {}};
-  const auto response = co_await CallOnce(this->context.RandomDaemon(),
+  const auto response = co_await CallOnce(this->context.RandomDaemon().address,
                                           std::move(request), kCallTimeout);
   this->CheckExists(job, response.status);
   if (response.status != code::kOk || !response.complete) co_return;
--- a/packages/testing/soak/soak_callers.h
+++ b/packages/testing/soak/soak_callers.h
@@ -21,14 +21,20 @@
   std::string key;
 };
 
+/// A daemon and where it accepts requests.
+struct CallerTarget {
+  std::string name;
+  /// `ip:port`.
+  std::string address;
+};
+
 /// State that all callers share. Not thread-safe: all callers run on one
 /// thread.
 struct CallerContext {
   boost::asio::any_io_executor executor;
   base::Clock clock;
   InvariantChecker& checker;
-  /// The addresses (`ip:port`) at which the daemons accept requests.
-  std::vector<std::string> daemons;
+  std::vector<CallerTarget> daemons;
   std::vector<CallerKey> keys;
   std::mt19937 random;
   /// Tells the callers to send no more requests.
@@ -37,8 +43,8 @@
 
   /// Draws a number in [0, bound). Precondition: `bound` > 0.
   std::size_t RandomBelow(std::size_t bound) { return this->random() % bound; }
-  /// Draws the address of a daemon.
-  const std::string& RandomDaemon() {
+  /// Draws a daemon.
+  const CallerTarget& RandomDaemon() {
     return this->daemons[this->RandomBelow(this->daemons.size())];
   }
   /// Returns an id that was not returned before.
--- a/packages/testing/soak/soak_fixture.cc
+++ b/packages/testing/soak/soak_fixture.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <csignal>
 #include <exception>
+#include <numeric>
 #include <stdexcept>
 #include <utility>
 
@@ -46,6 +47,12 @@
 /// daemons must keep it.
 constexpr base::Duration kLimitedTime = seconds(9);
 constexpr std::uint32_t kMinLimit = 2;
+constexpr std::uint32_t kMaxMillisBetweenCuts = 2000;
+/// A cut lasts 2 to 8 s.
+constexpr std::uint32_t kMinCutMillis = 2000;
+constexpr std::uint32_t kCutMillisRange = 6001;
+constexpr std::array<ProxyCut, 3> kCuts{ProxyCut::kSilent, ProxyCut::kReset,
+                                        ProxyCut::kRefuseNew};
 constexpr const char* kFirstKey = "key-first";
 constexpr const char* kSecondKey = "key-second";
 constexpr double kRate = 120;
@@ -76,7 +83,8 @@
       clock(base::SystemClock()),
       store(this->context.get_executor()),
       random(static_cast<std::uint32_t>(this->options.seed)),
-      limits_random(static_cast<std::uint32_t>(this->options.seed)) {}
+      limits_random(static_cast<std::uint32_t>(this->options.seed)),
+      cuts_random(static_cast<std::uint32_t>(this->options.seed)) {}
 
 void SoakFixture::Log(const std::string& message) const {
   fmt::print("{} {}\n", this->clock.now().time_since_epoch().count() / 1000,
@@ -113,32 +121,42 @@
 
 void SoakFixture::StartStoreAndEndpoints() {
   const auto executor = this->context.get_executor();
-  if (!this->store.Start().ok()) throw std::runtime_error("store start failed");
   this->WriteRules(true);
   for (std::size_t i = 0; i < this->options.endpoints; ++i) {
-    SoakEndpoint endpoint;
-    endpoint.engine =
+    auto engine =
         std::make_unique<EngineStandin>(executor, fmt::format("i-{}", i));
-    if (!endpoint.engine->Start().ok()) throw std::runtime_error("no endpoint");
-    endpoint.engine->SetEventPause(kEventPause);
-    endpoint.proxy =
-        std::make_unique<LoopbackProxy>(executor, endpoint.engine->address());
-    endpoint.proxy->Start();
-    this->store.Put(
-        "servers", endpoint.engine->id(),
-        endpoint.engine->Entry("s1", false, endpoint.proxy->address()));
-    this->endpoints.push_back(std::move(endpoint));
+    if (!engine->Start().ok()) throw std::runtime_error("no endpoint");
+    engine->SetEventPause(kEventPause);
+    this->store.Put("servers", engine->id(), engine->Entry("s1", false));
+    this->endpoints.push_back(std::move(engine));
   }
 }
 
+SoakDaemon SoakFixture::MakeDaemon() {
+  const auto executor = this->context.get_executor();
+  SoakDaemon daemon;
+  std::map<std::string, std::string> addresses;
+  for (const auto& engine : this->endpoints) {
+    auto proxy = std::make_unique<LoopbackProxy>(executor, engine->address());
+    proxy->Start();
+    addresses[engine->id()] = proxy->address();
+    daemon.endpoint_proxies[engine->id()] = std::move(proxy);
+  }
+  daemon.store = std::make_unique<StoreStandin>(
+      this->store,
+      [addresses](const std::string& id) { return addresses.at(id); });
+  if (!daemon.store->Start().ok()) throw std::runtime_error("no store");
+  daemon.store_proxy =
+      std::make_unique<LoopbackProxy>(executor, daemon.store->address());
+  daemon.store_proxy->Start();
+  return daemon;
+}
+
 void SoakFixture::StartDaemons() {
-  std::vector<std::string> addresses;
+  std::vector<CallerTarget> targets;
   const auto ip_octet = getpid() % 200 + 20;
   for (std::size_t i = 0; i < this->options.daemons; ++i) {
-    SoakDaemon daemon;
-    daemon.store_proxy = std::make_unique<LoopbackProxy>(
-        this->context.get_executor(), this->store.address());
-    daemon.store_proxy->Start();
+    auto daemon = this->MakeDaemon();
     const auto& location = kDaemonLocations[i % kDaemonLocations.size()];
     DaemonConfig config;
     config.program = this->options.program;
@@ -151,14 +169,15 @@
     config.directory = this->options.directory;
     daemon.process = std::make_unique<DaemonProcess>(config);
     daemon.process->Start();
-    addresses.push_back(daemon.process->caller_address());
+    targets.push_back(
+        {daemon.process->name(), daemon.process->caller_address()});
     this->daemons.push_back(std::move(daemon));
   }
   this->caller_context = std::make_unique<CallerContext>(CallerContext{
       .executor = this->context.get_executor(),
       .clock = this->clock,
       .checker = this->checker,
-      .daemons = addresses,
+      .daemons = targets,
       .keys = {{"club", kFirstKey}, {"guild", kSecondKey}},
       .random = std::mt19937(static_cast<std::uint32_t>(this->options.seed))});
   for (std::size_t i = 0; i <= this->options.ending_callers; ++i) {
@@ -177,7 +196,7 @@
   this->context.run();
   std::vector<EngineRun> runs;
   for (const auto& endpoint : this->endpoints) {
-    const auto endpoint_runs = endpoint.engine->runs();
+    const auto endpoint_runs = endpoint->runs();
     runs.insert(runs.end(), endpoint_runs.begin(), endpoint_runs.end());
   }
   const auto find_sender = [this](const EngineRun& run) {
@@ -221,6 +240,9 @@
   this->StartCallers();
   const auto faults_until = this->clock.now() + this->options.fault_duration;
   this->Spawn(this->NameLimits(faults_until));
+  if (this->options.cuts && this->daemons.size() > 1) {
+    this->Spawn(this->CutDaemons(faults_until));
+  }
   co_await this->InjectFaults(faults_until);
   this->ClearFaults();
   this->Log("calm");
@@ -324,16 +346,16 @@
   const auto now = this->clock.now();
   for (auto& daemon : this->daemons) {
     daemon.store_proxy->SetFault(ProxyFault::kNone);
+    for (const auto& [id, proxy] : daemon.endpoint_proxies) {
+      proxy->SetFault(ProxyFault::kNone);
+    }
     this->checker.RecordDisruptionEnd(daemon.process->name(),
                                       Disruption::kStore, now);
     if (daemon.resume_at != base::kNever) daemon.resume_at = now;
   }
   for (auto& endpoint : this->endpoints) {
-    endpoint.proxy->SetFault(ProxyFault::kNone);
-    endpoint.engine->SetFaults({});
-    this->store.Put(
-        "servers", endpoint.engine->id(),
-        endpoint.engine->Entry("s1", false, endpoint.proxy->address()));
+    endpoint->SetFaults({});
+    this->store.Put("servers", endpoint->id(), endpoint->Entry("s1", false));
   }
   if (!this->has_second_key) this->ChangeRules();
 }
@@ -355,7 +377,7 @@
 asio::awaitable<void> SoakFixture::NameLimits(base::Instant until) {
   while (this->clock.now() < until) {
     auto& engine =
-        *this->endpoints[this->limits_random() % this->endpoints.size()].engine;
+        *this->endpoints[this->limits_random() % this->endpoints.size()];
     LimitedSpan span;
     span.engine = engine.id();
     span.per_second =
@@ -372,6 +394,49 @@
   }
 }
 
+std::vector<std::size_t> SoakFixture::DrawDaemonsToCut() {
+  std::vector<std::size_t> numbers(this->daemons.size());
+  std::iota(numbers.begin(), numbers.end(), 0);
+  std::shuffle(numbers.begin(), numbers.end(), this->cuts_random);
+  numbers.resize(1 + this->cuts_random() % (numbers.size() - 1));
+  return numbers;
+}
+
+void SoakFixture::SetCut(const std::vector<std::size_t>& numbers,
+                         ProxyCut cut) {
+  for (const auto number : numbers) {
+    for (const auto& [id, proxy] : this->daemons[number].endpoint_proxies) {
+      proxy->SetCut(cut);
+    }
+  }
+}
+
+asio::awaitable<void> SoakFixture::CutDaemons(base::Instant until) {
+  for (;;) {
+    co_await Pause(milliseconds(this->cuts_random() % kMaxMillisBetweenCuts));
+    if (until - this->clock.now() < milliseconds(kMinCutMillis)) co_return;
+    const auto numbers = this->DrawDaemonsToCut();
+    const auto kind = kCuts[this->cuts_random() % kCuts.size()];
+    const milliseconds length(kMinCutMillis +
+                              this->cuts_random() % kCutMillisRange);
+    EndpointCut cut;
+    for (const auto number : numbers) {
+      cut.daemons.push_back(this->daemons[number].process->name());
+    }
+    this->Log(fmt::format("{} cut from all endpoints: {}",
+                          fmt::join(cut.daemons, ", "),
+                          kProxyCutNames.Name(kind)));
+    cut.from = this->clock.now();
+    this->SetCut(numbers, kind);
+    co_await Pause(std::min<base::Duration>(length, until - cut.from));
+    cut.until = this->clock.now();
+    this->SetCut(numbers, ProxyCut::kNone);
+    this->Log(fmt::format("{} reach the endpoints again",
+                          fmt::join(cut.daemons, ", ")));
+    this->checker.RecordCut(std::move(cut));
+  }
+}
+
 void SoakFixture::InjectDaemonFault() {
   auto& daemon = this->daemons[this->random() % this->daemons.size()];
   if (!daemon.process->running()) return;
@@ -442,12 +507,15 @@
 
 void SoakFixture::InjectEndpointProxyFault() {
   const auto number = this->random() % this->endpoints.size();
-  auto& proxy = *this->endpoints[number].proxy;
+  const auto& id = this->endpoints[number]->id();
   const auto fault = static_cast<ProxyFault>(this->random() % 5);
-  this->Log(fmt::format("proxy of endpoint i-{}: {}", number,
+  this->Log(fmt::format("proxies of endpoint {}: {}", id,
                         kProxyFaultNames.Name(fault)));
-  if (fault == ProxyFault::kNone) proxy.ResetConnections();
-  proxy.SetFault(fault);
+  for (auto& daemon : this->daemons) {
+    auto& proxy = *daemon.endpoint_proxies.at(id);
+    if (fault == ProxyFault::kNone) proxy.ResetConnections();
+    proxy.SetFault(fault);
+  }
 }
 
 void SoakFixture::InjectEndpointFault() {
@@ -458,13 +526,13 @@
   faults.break_off = static_cast<std::uint32_t>(this->random() % 5);
   faults.break_inside = static_cast<std::uint32_t>(this->random() % 5);
   this->Log(fmt::format("faults at endpoint i-{}", number));
-  this->endpoints[number].engine->SetFaults(faults);
+  this->endpoints[number]->SetFaults(faults);
 }
 
 void SoakFixture::ChangeEndpointEntry() {
   const auto number = this->random() % this->endpoints.size();
-  const auto& endpoint = this->endpoints[number];
-  const auto& id = endpoint.engine->id();
+  const auto& endpoint = *this->endpoints[number];
+  const auto& id = endpoint.id();
   if (this->random() % 2 == 0) {
     this->Log("entry removed: " + id);
     this->store.Remove("servers", id);
@@ -472,9 +540,7 @@
   }
   const bool draining = this->random() % 3 == 0;
   this->Log(fmt::format("entry of {}: draining {}", id, draining));
-  this->store.Put(
-      "servers", id,
-      endpoint.engine->Entry("s1", draining, endpoint.proxy->address()));
+  this->store.Put("servers", id, endpoint.Entry("s1", draining));
 }
 
 void SoakFixture::ChangeRules() {
--- a/packages/testing/soak/soak_fixture.h
+++ b/packages/testing/soak/soak_fixture.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -29,16 +30,17 @@
   std::size_t ending_callers = 4;
   /// How long faults are injected.
   base::Duration fault_duration = std::chrono::seconds(12);
+  /// Whether daemons are also cut from all endpoints.
+  bool cuts = false;
 };
 
-/// An endpoint and the proxy through which daemons reach it.
-struct SoakEndpoint {
-  std::unique_ptr<EngineStandin> engine;
-  std::unique_ptr<LoopbackProxy> proxy;
-};
-
-/// A daemon and the proxy through which it reaches the store.
+/// A daemon and the proxies through which it alone reaches the store and the
+/// endpoints.
 struct SoakDaemon {
+  /// By the instance id of the endpoint.
+  std::map<std::string, std::unique_ptr<LoopbackProxy>> endpoint_proxies;
+  /// The store, with the addresses of `endpoint_proxies`.
+  std::unique_ptr<StoreStandin> store;
   std::unique_ptr<LoopbackProxy> store_proxy;
   std::unique_ptr<DaemonProcess> process;
   /// When to start it again; kNever unless it is down.
@@ -77,6 +79,12 @@
   void CheckServed(base::Instant since);
   /// Injects a random fault every 200 to 1099 ms.
   boost::asio::awaitable<void> InjectFaults(base::Instant until);
+  /// Cuts daemons from all endpoints, one group after the other.
+  boost::asio::awaitable<void> CutDaemons(base::Instant until);
+  /// Draws at least one daemon and not all. Precondition: there are several.
+  std::vector<std::size_t> DrawDaemonsToCut();
+  /// Sets the cut between some daemons and all endpoints.
+  void SetCut(const std::vector<std::size_t>& numbers, ProxyCut cut);
   /// Makes endpoints name limits, one after the other.
   boost::asio::awaitable<void> NameLimits(base::Instant until);
   /// Starts, resumes and kills daemons when that is due, and adds a violation
@@ -86,6 +94,9 @@
   void ClearFaults();
   /// Throws std::runtime_error if one fails to start.
   void StartStoreAndEndpoints();
+  /// Starts the proxies of a daemon and its front of the store. Throws
+  /// std::runtime_error if one fails to start.
+  SoakDaemon MakeDaemon();
   /// Starts the daemons behind their proxies and creates the callers.
   void StartDaemons();
   /// Writes the next version of the rules, with or without the second key.
@@ -116,7 +127,7 @@
   base::Clock clock;
   InvariantChecker checker;
   StoreStandin store;
-  std::vector<SoakEndpoint> endpoints;
+  std::vector<std::unique_ptr<EngineStandin>> endpoints;
   std::vector<SoakDaemon> daemons;
   std::unique_ptr<CallerContext> caller_context;
   /// The first lets its jobs run, the others end theirs.
@@ -124,6 +135,7 @@
   std::mt19937 random;
   /// Random numbers of their own, so that the other faults of a seed stay.
   std::mt19937 limits_random;
+  std::mt19937 cuts_random;
   std::uint64_t rules_version = 1;
   bool has_second_key = true;
   bool store_is_down = false;
--- a/packages/testing/soak/soak_main.cc
+++ b/packages/testing/soak/soak_main.cc
@@ -18,7 +18,8 @@
 constexpr const char* kUsage =
     "usage: gypsumtrack_soak --program GYPSUMTRACKD --directory DIR\n"
     "         [--first SEED] [--seeds COUNT] [--seconds SECONDS]\n"
-    "         [--daemons COUNT] [--endpoints COUNT] [--callers COUNT]\n";
+    "         [--daemons COUNT] [--endpoints COUNT] [--callers COUNT]\n"
+    "         [--cuts]\n";
 
 /// The parsed command line.
 struct CommandLine {
@@ -36,6 +37,7 @@
                           {"daemons", required_argument, nullptr, 'd'},
                           {"endpoints", required_argument, nullptr, 'e'},
                           {"callers", required_argument, nullptr, 'c'},
+                          {"cuts", no_argument, nullptr, 'x'},
                           {nullptr, 0, nullptr, 0}};
   auto& options = command_line.options;
   int flag = 0;
@@ -67,6 +69,9 @@
       case 'c':
         options.callers = number;
         break;
+      case 'x':
+        options.cuts = true;
+        break;
       default:
         return false;
     }
