--- a/packages/testing/include/gypsumtrack/testing/site_standin.h
+++ b/packages/testing/include/gypsumtrack/testing/site_standin.h
@@ -5,6 +5,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -28,23 +29,26 @@
   kSilentFeeds,  ///< feeds are left without an answer, others are answered
 };
 
+/// Returns the address at which an endpoint is reached, given its instance id.
+using EndpointAddressLookup = std::function<std::string(const std::string& id)>;
+
 /// The platform's store over HTTP, backed by a MemoryRowStore and its injected
 /// faults.
 class StoreStandin {
  public:
   /// Serves requests on `executor`.
   explicit StoreStandin(const boost::asio::any_io_executor& executor);
-  /// Serves the rows of another stand-in, as a path of its own to the same
-  /// store. Precondition: `origin` outlives it and runs on the same thread.
-  StoreStandin(const boost::asio::any_io_executor& executor,
-               StoreStandin& origin);
+  /// Serves the same rows and faults as `shared`, as a path of its own to the
+  /// same store, with the address that `find_address` returns in the entry of
+  /// each endpoint if it is given. Precondition: both run on the same thread.
+  StoreStandin(const StoreStandin& shared, EndpointAddressLookup find_address);
 
   /// Starts to listen on a free port of the loopback interface.
   base::Status Start();
   /// The bound `ip:port`. Precondition: Start succeeded.
   std::string address() const;  // NOLINT
   /// The backing store. Thread-safe.
-  MemoryRowStore& rows() { return this->store; }  // NOLINT
+  MemoryRowStore& rows() { return *this->store; }  // NOLINT
   /// Sets what becomes of the calls that arrive here. Thread-safe.
   void SetPath(StorePath next) { this->path = next; }
   /// Writes a row unconditionally, as an operator or an endpoint does.
@@ -59,15 +63,17 @@
   /// Handles a request; sets `status` to 0 if the connection must be aborted.
   std::string Dispatch(const gateway::RequestHead& request,
                        const std::string& body, unsigned& status);
+  /// Replaces the addresses in the entries of endpoints among the rows.
+  void ReplaceAddresses(std::vector<base::VersionedRow>& rows) const;
 
   /// Waits while the path leaves such a call without an answer.
   boost::asio::awaitable<void> WaitForPath(std::string call_path) const;
 
   boost::asio::any_io_executor executor;
-  /// Null for a further path to the store of another stand-in.
-  std::unique_ptr<MemoryRowStore> own_store;
-  MemoryRowStore& store;
+  std::shared_ptr<MemoryRowStore> store;
   base::RowStore client;
+  /// Empty if the entries are served as they are.
+  EndpointAddressLookup find_endpoint_address;
   std::atomic<StorePath> path{StorePath::kSound};
   std::unique_ptr<gateway::HttpServer> server;
 };
