Close idle tunnels of a peer when it ceases to offer them, not at each message

Nothing that callers see: each message of a peer without tunnels went through the whole pool of idle connections, ten times a second for each such peer.

--- a/packages/gateway/src/serving/endpoint_path_service.cc
+++ b/packages/gateway/src/serving/endpoint_path_service.cc
@@ -79,9 +79,10 @@
     std::uint32_t requests = 0;
     for (const auto& [endpoint, load] : message.loads) requests += load.total();
     const auto& name = message.sender.name;
-    this->peers.OnOffer(name, message.opens_tunnels, requests, this->Now());
-    // One that leaves would cut what is sent on them.
-    if (!message.opens_tunnels) this->context.client.DropIdleTunnels(name);
+    const bool has_ceased =
+        this->peers.OnOffer(name, message.opens_tunnels, requests, this->Now());
+    // One that leaves would cut what is sent on its tunnels later.
+    if (has_ceased) this->context.client.DropIdleTunnels(name);
   }
 
   bool OpensTunnels() const {
--- a/packages/policy/include/gypsumtrack/policy/serving/tunnel_peers.h
+++ b/packages/policy/include/gypsumtrack/policy/serving/tunnel_peers.h
@@ -43,8 +43,8 @@
   /// Replaces the peers that know how to open tunnels.
   void SetPeers(const std::vector<TunnelPeer>& peers);
   /// Records what a peer says of itself: whether it opens tunnels for others
-  /// now, and its requests in progress.
-  void OnOffer(const std::string& name, bool opens_tunnels,
+  /// now, and its requests in progress. Returns whether it has just ceased to.
+  bool OnOffer(const std::string& name, bool opens_tunnels,
                std::uint32_t requests, base::Instant now);
   /// Records that a tunnel through the peer couldn't be opened or fell silent.
   void OnFailed(const std::string& name, base::Instant now);
--- a/packages/policy/src/serving/tunnel_peers.cc
+++ b/packages/policy/src/serving/tunnel_peers.cc
@@ -29,13 +29,16 @@
                 [&](const auto& each) { return !names.contains(each.first); });
 }
 
-void TunnelPeers::OnOffer(const std::string& name, bool opens_tunnels,
+bool TunnelPeers::OnOffer(const std::string& name, bool opens_tunnels,
                           std::uint32_t requests, base::Instant now) {
   const auto found = this->states.find(name);
-  if (found == this->states.end()) return;
-  found->second.opens_tunnels = opens_tunnels;
-  found->second.requests = requests;
-  found->second.heard_at = now;
+  if (found == this->states.end()) return false;
+  auto& state = found->second;
+  const bool has_ceased = state.opens_tunnels && !opens_tunnels;
+  state.opens_tunnels = opens_tunnels;
+  state.requests = requests;
+  state.heard_at = now;
+  return has_ceased;
 }
 
 void TunnelPeers::OnFailed(const std::string& name, base::Instant now) {
--- a/packages/policy/test/serving/tunnel_peers_test.cc
+++ b/packages/policy/test/serving/tunnel_peers_test.cc
@@ -70,6 +70,12 @@
     OfferAll(peers, kStart + milliseconds(1000));
     CHECK(peers.CountUsable(kStart + milliseconds(1000)) == 6);
   }
+  SECTION("and learns when one ceases to offer") {
+    CHECK_FALSE(peers.OnOffer("cairo-1", true, 3, kStart));
+    CHECK(peers.OnOffer("cairo-1", false, 3, kStart));
+    CHECK_FALSE(peers.OnOffer("cairo-1", false, 3, kStart));
+    CHECK_FALSE(peers.OnOffer("stranger", false, 3, kStart));
+  }
   SECTION("not one that was silent for long or is gone") {
     CHECK(peers.CountUsable(kStart + milliseconds(1600)) == 0);
     peers.SetPeers({});
