Admit streams that callers take up before new requests

Cause: the VM that is left has its own share of each limit only, and whoever comes first gets a token; of all that come, nearly all are new.

Now a request that continues a stream waits for a token, 1 s at most, and new requests of its organisation get none meanwhile. The limit is the same.

--- a/packages/gateway/src/serving/relay_service.cc
+++ b/packages/gateway/src/serving/relay_service.cc
@@ -25,6 +25,10 @@
 /// Longer than that of a new request, because the caller has nothing to gain by
 /// sending the request again itself.
 constexpr base::Duration kRetryCapacityWait = std::chrono::milliseconds(600);
+/// Maximum time that a request that continues a stream waits for a token of its
+/// organisation.
+constexpr base::Duration kContinuationTokenWait =
+    std::chrono::milliseconds(1000);
 /// Interval between attempts of a request that many endpoints have refused.
 constexpr base::Duration kRefusedRetryInterval = std::chrono::milliseconds(100);
 /// An attempt of a request that can be sent again is abandoned when it makes no
@@ -90,13 +94,18 @@
       co_await this->RefuseQuarantined(*found);
       co_return;
     }
-    if (!this->context.quota.TryAdmit(this->organisation,
-                                      this->context.clock.now())) {
+    this->exchange.OnCallerDisconnect(
+        [cancel = this->cancel] { cancel->Cancel(); });
+    const bool is_admitted = co_await this->Admit();
+    if (this->CallerDisconnected()) {
+      if (is_admitted) this->context.quota.ReturnToken(this->organisation);
+      this->OnCallerDisconnected("before_send");
+      co_return;
+    }
+    if (!is_admitted) {
       co_await this->RefuseOverQuota();
       co_return;
     }
-    this->exchange.OnCallerDisconnect(
-        [cancel = this->cancel] { cancel->Cancel(); });
     const bool is_origin_known = co_await this->origin.FindOrigin();
     if (!is_origin_known) {
       co_await this->RefuseUnknownOrigin();
@@ -129,6 +138,7 @@
                     {"tokens", this->context.quota.Tokens(this->organisation)},
                     {"rate", this->access.organisation->rate},
                     {"burst", this->access.organisation->burst},
+                    {"continues", this->facts.continued_request},
                     {"rules", this->access.rules->version}});
     this->context.metrics.over_quota.Add();
     Refusal refusal{status::kTooManyRequests, "over_rate", {}};
@@ -138,6 +148,31 @@
                          std::move(refusal));
   }
 
+  /// Whether the organisation's limit admits the request. One that continues a
+  /// stream waits for a token, before new requests: its caller would lose what
+  /// it has.
+  asio::awaitable<bool> Admit() {
+    using policy::AdmissionKind;
+    auto& quota = this->context.quota;
+    const auto now = this->Now();
+    if (!this->facts.after_event)
+      co_return quota.TryAdmit(this->organisation, now);
+    bool is_admitted =
+        quota.TryAdmit(this->organisation, now, AdmissionKind::kContinuation);
+    if (is_admitted) co_return true;
+    const auto wait_deadline =
+        std::min(now + kContinuationTokenWait, this->deadline);
+    quota.OnContinuationWaits(this->organisation);
+    while (!is_admitted && this->Now() < wait_deadline &&
+           !this->CallerDisconnected()) {
+      co_await Pause(kCapacityPollInterval);
+      is_admitted = quota.TryAdmit(this->organisation, this->Now(),
+                                   AdmissionKind::kWaitingContinuation);
+    }
+    quota.OnContinuationWaitEnded(this->organisation);
+    co_return is_admitted;
+  }
+
   /// Makes one attempt. Returns whether to retry the request.
   asio::awaitable<bool> Attempt() {
     if (this->attempts.attempt_count() == 0 && !this->HasPath()) {
--- a/packages/policy/include/gypsumtrack/policy/serving/fleet_quota.h
+++ b/packages/policy/include/gypsumtrack/policy/serving/fleet_quota.h
@@ -68,6 +68,13 @@
   std::uint32_t random_seed = 1;
 };
 
+/// Which request asks to be admitted.
+enum class AdmissionKind {
+  kNew,
+  kContinuation,         ///< continues a stream of which its caller has a part
+  kWaitingContinuation,  ///< the same, asking again
+};
+
 /// Number of requests that a daemon has admitted since its start, by
 /// organisation.
 using AdmittedCounts = std::map<base::Organisation, std::uint64_t>;
@@ -106,8 +113,13 @@
   CountsMessage NextCountsMessage(base::Instant now, bool reaches_all);
   /// Returns whether a request of the organisation is admitted, and counts it
   /// if so. Requests of organisations without a limit are always admitted and
-  /// aren't counted.
-  bool TryAdmit(const base::Organisation& organisation, base::Instant now);
+  /// aren't counted. While continuations wait, new requests aren't admitted.
+  bool TryAdmit(const base::Organisation& organisation, base::Instant now,
+                AdmissionKind kind = AdmissionKind::kNew);
+  /// Records that a continuation that wasn't admitted waits and asks again.
+  void OnContinuationWaits(const base::Organisation& organisation);
+  /// Records that it ceased to wait. Precondition: it waited.
+  void OnContinuationWaitEnded(const base::Organisation& organisation);
   /// Returns the token of a request that was admitted but certainly didn't run
   /// and won't.
   void ReturnToken(const base::Organisation& organisation);
@@ -223,6 +235,8 @@
   FleetQuotaOptions options;
   std::minstd_rand random;
   std::map<base::Organisation, Bucket> buckets;
+  /// Number of continuations that wait for a token.
+  std::map<base::Organisation, std::size_t> waiting_continuations;
   /// Keyed by VM name.
   std::unordered_map<std::string, Peer> peers;
   /// Number of unresponsive peers, and of responsive ones from which no message
--- a/packages/policy/src/serving/fleet_quota.cc
+++ b/packages/policy/src/serving/fleet_quota.cc
@@ -255,14 +255,18 @@
 }
 
 bool FleetQuota::TryAdmit(const base::Organisation& organisation,
-                          base::Instant now) {
+                          base::Instant now, AdmissionKind kind) {
   const auto found = this->buckets.find(organisation);
   if (found == this->buckets.end()) return true;
   this->DetectUnresponsivePeers(now);
   auto& bucket = found->second;
-  this->AddDemand(bucket.own_demand, 1, now);
+  const bool asks_again = kind == AdmissionKind::kWaitingContinuation;
+  if (!asks_again) this->AddDemand(bucket.own_demand, 1, now);
   this->Refill(bucket, now);
   if (bucket.tokens < 1) return false;
+  const bool yields = kind == AdmissionKind::kNew &&
+                      this->waiting_continuations.contains(organisation);
+  if (yields) return false;
   // Peers spend from the same bucket until they receive this daemon's counts.
   const auto unreserved = UnreservedShare(bucket);
   const auto own_part = unreserved > 0 ? bucket.own_share / unreserved : 1.0;
@@ -286,6 +290,16 @@
   return true;
 }
 
+void FleetQuota::OnContinuationWaits(const base::Organisation& organisation) {
+  ++this->waiting_continuations[organisation];
+}
+
+void FleetQuota::OnContinuationWaitEnded(
+    const base::Organisation& organisation) {
+  const auto found = this->waiting_continuations.find(organisation);
+  if (--found->second == 0) this->waiting_continuations.erase(found);
+}
+
 void FleetQuota::ReturnToken(const base::Organisation& organisation) {
   const auto found = this->buckets.find(organisation);
   if (found == this->buckets.end()) return;
--- a/packages/policy/test/serving/fleet_quota_test.cc
+++ b/packages/policy/test/serving/fleet_quota_test.cc
@@ -383,5 +383,53 @@
   }
 }
 
+/// A caller that takes up its stream: waits for a token, up to a time.
+struct WaitingCaller {
+  base::Instant until;
+};
+
+// The load when all other daemons were lost at once: the callers of all come to
+// the one that is left, which has its own share of the limit only. Those that
+// have a part of their stream already must not lose it to new requests.
+TEST_CASE("streams are taken up at the only daemon that is left") {
+  constexpr std::size_t kDaemons = 12;
+  constexpr int kSteps = 300;
+  FleetSimulation fleet(kDaemons, 24, 24);
+  for (std::size_t i = 1; i < kDaemons; ++i) fleet.SetIsolated(i, true);
+  fleet.Run(seconds(1), 60, 1);
+  auto& quota = *fleet.daemons[0];
+  std::vector<WaitingCaller> waiting;
+  int taken_up = 0;
+  int gone_on = 0;
+  int admitted_new = 0;
+  for (int step = 0; step < kSteps; ++step) {
+    fleet.Run(milliseconds(10), 0, 1);
+    const auto now = fleet.now;
+    if (step % 2 == 0)
+      admitted_new += quota.TryAdmit(kOrganisation, now) ? 1 : 0;
+    std::erase_if(waiting, [&](const WaitingCaller& caller) {
+      const bool admitted = quota.TryAdmit(kOrganisation, now,
+                                           AdmissionKind::kWaitingContinuation);
+      gone_on += admitted ? 1 : 0;
+      if (!admitted && now < caller.until) return false;
+      quota.OnContinuationWaitEnded(kOrganisation);
+      return true;
+    });
+    if (step % 60 != 0) continue;
+    ++taken_up;
+    if (quota.TryAdmit(kOrganisation, now, AdmissionKind::kContinuation)) {
+      ++gone_on;
+    } else {
+      quota.OnContinuationWaits(kOrganisation);
+      waiting.push_back({now + milliseconds(1000)});
+    }
+  }
+  CHECK(taken_up == 5);
+  // Where nothing is wrong, all new streams begin: half of these must go on.
+  CHECK(2 * gone_on >= taken_up);
+  // The limit holds: 24 a second and 24 at once over twelve daemons.
+  CHECK(gone_on + admitted_new <= 10);
+}
+
 }  // namespace
 }  // namespace gypsumtrack::policy
