Say when a refusal ends the connection because of a large body

Callers whose request was refused before its body was read, as one with an unknown key is, were told that the connection stays open, also if more of the body was left than the 256 KB that are discarded. The connection then ended, and a request that was sent on it by then was read, discarded and never answered.

The head of such a response now says Connection: close, where the length of the body is known. A body in chunks is discarded as before, and if it turns out to be longer, the connection still ends without notice.

--- a/packages/gateway/src/http_connection.cc
+++ b/packages/gateway/src/http_connection.cc
@@ -302,8 +302,12 @@
 }
 
 bool Connection::MayKeepAlive() const {
-  return this->parser && this->parser->get().keep_alive() &&
-         !this->must_close && !this->context->draining.load();
+  if (!this->parser || !this->parser->is_header_done()) return false;
+  // Unknown for a body in chunks, which is discarded as far as it may be.
+  const auto unread_bytes = this->parser->content_length_remaining();
+  return this->parser->get().keep_alive() &&
+         unread_bytes.value_or(0) <= kMaxDiscardBytes && !this->must_close &&
+         !this->context->draining.load();
 }
 
 asio::awaitable<error_code> Connection::WriteContinue() {
--- a/packages/gateway/test/http_connection_test.cc
+++ b/packages/gateway/test/http_connection_test.cc
@@ -305,5 +305,29 @@
   }
 }
 
+// Guards against responses that promise to keep a connection that is then
+// closed, because too much of the request's body is left to discard.
+TEST_CASE("a request is refused before its body is read") {
+  constexpr std::size_t kSmallBytes = std::size_t{64} * 1024;
+  constexpr std::size_t kLargeBytes = std::size_t{1024} * 1024;
+  ServerFixture fixture;
+  fixture.Start();
+  auto& caller = fixture.Connect();
+  const auto call = [&](std::size_t body_bytes) {
+    const std::string body(body_bytes, 'x');
+    return fixture.RunDuring(
+        [&] { return caller.Call("POST", "/s", "", body); });
+  };
+  SECTION("a small body is discarded and the connection kept") {
+    CHECK(call(kSmallBytes).connection.empty());
+    CHECK(call(kSmallBytes).status == 200);
+  }
+  SECTION("a large one ends the connection, as the response says") {
+    const auto response = call(kLargeBytes);
+    CHECK(response.status == 200);
+    CHECK(response.connection == "close");
+  }
+}
+
 }  // namespace
 }  // namespace gypsumtrack::gateway
