Give up a job only by rules that are newer than the job

A job that was accepted on a route that a change of the configuration had just added could be listed as dead letters, without a run. A daemon that took it over from one that left within the next two seconds, and hadn't read the change yet, took the route for a removed one: its rules were fresh enough to say so (2.1 s), but older than the job.

--- a/packages/gateway/src/serving/job_ownership.cc
+++ b/packages/gateway/src/serving/job_ownership.cc
@@ -40,6 +40,7 @@
       acquired.key, acquired.found.row, std::move(acquired.items),
       policy::JobRun(std::move(job_items), acquired.listed_ids, options),
       acquired.owner_version});
+  job->acquired_at = now;
   job->run.RestorePartialItems(acquired.partials, now);
   if (route != nullptr) {
     const std::chrono::milliseconds age(acquired.found.store_time -
--- a/packages/gateway/src/serving/job_runner.cc
+++ b/packages/gateway/src/serving/job_runner.cc
@@ -206,8 +206,13 @@
 }
 
 void JobRunner::StartItems() {
+  // Read first: the rules are as of then, or newer.
+  const auto confirmed_at = this->context.store_view.confirmed_at();
   const auto rules = this->context.store_view.Current()->rules;
   if (!rules) return;
+  const bool are_current =
+      policy::MayRejectUnknown(this->context.settings.freshness, confirmed_at,
+                               this->context.clock.now());
   // Late jobs come last and take only the slots that the others leave.
   struct Ranked {
     policy::Urgency urgency;
@@ -229,7 +234,9 @@
   std::size_t started = 0;
   for (const auto& [urgency, job] : ranked) {
     const auto* route = policy::FindRouteByName(*rules, job->row.route);
-    this->GiveUpExpiredItems(job, route);
+    const bool route_removed =
+        route == nullptr && are_current && confirmed_at > job->acquired_at;
+    this->GiveUpExpiredItems(job, route_removed);
     if (route == nullptr) continue;
     while (started < kMaxStartsPerTick &&
            this->StartItem(job, *route, urgency)) {
@@ -253,13 +260,8 @@
   return entry->second;
 }
 
-void JobRunner::GiveUpExpiredItems(const OwnedJobPtr& job,
-                                   const policy::RouteRule* route) {
+void JobRunner::GiveUpExpiredItems(const OwnedJobPtr& job, bool route_removed) {
   const auto now = this->context.clock.now();
-  const bool route_removed =
-      route == nullptr &&
-      policy::MayRejectUnknown(this->context.settings.freshness,
-                               this->context.store_view.confirmed_at(), now);
   if (!route_removed && now < job->give_up_at) return;
   if (job->run.waiting_count() == 0) return;
   base::LogEvent("items_given_up",
--- a/packages/gateway/src/serving/job_runner.h
+++ b/packages/gateway/src/serving/job_runner.h
@@ -123,8 +123,7 @@
                                        std::string host);
   /// Gives up the waiting items of a job that is too late or whose route was
   /// removed.
-  void GiveUpExpiredItems(const OwnedJobPtr& job,
-                          const policy::RouteRule* route);
+  void GiveUpExpiredItems(const OwnedJobPtr& job, bool route_removed);
   void ScheduleCommit(const OwnedJobPtr& job);
   boost::asio::awaitable<void> Commit(OwnedJobPtr job);
   /// Returns whether there may be more to commit.
--- a/packages/gateway/src/serving/owned_job.h
+++ b/packages/gateway/src/serving/owned_job.h
@@ -38,6 +38,9 @@
   base::Instant due = base::kNever;
   /// Time from which no more items are started.
   base::Instant give_up_at = base::kNever;
+  /// When this daemon accepted it or took it over. Rules that were confirmed by
+  /// then may be older than its route.
+  base::Instant acquired_at{};
   /// Running items by their index.
   std::map<std::size_t, RunningItem> running;
   /// Whether a coroutine is committing results.
--- a/packages/gateway/test/serving/job_runner_test.cc
+++ b/packages/gateway/test/serving/job_runner_test.cc
@@ -370,5 +370,22 @@
   }
 }
 
+// Guards against giving up a job on a new route: a daemon that takes it over
+// may not have read the rules that added the route yet.
+TEST_CASE("the rules don't have the route of a job") {
+  InterruptedItemFixture fixture;
+  fixture.route.name = "clocks";
+  SECTION("its items wait if the rules may be older than the job") {
+    fixture.job->acquired_at = fixture.Now() + seconds(60);
+    CHECK(fixture.Tick().empty());
+    CHECK(fixture.job->run.waiting_count() == 2);
+  }
+  SECTION("its items are given up if the rules are newer than the job") {
+    fixture.job->acquired_at = fixture.Now();
+    CHECK(fixture.Tick().empty());
+    CHECK(fixture.job->run.waiting_count() == 0);
+  }
+}
+
 }  // namespace
 }  // namespace gypsumtrack::gateway
