Don't relay an error that an endpoint writes into a stream

What callers saw: the head of an error, at times its text, between the events of their stream; with nothing after it the stream ended as if complete. The text of an item ended there, too.

A block without id and data was relayed as a comment, and a head behind a part of an event became the rest of that event.

Why the fix works: a block must have a field of server-sent events or only comments; other lines are accepted before the first field, where the platform's endpoints put one, never a status line. After anything else there are no more events, and the attempt counts as broken off after its last whole event. A text behind a data field that was cut off can't be told apart from that data.

--- a/packages/gateway/src/serving/job_runner.cc
+++ b/packages/gateway/src/serving/job_runner.cc
@@ -444,9 +444,12 @@
     if (has_first) ReportFirstEvent(this->context, suspects);
     const bool in_time = arrival_limit.OnPart(
         !events.empty(), this->context.clock.now(), kItemIdleTimeout);
-    if (status.ok() && (!in_time || splitter.event_too_long())) {
-      status = base::Error(base::Errc::kInvalid,
-                           "an event of the stream is too long or too slow");
+    const bool is_sound =
+        in_time && !splitter.event_too_long() && !splitter.event_malformed();
+    if (status.ok() && !is_sound) {
+      status = base::Error(
+          base::Errc::kInvalid,
+          "an event of the stream is malformed, too long or too slow");
     }
     co_return status;
   };
--- a/packages/gateway/src/serving/relay_service.cc
+++ b/packages/gateway/src/serving/relay_service.cc
@@ -433,10 +433,13 @@
     const auto now = this->Now();
     const bool in_time = this->arrival_limit.OnPart(!events.empty(), now,
                                                     this->ProgressTimeout(now));
-    const bool valid = in_order && in_time && !this->splitter.event_too_long();
+    const bool valid = in_order && in_time &&
+                       !this->splitter.event_too_long() &&
+                       !this->splitter.event_malformed();
     if (!relayed.ok() || valid) co_return relayed;
-    co_return base::Error(base::Errc::kInvalid,
-                          "an event is out of order, too long or too slow");
+    co_return base::Error(
+        base::Errc::kInvalid,
+        "an event is malformed, out of order, too long or too slow");
   }
 
   /// Sends the caller the bytes of events, after the head if it hasn't been
--- a/packages/policy/include/gypsumtrack/policy/serving/event_splitter.h
+++ b/packages/policy/include/gypsumtrack/policy/serving/event_splitter.h
@@ -32,15 +32,21 @@
 class EventSplitter {
  public:
   /// Appends bytes of the stream; returns the events that they complete. After
-  /// an event that is too long there are no more events.
+  /// an event that is too long, or bytes that are no event, there are no more
+  /// events.
   std::vector<StreamEvent> Feed(std::string_view bytes);
 
   /// Whether all bytes received so far belong to complete events.
   bool at_event_end() const {  // NOLINT
-    return this->buffer.empty() && !this->too_long;
+    return this->buffer.empty() && !this->too_long && !this->malformed;
   }
   /// Whether an event exceeded kMaxEventBytes.
   bool event_too_long() const { return this->too_long; }  // NOLINT
+  /// Whether there were bytes that are no event, such as the head or the text
+  /// of an error that an endpoint wrote into the stream. An event has a field
+  /// of server-sent events, and other lines only before the first one, as
+  /// those of the platform's endpoints have.
+  bool event_malformed() const { return this->malformed; }  // NOLINT
 
  private:
   /// Bytes received after the last complete event.
@@ -48,6 +54,7 @@
   /// The end of an event can't begin before this offset in `buffer`.
   std::size_t scan_offset = 0;
   bool too_long = false;
+  bool malformed = false;
 };
 
 /// Limits the time that an event takes to arrive, so that an endpoint can't
--- a/packages/policy/src/serving/event_splitter.cc
+++ b/packages/policy/src/serving/event_splitter.cc
@@ -29,6 +29,31 @@
   return line;
 }
 
+/// Whether the line is a field of server-sent events.
+bool IsField(std::string_view line) {
+  const auto name = line.substr(0, line.find(':'));
+  return name == "id" || name == "data" || name == "event" || name == "retry";
+}
+
+/// Whether the block is an event, or only comments.
+bool IsEvent(std::string_view text) {
+  bool has_field = false;
+  bool has_other_line = false;
+  while (!text.empty()) {
+    const auto end = std::min(text.find('\n'), text.size() - 1);
+    auto line = text.substr(0, end);
+    text.remove_prefix(end + 1);
+    if (line.ends_with('\r')) line.remove_suffix(1);
+    const bool is_ignored = line.empty() || line.starts_with(':');
+    if (is_ignored) continue;
+    const bool is_other = !IsField(line);
+    if (is_other && (has_field || line.starts_with("HTTP/1."))) return false;
+    has_field = has_field || !is_other;
+    has_other_line = has_other_line || is_other;
+  }
+  return has_field || !has_other_line;
+}
+
 void ParseLine(std::string_view line, StreamEvent& event, bool& has_data) {
   constexpr std::string_view kId = "id:";
   constexpr std::string_view kData = "data:";
@@ -64,14 +89,17 @@
 }  // namespace
 
 std::vector<StreamEvent> EventSplitter::Feed(std::string_view bytes) {
-  if (this->too_long) return {};
+  if (this->too_long || this->malformed) return {};
   this->buffer += bytes;
   std::vector<StreamEvent> events;
   std::size_t begin = 0;
   std::size_t from = this->scan_offset;
   for (auto end = FindEventEnd(this->buffer, from); end != std::string::npos;
        end = FindEventEnd(this->buffer, begin)) {
-    events.push_back(ParseEvent(this->buffer.substr(begin, end - begin)));
+    auto block = this->buffer.substr(begin, end - begin);
+    this->malformed = !IsEvent(block);
+    if (this->malformed) return events;
+    events.push_back(ParseEvent(std::move(block)));
     begin = end;
   }
   this->buffer.erase(0, begin);
--- a/packages/policy/test/serving/event_splitter_test.cc
+++ b/packages/policy/test/serving/event_splitter_test.cc
@@ -57,6 +57,31 @@
       CHECK_FALSE(splitter.at_event_end());
     }
   }
+  SECTION("an event may begin with a line of its endpoint") {
+    const auto events = splitter.Feed("x-versions: 3\nid: 1\ndata: a\n\n");
+    REQUIRE(events.size() == 1);
+    CHECK(events[0].id == 1);
+    CHECK(splitter.at_event_end());
+  }
+  SECTION("comments and blank lines may stand alone") {
+    CHECK(splitter.Feed(":\n\n\n: alive\r\n\r\nretry: 5\n\n").size() == 3);
+    CHECK(splitter.at_event_end());
+  }
+  SECTION("what is no event ends the events") {
+    const std::string no_event =
+        GENERATE("HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n",
+                 "HTTP/1.1 500 Error\r\n\r\n", "the engine crashed\n\n",
+                 "{\"error\":1}\n\n", "error: crashed\n\n",
+                 "id: 2\ndaHTTP/1.1 500 Error\r\nX-Name: y\r\n\r\n",
+                 "data: woHTTP/1.1 500 Error\r\nX-Name: y\r\n\r\n",
+                 "HTTP/1.1 200 OK\r\nid: 2\n\n");
+    const auto events =
+        splitter.Feed("id: 1\ndata: a\n\n" + no_event + "id: 2\ndata: b\n\n");
+    CHECK(events.size() == 1);
+    CHECK(splitter.event_malformed());
+    CHECK_FALSE(splitter.at_event_end());
+    CHECK(splitter.Feed("id: 2\ndata: b\n\n").empty());
+  }
   SECTION("an id that isn't a number is ignored") {
     const auto events = splitter.Feed("id: 1x\ndata:\n\n");
     REQUIRE(events.size() == 1);
