Continue a stream only with a response of the same kind

What callers saw: a stream that broke off ended as if it were complete, after the next endpoint had answered 204, or 200 with an empty text/plain body; the events of a 206 went into it. Items were listed as done with half their text.

Cause: any success with a seal could go on with a stream, and one without events was taken for its end.

Errors, redirects, responses without a seal and streams that begin anew were rejected before, too.

Why the fix works: a continuation must have the status that the stream began with and, if it names a media type, that of events. An item's output comes from a 200 only.

--- a/packages/gateway/src/serving/job_runner.cc
+++ b/packages/gateway/src/serving/job_runner.cc
@@ -34,8 +34,16 @@
 /// Bounds the time that one tick takes.
 constexpr std::size_t kMaxStartsPerTick = 16;
 
+/// Whether the response may bring output of an item that has events already or
+/// none.
+bool BringsOutput(const ResponseHead& head, bool has_events) {
+  return head.status == status::kOk &&
+         (!has_events || ContinuesStream(head, status::kOk));
+}
+
 policy::ItemRunOutcome ClassifyRunOutcome(const ServingContext& context,
-                                          const EndpointResult& result) {
+                                          const EndpointResult& result,
+                                          bool has_events) {
   if (result.run == policy::RunState::kNotRun)
     return policy::ItemRunOutcome::kNotRun;
   if (result.outcome != CallOutcome::kComplete)
@@ -43,7 +51,8 @@
   const auto status_code = result.head.status;
   const bool has_seal = context.wire.read_response(result.head).has_seal;
   if (!has_seal) return policy::ItemRunOutcome::kNotRun;
-  if (status_code / 100 == 2) return policy::ItemRunOutcome::kComplete;
+  if (BringsOutput(result.head, has_events))
+    return policy::ItemRunOutcome::kComplete;
   if (status_code == status::kUnprocessable)
     return policy::ItemRunOutcome::kImpossible;
   if (status_code == status::kServerError)
@@ -431,6 +440,12 @@
                            "the response lacks the endpoint's seal");
       co_return status;
     }
+    const bool has_events = job->run.event_count(start.index) > 0;
+    if (!BringsOutput(head, has_events)) {
+      status = base::Error(base::Errc::kInvalid,
+                           "the response doesn't continue the output");
+      co_return status;
+    }
     const auto events = splitter.Feed(part);
     const auto count_before = job->run.event_count(start.index);
     for (const auto& event : events) {
@@ -466,9 +481,10 @@
   const auto events = job->run.event_count(start.index);
   ReportRunEnd(this->context, suspects, item.id, endpoint, result,
                events - events_before);
-  const auto outcome = cancel->cancelled()
-                           ? policy::ItemRunOutcome::kInterrupted
-                           : ClassifyRunOutcome(this->context, result);
+  const auto outcome =
+      cancel->cancelled()
+          ? policy::ItemRunOutcome::kInterrupted
+          : ClassifyRunOutcome(this->context, result, events > 0);
   base::LogEvent("item_ended",
                  {{"job", job->key.job.text},
                   {"item", item.id},
--- a/packages/gateway/src/serving/relay_service.cc
+++ b/packages/gateway/src/serving/relay_service.cc
@@ -418,6 +418,10 @@
       co_return base::Error(base::Errc::kInvalid,
                             "the response lacks the endpoint's seal");
     }
+    if (!this->MayContinue(head)) {
+      co_return base::Error(base::Errc::kInvalid,
+                            "the response doesn't continue the stream");
+    }
     std::string bytes;
     bool in_order = true;
     const auto events = this->splitter.Feed(part);
@@ -463,6 +467,13 @@
     co_return written;
   }
 
+  /// Whether the response may go on with the one that the caller receives, if
+  /// that has begun.
+  bool MayContinue(const ResponseHead& head) const {
+    return !this->response_started ||
+           ContinuesStream(head, this->started_status);
+  }
+
   void CountEvent(const policy::StreamEvent& event) {
     const bool is_comment = !event.id && event.data.empty();
     if (is_comment) return;
@@ -491,6 +502,7 @@
 
   asio::awaitable<base::Status> StartStream(const ResponseHead& head) {
     this->response_started = true;
+    this->started_status = head.status;
     this->context.metrics.first_byte.Record(this->SecondsSinceArrival());
     ResponseHead caller_head;
     caller_head.status = head.status;
@@ -570,9 +582,8 @@
       return policy::AttemptOutcome::kUnknown;
     if (result.head.status >= 500) return policy::AttemptOutcome::kFailed;
     const bool success = result.head.status / 100 == 2;
-    // The caller's response has another status and would seem to be complete.
-    if (this->response_started && !success)
-      return policy::AttemptOutcome::kFailed;
+    // The caller's response would seem to be complete.
+    if (!this->MayContinue(result.head)) return policy::AttemptOutcome::kFailed;
     if (success && !this->context.wire.read_response(result.head).has_seal) {
       return policy::AttemptOutcome::kUnknown;
     }
@@ -646,6 +657,8 @@
   /// caller reports to have received.
   std::optional<std::uint64_t> after_event;
   bool response_started = false;
+  /// Status of the response that was started.
+  unsigned started_status = 0;
   StreamOriginTracker origin;
   /// The endpoint of the next attempt, which is counted there already.
   std::optional<policy::EndpointChoice> reservation;
--- a/packages/gateway/src/serving/send_to_endpoint.cc
+++ b/packages/gateway/src/serving/send_to_endpoint.cc
@@ -1,5 +1,8 @@
 #include "send_to_endpoint.h"
 
+#include <algorithm>
+#include <boost/beast/core/string.hpp>
+#include <string_view>
 #include <utility>
 
 #include "gypsumtrack/base/event_log.h"
@@ -151,4 +154,16 @@
   co_return result;
 }
 
+bool ContinuesStream(const ResponseHead& head, unsigned begun_status) {
+  constexpr std::string_view kEventStream = "text/event-stream";
+  if (head.status != begun_status) return false;
+  return std::all_of(
+      head.headers.begin(), head.headers.end(), [&](const Header& header) {
+        return !boost::beast::iequals(header.name, "Content-Type") ||
+               boost::beast::iequals(std::string_view(header.value)
+                                         .substr(0, kEventStream.size()),
+                                     kEventStream);
+      });
+}
+
 }  // namespace gypsumtrack::gateway
--- a/packages/gateway/src/serving/send_to_endpoint.h
+++ b/packages/gateway/src/serving/send_to_endpoint.h
@@ -44,6 +44,11 @@
     ServingContext& context, policy::EndpointEntry endpoint,
     policy::WorkKind kind, EndpointCall call, bool is_counted = false);
 
+/// Whether a response may go on with a stream of events that began with that
+/// status. If it names a media type, that is the one of events: an error
+/// without text would otherwise pass for the end of the stream. Thread-safe.
+bool ContinuesStream(const ResponseHead& head, unsigned begun_status);
+
 }  // namespace gypsumtrack::gateway
 
 #endif  // GYPSUMTRACK_GATEWAY_SRC_SERVING_SEND_TO_ENDPOINT_H_
