Reject heads that are made of two responses

What callers saw: 404, 500 or 503 for a request that its endpoint had answered with 200, also for one that may run once, or parts of one response's head with the body of another.

Cause: an endpoint wrote the begin of a late response on a kept connection and the next response right behind it. The parser takes a status line within the reason phrase or the value of a header for text. Only refusals were searched for one, and only in headers.

Why the fix works: a status line inside a head makes the response invalid, whatever its status, so that the attempt counts as lost and not as answered.

The parser keeps a head back until its blank line.

--- a/packages/gateway/src/endpoint_client.cc
+++ b/packages/gateway/src/endpoint_client.cc
@@ -84,13 +84,25 @@
                      });
 }
 
-/// Whether a header has a status line in its value: the head of a response that
-/// was cut off, continued by the next response.
-bool HasStatusLine(const ResponseHead& head) {
-  return std::any_of(
-      head.headers.begin(), head.headers.end(), [](const Header& header) {
-        return header.value.find("HTTP/1.1 ") != std::string::npos;
-      });
+/// Whether the text contains the begin of a status line.
+bool ContainsStatusLine(std::string_view text) {
+  constexpr std::string_view kVersion = "HTTP/1.1 ";
+  for (auto at = text.find(kVersion); at != std::string_view::npos;
+       at = text.find(kVersion, at + 1)) {
+    const auto code = text.substr(at + kVersion.size(), 1);
+    if (!code.empty() && code[0] >= '1' && code[0] <= '5') return true;
+  }
+  return false;
+}
+
+/// Whether there is a status line in the reason phrase or in a header: the head
+/// of a response that was cut off, continued by the next response.
+bool HasInnerStatusLine(const Parser& parser) {
+  const auto& response = parser.get();
+  return ContainsStatusLine(response.reason()) ||
+         std::any_of(response.begin(), response.end(), [](const auto& field) {
+           return ContainsStatusLine(field.value());
+         });
 }
 
 /// Returns the timeout in the `Keep-Alive` header, if any.
@@ -322,6 +334,10 @@
         this->result.outcome = this->FailureOutcome();
         co_return false;
       }
+      if (HasInnerStatusLine(*this->parser)) {
+        this->result.outcome = CallOutcome::kInvalid;
+        co_return false;
+      }
     } while (this->parser->get().result_int() < 200);
     this->keep_alive = this->parser->keep_alive();
     this->result.head = CopyHead(*this->parser);
@@ -422,10 +438,6 @@
     this->result.draining =
         protocol.reports_draining && protocol.reports_draining(head);
     if (this->IsRefusal()) {
-      if (HasStatusLine(head)) {
-        this->result.outcome = CallOutcome::kInvalid;
-        return;
-      }
       this->result.outcome = CallOutcome::kRefused;
       this->result.run = policy::RunState::kNotRun;
       return;
