--- a/packages/gateway/src/serving/send_to_endpoint.cc
+++ b/packages/gateway/src/serving/send_to_endpoint.cc
@@ -159,9 +159,9 @@
   if (head.status != begun_status) return false;
   return std::all_of(
       head.headers.begin(), head.headers.end(), [&](const Header& header) {
+        const std::string_view value = header.value;
         return !boost::beast::iequals(header.name, "Content-Type") ||
-               boost::beast::iequals(std::string_view(header.value)
-                                         .substr(0, kEventStream.size()),
+               boost::beast::iequals(value.substr(0, kEventStream.size()),
                                      kEventStream);
       });
 }
