Read registrations at once when the store is reached again

An organisation ran up to 215 requests in 5 s of 152 allowed when one daemon had been without the store for 6 s and two restarted meanwhile. The daemon that was back had lost its registration (peers remove it after 5.7 s) and knew the others by their old incarnations; for 4 s they and it sent each other no counts, and each spent the organisation's bucket on its own.

Cause: the long poll of the daemons' table hung on the dead connection up to its deadline, 6.5 s, although heartbeats were written again by then.

When a heartbeat is written after the lease had run out, the follower now gives up its call and asks again from the version that it has: one call more. The new test without network failed before, 2 of 2 assertions: after four heartbeats the daemon wasn't registered again and knew no peer. All gateway tests pass (1757 assertions in 62 cases).

--- a/packages/gateway/include/gypsumtrack/gateway/serving/fleet_service.h
+++ b/packages/gateway/include/gypsumtrack/gateway/serving/fleet_service.h
@@ -90,6 +90,8 @@
   void ApplyRegistration(const base::VersionedRow& row);
   void PublishRegistrations();
   boost::asio::awaitable<void> WriteHeartbeats();
+  /// Must be called when the store has confirmed a heartbeat.
+  void OnHeartbeatWritten(base::Instant sent_at);
   boost::asio::awaitable<void> ReadHeartbeats();
   boost::asio::awaitable<void> ReadDomain(base::FailureDomain domain);
   void ApplyHeartbeats(const base::FailureDomain& domain,
--- a/packages/gateway/include/gypsumtrack/gateway/serving/table_follower.h
+++ b/packages/gateway/include/gypsumtrack/gateway/serving/table_follower.h
@@ -70,6 +70,10 @@
   /// Precondition: called once, on a follower owned by a shared_ptr.
   /// Thread-safe.
   void Start();
+  /// Gives up the current call and the delay after a failure, and calls again
+  /// at once: the call may hang on a dead connection, and the store be reached
+  /// on others. Must be called on the executor. Precondition: started.
+  void Retry();
   /// Stops the follower. Must be called on the executor; no hook is called
   /// after it returns.
   void Stop();
@@ -82,9 +86,13 @@
     std::optional<std::uint64_t> as_of;
   };
 
-  boost::asio::awaitable<void> Run();
-  boost::asio::awaitable<base::Status> ReadSnapshot();
-  boost::asio::awaitable<base::Status> ReadChanges();
+  /// Starts the coroutine of the current run.
+  void StartRun();
+  boost::asio::awaitable<void> Run(std::uint64_t run);
+  boost::asio::awaitable<base::Status> ReadSnapshot(std::uint64_t run);
+  boost::asio::awaitable<base::Status> ReadChanges(std::uint64_t run);
+  /// Returns whether the run may still call hooks and read more.
+  bool IsCurrent(std::uint64_t run) const;
   boost::asio::awaitable<base::Outcome<std::uint64_t>> ReadStoreVersion();
   /// Returns the partitions to read.
   boost::asio::awaitable<base::Outcome<PartitionList>> ReadPartitionList();
@@ -99,6 +107,8 @@
   TableFollowerOptions options;
   TableFollowerHooks hooks;
   bool stopped = false;
+  /// Number of runs that were given up.
+  std::uint64_t current_run = 0;
   bool has_snapshot = false;
   /// Version of the store up to which the rows are complete.
   std::uint64_t version = 0;
--- a/packages/gateway/src/serving/fleet_service.cc
+++ b/packages/gateway/src/serving/fleet_service.cc
@@ -128,13 +128,22 @@
     const auto sent_at = this->clock.now();
     const auto written = co_await Transact(this->store, std::move(heartbeat),
                                            sent_at + kCallTimeout);
-    if (written.ok()) this->heartbeat_sent_at = sent_at;
+    if (written.ok()) this->OnHeartbeatWritten(sent_at);
     const auto next_at = sent_at + kLeaseOptions.heartbeat_period;
     const auto now = this->clock.now();
     if (now < next_at) co_await Pause(next_at - now);
   }
 }
 
+void FleetService::OnHeartbeatWritten(base::Instant sent_at) {
+  const bool is_first = this->heartbeat_sent_at == base::Instant{};
+  const bool was_away = !is_first && !this->HoldsLease();
+  this->heartbeat_sent_at = sent_at;
+  // The store was out of reach. The feed of registrations may hang for seconds
+  // more, and others may have removed this daemon's or registered anew.
+  if (was_away && !this->deregistered) this->follower->Retry();
+}
+
 asio::awaitable<void> FleetService::ReadHeartbeats() {
   while (!this->deregistered) {
     const auto started_at = this->clock.now();
--- a/packages/gateway/src/serving/table_follower.cc
+++ b/packages/gateway/src/serving/table_follower.cc
@@ -24,23 +24,37 @@
       options(std::move(options)),
       hooks(std::move(hooks)) {}
 
-void TableFollower::Start() {
+void TableFollower::Start() { this->StartRun(); }
+
+void TableFollower::StartRun() {
   asio::co_spawn(
-      this->executor, [self = this->shared_from_this()] { return self->Run(); },
+      this->executor,
+      [self = this->shared_from_this(), run = this->current_run] {
+        return self->Run(run);
+      },
       asio::detached);
 }
 
+void TableFollower::Retry() {
+  ++this->current_run;
+  this->StartRun();
+}
+
 void TableFollower::Stop() { this->stopped = true; }
 
-asio::awaitable<void> TableFollower::Run() {
-  while (!this->stopped) {
+bool TableFollower::IsCurrent(std::uint64_t run) const {
+  return !this->stopped && run == this->current_run;
+}
+
+asio::awaitable<void> TableFollower::Run(std::uint64_t run) {
+  while (this->IsCurrent(run)) {
     base::Status status = base::Done{};
     if (this->has_snapshot) {
-      status = co_await this->ReadChanges();
+      status = co_await this->ReadChanges(run);
     } else {
-      status = co_await this->ReadSnapshot();
+      status = co_await this->ReadSnapshot(run);
     }
-    if (this->stopped) co_return;
+    if (!this->IsCurrent(run)) co_return;
     base::Duration delay = this->options.min_call_delay;
     if (status.ok()) {
       this->backoff = {};
@@ -94,7 +108,7 @@
   co_return page->store_version;
 }
 
-asio::awaitable<base::Status> TableFollower::ReadSnapshot() {
+asio::awaitable<base::Status> TableFollower::ReadSnapshot(std::uint64_t run) {
   const auto sent_at = this->clock.now();
   const auto partitions = co_await this->ReadPartitionList();
   if (!partitions.ok()) co_return partitions.error();
@@ -106,7 +120,7 @@
     if (!as_of) as_of = page->store_version;
     std::move(page->rows.begin(), page->rows.end(), std::back_inserter(rows));
   }
-  if (this->stopped) co_return base::Done{};
+  if (!this->IsCurrent(run)) co_return base::Done{};
   this->version = as_of.value_or(0);
   this->has_snapshot = true;
   this->hooks.on_snapshot(std::move(rows), this->version);
@@ -114,7 +128,7 @@
   co_return base::Done{};
 }
 
-asio::awaitable<base::Status> TableFollower::ReadChanges() {
+asio::awaitable<base::Status> TableFollower::ReadChanges(std::uint64_t run) {
   base::FeedRequest request;
   request.table = this->options.table;
   request.after_version = this->version;
@@ -126,7 +140,7 @@
                         this->options.response_timeout;
   auto page = co_await ReadFeed(this->store, std::move(request), deadline);
   if (!page.ok()) co_return page.error();
-  if (this->stopped) co_return base::Done{};
+  if (!this->IsCurrent(run)) co_return base::Done{};
   if (page->history_lost) {
     this->has_snapshot = false;
     co_return base::Done{};
--- a/packages/gateway/test/serving/fleet_service_test.cc
+++ b/packages/gateway/test/serving/fleet_service_test.cc
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 #include <functional>
 #include <memory>
+#include <set>
 
 #include "gypsumtrack/gateway/serving/store_layout.h"
 #include "gypsumtrack/testing/memory_row_store.h"
@@ -19,15 +20,19 @@
 
   FleetService& Start(const std::string& name, const std::string& domain,
                       std::uint64_t incarnation) {
+    return this->Start(name, domain, incarnation, this->client);
+  }
+
+  FleetService& Start(const std::string& name, const std::string& domain,
+                      std::uint64_t incarnation, const base::RowStore& store) {
     ServingSettings settings;
     settings.vm_name = name;
     settings.location = {base::FailureDomain(domain), base::Region("delta")};
     settings.gossip_listen = "127.0.0.1:7360";
     settings.cpu_cores = 0.5;
     this->daemons.push_back(std::make_unique<FleetService>(
-        this->context.get_executor(), base::SystemClock(), this->client,
-        settings, base::VmId{name, incarnation},
-        [](const std::vector<PeerDaemon>&) {}));
+        this->context.get_executor(), base::SystemClock(), store, settings,
+        base::VmId{name, incarnation}, [](const std::vector<PeerDaemon>&) {}));
     this->daemons.back()->Start();
     return *this->daemons.back();
   }
@@ -43,8 +48,9 @@
   void Remove(const base::RowKey& key) {
     base::RowTransaction removal;
     removal.removals.push_back(key);
-    this->client.transact(removal, base::kNever,
-                          [](const base::Outcome<base::TransactionReply>&) {});
+    this->rows.Client().transact(
+        removal, base::kNever,
+        [](const base::Outcome<base::TransactionReply>&) {});
   }
 
   bool Exists(const char* table, const std::string& domain,
@@ -98,5 +104,53 @@
   }
 }
 
+/// A client of a store whose connections are dead: feeds hang, other calls
+/// fail.
+base::RowStore DeadClient() {
+  const base::Error error(base::Errc::kUnavailable, "connection is dead");
+  base::RowStore client;
+  client.transact = [error](const base::RowTransaction&, base::Instant,
+                            const auto& handler) { handler(error); };
+  client.read = [error](const base::RowRange&, base::Instant,
+                        const auto& handler) { handler(error); };
+  client.feed = [](const base::FeedRequest&, base::Instant, const auto&) {};
+  return client;
+}
+
+// Three of four daemons didn't count each other's requests for 4 s after one
+// was back from 6 s without the store: soak seeds 2 and 502.
+TEST_CASE("a daemon that reaches the store again learns what it missed") {
+  FleetFixture fleet;
+  auto& daemon = fleet.Start("vm-1", "cairo", 7);
+  fleet.RunUntil([&] { return daemon.KnowsFleet() && daemon.HoldsLease(); });
+  fleet.client = DeadClient();
+  fleet.rows.DropFeeds();
+  fleet.RunUntil([&] { return !daemon.HoldsLease(); });
+  // Meanwhile another daemon starts, and removes what the first one registered.
+  const auto other_client = fleet.rows.Client();
+  fleet.Start("vm-2", "alex", 8, other_client);
+  fleet.Remove({layout::kDaemonTable, "cairo", "vm-1"});
+  fleet.RunUntil([&] {
+    return fleet.Exists(layout::kDaemonTable, "alex", "vm-2") &&
+           !fleet.Exists(layout::kDaemonTable, "cairo", "vm-1");
+  });
+
+  // The feed that it asked for last still hangs.
+  fleet.client = fleet.rows.Client();
+  std::set<std::uint64_t> heartbeats;
+  const auto is_registered = [&] {
+    return fleet.Exists(layout::kDaemonTable, "cairo", "vm-1");
+  };
+  fleet.RunUntil([&] {
+    const auto row = fleet.rows.Find({layout::kLeaseTable, "cairo", "vm-1"});
+    if (row) heartbeats.insert(row->version);
+    const bool is_back = is_registered() && !daemon.peers().empty();
+    return is_back || heartbeats.size() > 4;
+  });
+  CHECK(is_registered());
+  REQUIRE(daemon.peers().size() == 1);
+  CHECK(daemon.peers().front().vm == base::VmId{"vm-2", 8});
+}
+
 }  // namespace
 }  // namespace gypsumtrack::gateway
--- a/packages/gateway/test/serving/table_follower_test.cc
+++ b/packages/gateway/test/serving/table_follower_test.cc
@@ -144,6 +144,34 @@
     fixture.Run();
     CHECK(fixture.copy.size() == 2);
   }
+  SECTION("a feed that hangs while the store is reached again") {
+    fixture.Start();
+    const auto feed = fixture.client.feed;
+    base::StoreHandler<base::FeedPage> late;
+    fixture.client.feed = [&](const base::FeedRequest&, base::Instant,
+                              auto handler) { late = std::move(handler); };
+    fixture.rows.ExpireFeeds();
+    fixture.Run();
+    REQUIRE(late);
+    fixture.client.feed = feed;
+    fixture.Put("events", "b");
+    fixture.Run();
+    CHECK(fixture.copy.size() == 1);
+    fixture.follower->Retry();
+    fixture.Run();
+    CHECK(fixture.copy.size() == 2);
+    CHECK(fixture.snapshot_count == 1);
+
+    SECTION("and the response to the old call changes nothing") {
+      const base::VersionedRow row{{"owner", "events", "b"}, {}, 1, true};
+      late(base::FeedPage{{row}, 1, false});
+      fixture.Run();
+      CHECK(fixture.copy.size() == 2);
+      fixture.Put("events", "c");
+      fixture.Run();
+      CHECK(fixture.copy.size() == 3);
+    }
+  }
 }
 
 }  // namespace
