Reset tunnels when the process of their peer ends

A part of an answer passed for the whole if it had neither a length nor chunks and went through a peer whose process ended, killed or at the end of its grace period: the kernel closes the connections of a process with a FIN, which a cut VM can't tell from the endpoint's close.

A tunnel's connection to the cut VM is now set to be reset by whatever closes it, until the endpoint itself has closed. The option is set past Asio, whose destructors undo it.

Evidence: the new test ends a peer without a word within an answer. 2 of 5 assertions failed before, in three runs of three (outcome complete, run state ran); all pass now, and those of the other tests of tunnels.

--- a/packages/gateway/src/tcp_options.cc
+++ b/packages/gateway/src/tcp_options.cc
@@ -37,6 +37,13 @@
   socket.set_option(TcpKeepAliveInterval(kTcpKeepAliveSeconds), ignored);
 }
 
+/// Not by set_option: Asio's destructors undo that.
+void SetLinger(asio::ip::tcp::socket& socket, bool reset) {
+  const linger option{reset ? 1 : 0, 0};
+  ::setsockopt(socket.native_handle(), SOL_SOCKET, SO_LINGER, &option,
+               sizeof(option));
+}
+
 }  // namespace
 
 void SetTcpTimeouts(asio::ip::tcp::socket& socket,
@@ -77,9 +84,8 @@
   return state;
 }
 
-void ResetOnClose(asio::ip::tcp::socket& socket) {
-  boost::system::error_code ignored;
-  socket.set_option(asio::socket_base::linger(true, 0), ignored);
-}
+void ResetOnClose(asio::ip::tcp::socket& socket) { SetLinger(socket, true); }
+
+void FinishOnClose(asio::ip::tcp::socket& socket) { SetLinger(socket, false); }
 
 }  // namespace gypsumtrack::gateway
--- a/packages/gateway/src/tcp_options.h
+++ b/packages/gateway/src/tcp_options.h
@@ -36,9 +36,13 @@
 /// Reads the state of an open socket.
 TcpState ReadTcpState(boost::asio::ip::tcp::socket& socket);
 
-/// Makes the next close of the socket a reset, which drops unsent bytes.
+/// Makes the next close of the socket a reset, which drops unsent bytes; also
+/// one by its destructor or by the end of the process.
 void ResetOnClose(boost::asio::ip::tcp::socket& socket);
 
+/// Undoes ResetOnClose.
+void FinishOnClose(boost::asio::ip::tcp::socket& socket);
+
 }  // namespace gypsumtrack::gateway
 
 #endif  // GYPSUMTRACK_GATEWAY_SRC_TCP_OPTIONS_H_
--- a/packages/gateway/src/tunnel_relay.cc
+++ b/packages/gateway/src/tunnel_relay.cc
@@ -94,6 +94,8 @@
 }
 
 asio::awaitable<void> TunnelRelay::Run() {
+  // If this process ends, that must not pass for the endpoint's close.
+  ResetOnClose(this->daemon);
   auto copy = [self = this->shared_from_this()] {
     return self->CopyFromEndpoint();
   };
@@ -183,6 +185,7 @@
   this->linger_until = this->clock.now() + kLingerTimeout;
   error_code ignored;
   this->endpoint.close(ignored);
+  FinishOnClose(this->daemon);
   this->daemon.shutdown(asio::socket_base::shutdown_send, ignored);
 }
 
--- a/packages/gateway/test/tunnel_server_test.cc
+++ b/packages/gateway/test/tunnel_server_test.cc
@@ -427,6 +427,36 @@
   }
 }
 
+// Guards against a kernel that ends the tunnels of a peer which is killed as if
+// the endpoint had closed them: a part of an answer would pass for the whole.
+TEST_CASE("a peer ends without a word while it carries an answer") {
+  TunnelFixture fixture;
+  auto peer_context = std::make_unique<asio::io_context>();
+  TunnelServerHooks hooks;
+  hooks.admit = [&fixture](const TunnelTarget&) { return fixture.admission; };
+  auto peer = std::make_unique<TunnelServer>(peer_context->get_executor(),
+                                             base::SystemClock(),
+                                             ServerOptions(), hooks);
+  REQUIRE(peer->Start("127.0.0.1:0").ok());
+  fixture.endpoint.SetResponses(
+      {{kOkHead + "\r\n", RawEnd::kKeepOpen, "event\n", milliseconds(10)}});
+  auto call = fixture.MakeCall();
+  call.tunnel = TunnelHop{"vm-3", peer->address(), kToken};
+  bool has_head = false;
+  call.on_head = [&](const ResponseHead&) { has_head = true; };
+  std::optional<EndpointResult> result;
+  fixture.Begin(call, result);
+  fixture.RunUntil([&] {
+    peer_context->poll();
+    return has_head;
+  });
+  peer.reset();
+  peer_context.reset();
+  fixture.RunUntil([&] { return result.has_value(); });
+  CHECK(result->outcome == CallOutcome::kClosed);
+  CHECK(result->run == policy::RunState::kUnknown);
+}
+
 TEST_CASE("a daemon cancels its call through a peer") {
   TunnelFixture fixture;
   std::optional<EndpointResult> result;
