Probe soon after a VM was found to be cut

A VM that took some endpoints for all, for example while a release restarted one in each failure domain, stayed cut for up to a second; a cut that ended at once was noticed as late. The round of probes that shows a cut puts off the next single probe by 1 s, as for a VM that isn't cut, and not by the 0.3 s of one that is.

Evidence: the new test, 1 of 2 assertions failed before, all pass now. A cut that lasts is probed as before.

--- a/packages/policy/src/serving/endpoint_reachability.cc
+++ b/packages/policy/src/serving/endpoint_reachability.cc
@@ -48,7 +48,11 @@
   std::erase_if(this->failed, [&](const auto& each) {
     return now - each.second > this->options.failure_window;
   });
-  if (this->CoversAll()) this->cut = true;
+  if (this->cut || !this->CoversAll()) return;
+  this->cut = true;
+  // The round that showed it has put off the next probe for longer.
+  this->next_probe_at =
+      std::min(this->next_probe_at, now + this->options.recovery_interval);
 }
 
 bool EndpointReachability::CoversAll() const {
--- a/packages/policy/test/serving/endpoint_reachability_test.cc
+++ b/packages/policy/test/serving/endpoint_reachability_test.cc
@@ -145,6 +145,22 @@
   }
 }
 
+// Guards against a recovery that waits as long as a probe of a quiet daemon
+// does, so that a daemon which took some endpoints for all is away for a
+// second.
+TEST_CASE("a cut that is noticed by requests is over soon") {
+  PathSim sim;
+  sim.RunFor(milliseconds(3000));
+  for (const char* domain : {"cairo", "alex", "aswan"})
+    sim.paths[domain] = PathSim::Path::kRefused;
+  sim.reachability.OnConnectionLost(sim.now);
+  sim.RunFor(kTick);
+  REQUIRE(sim.reachability.is_cut());
+  for (auto& [domain, each] : sim.paths) each = PathSim::Path::kOpen;
+  sim.RunFor(kOptions.recovery_interval + kTick);
+  CHECK_FALSE(sim.reachability.is_cut());
+}
+
 TEST_CASE("some endpoints fail and the daemon isn't cut") {
   PathSim sim;
   sim.RunFor(milliseconds(1000));
