Send elsewhere what a peer knows no endpoint for

Callers of a cut VM saw 503 endpoints_refused while other endpoints were free, if an endpoint left: it tells those whose requests it answers, such as the peer, but not the cut VM. The peer then opens no tunnel to it (unknown_endpoint). That counted as a failure of the peer that says nothing of the endpoint, so that the request forgot to have tried it and chose it again, as it has the least load, until its six attempts were used up.

The endpoint now stays among those that the request has tried, and counts as busy for a moment, so that the next requests go elsewhere too. It isn't blamed: the peer may not know it yet.

That the six attempts go to the one endpoint is by reading; no whole request was played.

--- a/packages/gateway/src/serving/send_to_endpoint.cc
+++ b/packages/gateway/src/serving/send_to_endpoint.cc
@@ -13,6 +13,9 @@
 /// Returns what an attempt showed about its endpoint.
 policy::AttemptResult ToAttemptResult(const EndpointResult& result,
                                       const ResponseMetadata& response) {
+  // The peer knows that it leaves or has been replaced, or doesn't know it yet.
+  if (result.tunnel_status == TunnelStatus::kUnknownEndpoint)
+    return policy::AttemptResult::kBusy;
   switch (result.outcome) {
     case CallOutcome::kComplete:
       return result.head.status >= 500 ? policy::AttemptResult::kBadResponse
@@ -136,8 +139,8 @@
     case TunnelStatus::kPeerBusy:
     case TunnelStatus::kDenied:
     case TunnelStatus::kPeerUnreachable:
-    case TunnelStatus::kUnknownEndpoint:
       return true;
+    case TunnelStatus::kUnknownEndpoint:
     case TunnelStatus::kOpen:
     case TunnelStatus::kEndpointRefused:
     case TunnelStatus::kEndpointUnreachable:
--- a/packages/gateway/src/serving/send_to_endpoint.h
+++ b/packages/gateway/src/serving/send_to_endpoint.h
@@ -35,8 +35,9 @@
                   const policy::EndpointEntry& endpoint,
                   const EndpointResult& result, std::uint64_t events);
 
-/// Whether the call failed because the peer didn't open the tunnel for it, so
-/// that the endpoint received nothing and may be tried again. Thread-safe.
+/// Whether the call failed because the peer opens no tunnels, or not for this
+/// daemon, so that the endpoint received nothing and may be tried again through
+/// another peer. Thread-safe.
 bool FailedAtPeer(const EndpointResult& result);
 
 /// Makes one attempt to send a request: runs the call and records its start,
