Ask a peer again that is in doubt rather than none

Callers of a cut VM were refused (503 endpoints_unreachable) while its peers opened tunnels, if some endpoints hung: a peer that couldn't connect to one in time, or whose tunnel to one fell silent, wasn't asked for 1 s, and each peer that was asked next fared the same.

The cause of both may be the endpoint. Such a peer is now in doubt for 1 s: others go first, and without others it is asked again. One that can't be reached or says that it opens no tunnels is left out as before.

The path service, which tells the two apart, has no test of its own; it was only built.

--- a/packages/gateway/src/serving/endpoint_path_service.cc
+++ b/packages/gateway/src/serving/endpoint_path_service.cc
@@ -178,10 +178,24 @@
                    {{"peer", hop.peer},
                     {"endpoint", endpoint.text},
                     {"reason", kTunnelStatusNames.Name(status)}});
-    // These are the endpoint's own, as far as the peer can tell.
-    const bool is_endpoints = status == TunnelStatus::kEndpointRefused ||
-                              status == TunnelStatus::kUnknownEndpoint;
-    if (!is_endpoints) this->peers.OnFailed(hop.peer, this->Now());
+    const auto now = this->Now();
+    switch (status) {
+      case TunnelStatus::kEndpointRefused:
+      case TunnelStatus::kUnknownEndpoint:
+        // These are the endpoint's own, as far as the peer can tell.
+        break;
+      case TunnelStatus::kOpen:
+      case TunnelStatus::kEndpointUnreachable:
+        this->peers.OnDoubted(hop.peer, now);
+        break;
+      case TunnelStatus::kPeerCut:
+      case TunnelStatus::kPeerLeaving:
+      case TunnelStatus::kPeerBusy:
+      case TunnelStatus::kDenied:
+      case TunnelStatus::kPeerUnreachable:
+        this->peers.OnFailed(hop.peer, now);
+        break;
+    }
   }
 
   /// Endpoints of all failure domains refuse connections if the path does.
--- a/packages/policy/include/gypsumtrack/policy/serving/tunnel_peers.h
+++ b/packages/policy/include/gypsumtrack/policy/serving/tunnel_peers.h
@@ -26,7 +26,8 @@
 struct TunnelPeersOptions {
   /// Time for which a peer's offer counts after its last message.
   base::Duration offer_max_age = std::chrono::milliseconds(1500);
-  /// Time for which a peer that failed isn't chosen.
+  /// Time for which a peer that failed isn't chosen, and one that is in doubt
+  /// only if no other offers.
   base::Duration backoff = std::chrono::milliseconds(1000);
   /// Time for which the chosen peer is kept, so that connections through it are
   /// used again.
@@ -46,8 +47,11 @@
   /// now, and its requests in progress.
   void OnOffer(const std::string& name, bool opens_tunnels,
                std::uint32_t requests, base::Instant now);
-  /// Records that a tunnel through the peer couldn't be opened or fell silent.
+  /// Records that the peer couldn't be reached or opens no tunnels.
   void OnFailed(const std::string& name, base::Instant now);
+  /// Records that the peer couldn't connect to an endpoint in time, or that a
+  /// tunnel through it fell silent. The cause may be the endpoint.
+  void OnDoubted(const std::string& name, base::Instant now);
   /// Returns the peer to use now, or none if no peer opens tunnels. Nearer
   /// peers go first: those of the own failure domain, then of the region. Among
   /// equally near ones, the less busy of two random ones is taken and kept for
@@ -67,10 +71,12 @@
     std::uint32_t requests = 0;
     base::Instant heard_at{};
     base::Instant avoided_until{};
+    base::Instant doubted_until{};
   };
 
   bool IsUsable(const State& state, base::Instant now) const;
-  /// Returns the usable peers that are nearest.
+  /// Returns the usable peers that are nearest, of those that aren't in doubt
+  /// if there are any.
   std::vector<const State*> Nearest(const base::Location& from,
                                     base::Instant now) const;
 
--- a/packages/policy/src/serving/tunnel_peers.cc
+++ b/packages/policy/src/serving/tunnel_peers.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace gypsumtrack::policy {
 namespace {
@@ -44,6 +45,13 @@
   found->second.avoided_until = now + this->options.backoff;
 }
 
+void TunnelPeers::OnDoubted(const std::string& name, base::Instant now) {
+  const auto found = this->states.find(name);
+  if (found == this->states.end()) return;
+  found->second.doubted_until = now + this->options.backoff;
+  if (this->chosen == name) this->chosen.clear();
+}
+
 bool TunnelPeers::IsUsable(const State& state, base::Instant now) const {
   return state.opens_tunnels && now >= state.avoided_until &&
          now - state.heard_at <= this->options.offer_max_age;
@@ -73,13 +81,14 @@
 std::vector<const TunnelPeers::State*> TunnelPeers::Nearest(
     const base::Location& from, base::Instant now) const {
   std::vector<const State*> nearest;
-  auto nearest_distance = Distance::kOtherRegion;
+  std::pair nearest_rank(true, Distance::kOtherRegion);
   for (const auto& [name, state] : this->states) {
     if (!this->IsUsable(state, now)) continue;
-    const auto distance = DistanceBetween(from, state.peer.location);
-    if (distance > nearest_distance) continue;
-    if (distance < nearest_distance) nearest.clear();
-    nearest_distance = distance;
+    const std::pair rank(now < state.doubted_until,
+                         DistanceBetween(from, state.peer.location));
+    if (rank > nearest_rank) continue;
+    if (rank < nearest_rank) nearest.clear();
+    nearest_rank = rank;
     nearest.push_back(&state);
   }
   return nearest;
--- a/packages/policy/test/serving/tunnel_peers_test.cc
+++ b/packages/policy/test/serving/tunnel_peers_test.cc
@@ -70,6 +70,19 @@
     OfferAll(peers, kStart + milliseconds(1000));
     CHECK(peers.CountUsable(kStart + milliseconds(1000)) == 6);
   }
+  // Guards against refusals because a few endpoints hang: whatever peer is
+  // asked can't connect to them, so that none would be left.
+  SECTION("another one than one that is in doubt, if there is any") {
+    peers.OnDoubted("cairo-1", kStart);
+    for (std::uint64_t random = 0; random < 20; ++random)
+      CHECK(peers.Choose(kCairo, random, kStart)->name == "cairo-2");
+    peers.OnDoubted("cairo-2", kStart);
+    CHECK(ChosenDomain(peers, kStart) == "alex");
+    for (const char* name : {"alex-1", "alex-2", "aswan-1", "aswan-2"})
+      peers.OnDoubted(name, kStart);
+    CHECK(peers.CountUsable(kStart) == 6);
+    CHECK(ChosenDomain(peers, kStart) == "cairo");
+  }
   SECTION("not one that was silent for long or is gone") {
     CHECK(peers.CountUsable(kStart + milliseconds(1600)) == 0);
     peers.SetPeers({});
