Read responses that have arrived when a call's timeout expires

Calls ended as stalled or past their deadline although their responses had arrived, after the process had stood still: they were sent again, avoided their endpoint, or the caller got a 504.

The cause is that of requests which wait in the socket: after a standstill the timer runs before the sockets beyond the first 128, and closed them without asking whether they can be read. The client of endpoints now asks, while it awaits a part of the response, and reads on if so.

Evidence: 300 calls whose responses arrive while the process stands still past the progress timeout, or past the deadline.

--- a/packages/gateway/src/endpoint_client.cc
+++ b/packages/gateway/src/endpoint_client.cc
@@ -35,6 +35,8 @@
 constexpr int kMaxInterimResponses = 8;
 /// Interval at which a call without progress asks again whether to end.
 constexpr base::Duration kAbandonCheckInterval = std::chrono::milliseconds(50);
+/// Time to read input that has arrived by the time at which a timeout expires.
+constexpr base::Duration kUnreadInputTimeout = std::chrono::seconds(1);
 /// Fraction of the endpoint's idle timeout for which a connection is reused, so
 /// that the endpoint doesn't close it first.
 constexpr double kIdleTimeoutFraction = 0.7;
@@ -242,6 +244,12 @@
 
   void OnTimeout() {
     const auto now = this->clock.now();
+    // After a standstill of the process, the timer may fire before the socket
+    // is found to be readable.
+    if (this->reading && this->HasUnreadInput()) {
+      this->watchdog->Set(now + kUnreadInputTimeout);
+      return;
+    }
     const bool may_wait = this->exchange_started && this->call.may_abandon &&
                           now < this->call.deadline;
     if (!may_wait || this->call.may_abandon()) {
@@ -251,6 +259,12 @@
     this->SetTimeout(kAbandonCheckInterval);
   }
 
+  /// Whether the endpoint has sent bytes that aren't read yet.
+  bool HasUnreadInput() const {
+    error_code error;
+    return this->connection->socket.available(error) > 0 && !error;
+  }
+
   bool Cancelled() const {
     return this->call.cancel && this->call.cancel->cancelled();
   }
@@ -353,9 +367,11 @@
       this->parser->body_limit(boost::none);
       if (this->call.method == "HEAD") this->parser->skip(true);
       this->SetTimeout(this->call.progress_timeout);
+      this->reading = true;
       const auto [error, size] = co_await http::async_read_header(
           this->connection->socket, this->connection->buffer, *this->parser,
           kAwaitTuple);
+      this->reading = false;
       if (error) {
         this->result.outcome = this->FailureOutcome();
         co_return false;
@@ -422,9 +438,11 @@
     body.size = part.size();
     body.more = true;
     this->SetTimeout(this->call.progress_timeout);
+    this->reading = true;
     auto [error, size] = co_await http::async_read_some(
         this->connection->socket, this->connection->buffer, *this->parser,
         kAwaitTuple);
+    this->reading = false;
     if (error == http::error::need_buffer) error = {};
     if (error) {
       this->result.outcome = this->FailureOutcome();
@@ -488,6 +506,8 @@
   std::optional<Parser> parser;
   /// Whether a part of the request may have been sent.
   bool exchange_started = false;
+  /// Whether a part of the response is awaited.
+  bool reading = false;
   bool keep_alive = false;
 };
 
--- a/packages/gateway/test/endpoint_client_test.cc
+++ b/packages/gateway/test/endpoint_client_test.cc
@@ -7,6 +7,7 @@
 #include <catch2/catch.hpp>
 #include <optional>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -128,6 +129,44 @@
   }
 }
 
+// Guards against calls that are given up though their responses have arrived:
+// after a standstill all timers are due, and the system reports 128 sockets at
+// a time.
+TEST_CASE("responses arrive while the process stands still") {
+  constexpr std::size_t kCalls = 300;
+  constexpr auto kProgressTimeout = std::chrono::milliseconds(500);
+  boost::asio::io_context endpoint_context;
+  testing::RawEndpoint endpoint(endpoint_context.get_executor());
+  REQUIRE(endpoint.Start().ok());
+  endpoint.SetResponses(
+      {{kHead + "Content-Length: 4\r\n\r\ntext", RawEnd::kKeepOpen}});
+  ClientFixture fixture;
+  auto call = fixture.MakeCall();
+  call.address = endpoint.address();
+  call.progress_timeout = kProgressTimeout;
+  SECTION("past the progress timeout") {}
+  SECTION("past the deadline") {
+    call.deadline = base::SystemClock().now() + kProgressTimeout;
+  }
+  std::vector<std::optional<EndpointResult>> results(kCalls);
+  for (auto& result : results) {
+    auto run = fixture.client.Call(call);
+    boost::asio::co_spawn(fixture.context, StoreResult(std::move(run), result),
+                          boost::asio::detached);
+  }
+  // All requests are sent; the endpoint answers none yet.
+  fixture.context.run_for(kProgressTimeout / 4);
+  std::this_thread::sleep_for(kProgressTimeout);
+  endpoint_context.run_for(kProgressTimeout);
+  REQUIRE(endpoint.requests().size() == kCalls);
+  std::size_t complete = 0;
+  for (const auto& result : results) {
+    while (!result) fixture.context.run_one();
+    if (result->outcome == CallOutcome::kComplete) ++complete;
+  }
+  CHECK(complete == kCalls);
+}
+
 TEST_CASE("a response with a length or chunks is cut by the connection's end") {
   ClientFixture fixture;
   const auto cut = GENERATE(
