--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -23,6 +23,7 @@
         "quotaExcess": 0.1, "quotaSlack": 20, "recoverS": 12,
         "deliveryMs": 300, "finishS": 18, "statusTtlS": 120,
         "cancelMs": 3000, "settleMs": 1000, "reuseAfterS": 2}
+TOKENS_PER_MS = 68.2  # read by an engine of the deployment
 PREFIX = "X-Gypsumtrack-"
 REASONS = {200: "OK", 201: "Created", 202: "Accepted", 404: "Not Found",
            410: "Gone", 412: "Precondition Failed", 429: "Too Many Requests",
@@ -289,6 +290,8 @@
         # May handle a run itself; returns True if it did.
         self.answer = None
         self.writers = set()
+        self.prompts = []
+        self.crashed = False
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, self.ip, 0)
@@ -310,6 +313,28 @@
                                  json.dumps(self.entry()))
             await asyncio.sleep(1.2)
 
+    async def crash(self):
+        """Ends as a crash does: nothing listens any more, and all connections
+        close. Its entry stays until it would lapse."""
+        self.crashed = True
+        self.beats.cancel()
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+        self.record.add(f"{self.name} crashes")
+        asyncio.get_running_loop().call_later(
+            3 * 1.2, lambda: asyncio.create_task(
+                self.store.remove("servers", self.name)))
+
+    async def prefill(self, tokens):
+        """Waits until the prompt is read. Prompts are read interleaved."""
+        left = [tokens]
+        self.prompts.append(left)
+        while left[0] > 0:
+            await asyncio.sleep(0.01)
+            left[0] -= 10 * TOKENS_PER_MS / len(self.prompts)
+        self.prompts.remove(left)
+
     def text(self, request_id, event):
         return f"word{event}"
 
@@ -659,14 +684,17 @@
     return "%016x" % random.getrandbits(64)
 
 
-def job_body(items):
-    """`items` are pairs of an id and a path."""
+def job_body(items, shared="c0ffee", prompt=350, output=20):
+    """`items` are pairs of an id and a path. Their prompts share a part of 100
+    tokens."""
     return json.dumps({"requests": [
         {"id": item, "path": path,
-         "headers": {PREFIX + "Model": "m", PREFIX + "Token-Count": "100,20",
-                     PREFIX + "Prompt-Prefix": f"c0ffee:60,{item[:8]}:40"},
+         "headers": {PREFIX + "Model": "m",
+                     PREFIX + "Token-Count": f"{prompt},{output}",
+                     PREFIX + "Prompt-Prefix":
+                         f"{shared}:100,{item[:8]}:{prompt - 100}"},
          "body": base64.b64encode(b"prompt of " + item.encode()).decode(),
-         "tokens": 120} for item, path in items]}).encode()
+         "tokens": prompt + output} for item, path in items]}).encode()
 
 
 def job_headers(job=None, **more):
