--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,7 +1,6 @@
-"""One spoiled byte in an answer to an item of a batch job."""
+"""An answer whose chunked body ends with a long trailer line."""
 
 import asyncio
-import json
 import os
 import sys
 import time
@@ -10,87 +9,120 @@
 sys.path.insert(0, os.path.join(FOLDER, "..", "lib"))
 import standins as s  # noqa: E402
 
-ITEMS = 10
-# Every 50th answer of the faulty worker is spoiled: 0.02.
-SPOILED_ANSWERS = 50
-JOBS = 20
+# x and for_s of garble: one of 50 answers of the faulty worker, for 5.5 s.
+GARBLED = 50
+GARBLE_S = 5.5
+TRAILER_BYTES = 80000
+CLIENTS = 40
+SECONDS = 10
+RESTART_S = 0.5
 
 
-async def case(fleet, trouble):
-    for number in (1, 2, 3):
-        await fleet.add_worker(f"i-{number}")
-    faulty = fleet.workers[0]
-    answers = 0
+class Case:
+    def __init__(self, fleet, trouble):
+        self.fleet, self.trouble = fleet, trouble
+        self.faulty = None
+        self.faulty_answers = 0
+        self.garble_until = 0
+        self.over = False
+        self.own_ends = 0
+        # Ids of requests on connections that had been used before, which
+        # closed without an answer.
+        self.unanswered = []
 
-    async def answer(worker, request, after, reader, writer):
-        nonlocal answers
-        answers += 1
-        if not trouble or answers % SPOILED_ANSWERS != 25:
-            return None
-        request_id = request.header(s.PREFIX + "request-id")
-        fleet.record.add(f"{worker.name} spoils its answer to {request_id}")
-        await worker.begin_stream(request, writer)
-        for event in range(after + 1, worker.events + 1):
-            data = worker.text(request_id, event).encode()
-            if event == 3:
-                data = data[:2] + bytes([data[2] ^ 0x80]) + data[3:]
-            await worker.send_event(request, event, writer, data=data)
-        writer.write(b"0\r\n\r\n")
-        await writer.drain()
-        return True
-    faulty.answer = answer
+    async def answer(self, worker, request, after, reader, writer):
+        self.faulty = self.faulty or worker
+        if worker is self.faulty:
+            self.faulty_answers += 1
+            if (self.trouble and time.monotonic() < self.garble_until and
+                    self.faulty_answers % GARBLED == 20):
+                request_id = request.header(s.PREFIX + "request-id")
+                self.fleet.record.add(f"{worker.name} garbles {request_id}")
+                await worker.begin_stream(request, writer)
+                await worker.send_event(request, after + 1, writer)
+                writer.write(b"0\r\nX: " + b"x" * TRAILER_BYTES +
+                             b"\r\n\r\n")
+                await writer.drain()
+                return True
+        # The prompt is read for 150 ms before the first event.
+        await asyncio.sleep(0.15)
+        return None
 
-    await fleet.put_config()
-    daemons = [await fleet.add_daemon(f"edge-{n}") for n in (1, 2)]
-    for daemon in daemons:
-        await daemon.wait_ready()
+    async def watch(self, daemon):
+        """Starts the process again after it has ended, as the platform."""
+        while not self.over:
+            await asyncio.sleep(0.02)
+            code = daemon.process.poll()
+            if code is None:
+                continue
+            self.own_ends += 1
+            self.fleet.record.add(f"{daemon.name} ended by itself: {code}")
+            await asyncio.sleep(RESTART_S)
+            daemon.start()
+
+    async def client(self, number):
+        """Sends one request after the other on kept connections."""
+        host, port = self.fleet.daemons[number % 2].front.rsplit(":", 1)
+        while not self.over:
+            try:
+                reader, writer = await asyncio.open_connection(host, int(port))
+            except OSError:
+                await asyncio.sleep(0.1)
+                continue
+            used = 0
+            while not self.over:
+                request = s.new_id()
+                prefix = "/resume/" if number % 4 else "/once/"
+                try:
+                    await s.send_request(writer, "POST",
+                                         f"{prefix}{request[:4]}",
+                                         s.headers(request), b"prompt")
+                    reply = await s.read_reply(reader)
+                except ConnectionError:
+                    reply = s.Reply()
+                if reply.status == 0 and used and not self.over:
+                    self.unanswered.append(request)
+                    self.fleet.record.add(f"{prefix} {request}: the kept "
+                                          "connection closes, no answer")
+                used += 1
+                if not reply.complete:
+                    break
+                await asyncio.sleep(0.1)
+            writer.close()
 
-    jobs = {}
-    for number in range(JOBS):
-        job = s.new_id()
-        items = [(s.new_id(), f"/batch/{i}") for i in range(ITEMS)]
-        reply = await s.call(daemons[number % 2].front, "POST",
-                             f"/batch/{job}", s.job_headers(job),
-                             s.job_body(items))
-        fleet.record.add(f"job {job} handed in: {reply.status}")
-        if reply.status != 202:
-            raise s.CannotRun(f"a job was answered {reply.status}")
-        jobs[job] = [item for item, _ in items]
-        await asyncio.sleep(0.2)
 
-    # dueMs and finishS of the deployment.
-    until = time.monotonic() + 36
-    unread = dict(jobs)
-    last = {}
-    turn = 0
-    while unread and time.monotonic() < until:
-        turn += 1
-        for job, items in list(unread.items()):
-            daemon = daemons[turn % 2]
-            done, last[job] = await read_job(daemon, job, items)
-            if done:
-                fleet.record.add(f"job {job}: {last[job]}")
-                del unread[job]
-        await asyncio.sleep(0.5)
-    return [f"LOST: the batch job {job} can't be read at the end: {last[job]}"
-            for job in unread]
+async def case(fleet, trouble):
+    play = Case(fleet, trouble)
+    for number in range(3):
+        worker = await fleet.add_worker(f"i-{number}", slots=16)
+        worker.answer = play.answer
+    await fleet.put_config()
+    for number in range(2):
+        await fleet.add_daemon(f"edge-{number}")
+    for daemon in fleet.daemons:
+        await daemon.wait_ready()
+    await asyncio.sleep(1)
 
+    play.garble_until = time.monotonic() + GARBLE_S
+    watches = [asyncio.create_task(play.watch(d)) for d in fleet.daemons]
+    clients = [asyncio.create_task(play.client(n)) for n in range(CLIENTS)]
+    await asyncio.sleep(SECONDS)
+    play.over = True
+    await asyncio.gather(*watches)
+    await asyncio.wait(clients, timeout=3)
 
-async def read_job(daemon, job, items):
-    """Reads the job from its start. Returns whether all is listed, and what
-    was seen."""
-    reply = await s.call(daemon.front, "GET",
-                         f"/gypsumtrack/lots/{job}?after=0", s.job_headers())
-    seen = f"{daemon.name} answered {reply.status}"
-    if reply.status != 200:
-        return False, seen
-    try:
-        page = json.loads(reply.body.decode("utf-8", "replace"))
-    except ValueError:
-        return False, seen + " with a body that isn't JSON"
-    listed = {result["id"] for result in page["results"]}
-    return (listed == set(items),
-            f"{seen} with {len(listed)} of {len(items)} results")
+    sound = {request for worker in fleet.workers
+             if worker is not play.faulty
+             for _, request, _, _ in worker.runs}
+    lost = [each for each in play.unanswered if each in sound]
+    fleet.record.add(f"{play.own_ends} ends of processes by themselves; "
+                     f"{len(lost)} requests of kept connections passed on to "
+                     "sound workers and not answered")
+    if len(lost) > 3:
+        return [f"LOST: {len(lost)} requests of kept connections were passed "
+                "on to sound workers, and the connections closed without an "
+                f"answer; {play.own_ends} times a process ended by itself"]
+    return []
 
 
 s.run_case(FOLDER, case)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,6 +1,7 @@
-"""A part of prompts crashes workers; sound prompts share another part."""
+"""A rack of workers crashes while it reads the prompts of a batch job."""
 
 import asyncio
+import json
 import os
 import sys
 import time
@@ -9,135 +10,109 @@
 sys.path.insert(0, os.path.join(FOLDER, "..", "lib"))
 import standins as s  # noqa: E402
 
-CONTACT_S = s.SITE["contactMs"] / 1000
-FIRST_PART, BAD_PART, SOUND_PART = "5eed0001", "dead0002", "feed0003"
-# A twentieth of all requests is bad.
-SOUND_EVERY_S, BAD_EVERY_S, OTHERS_EVERY_S = 2.0, 1.0, 0.054
-BACK_S = 3.0
-MIN_SENT = 20
-
-
-class Case:
-    def __init__(self, fleet):
-        self.fleet = fleet
-        fleet.tenants = self.tenants
-        self.crashes = []
-        self.next_worker = 0
-        self.tasks = []
-        # Of each sound request: when it was sent, and whether it began.
-        self.sound = []
-        # How often each status was given to the other caller.
-        self.others = {}
-
-    @staticmethod
-    def tenants():
-        return [{"name": name, "apiKeys": [f"key-of-{name}"], "priority": 1,
-                 "ratePerS": 0, "burst": 0} for name in ("t1", "t2")]
-
-    async def add_worker(self, zone):
-        self.next_worker += 1
-        worker = await self.fleet.add_worker(f"i-{self.next_worker}",
-                                             zone=zone)
-        worker.answer = self.answer
-
-    async def answer(self, worker, request, after, reader, writer):
-        parts = request.header(s.PREFIX + "prompt-prefix")
-        if BAD_PART not in parts:
-            return None
-        # It crashes when it begins to write the answer.
-        await worker.prefill(1000)
-        if not worker.crashed:
-            self.crashes.append(time.monotonic())
-            await worker.crash()
-            self.tasks.append(asyncio.create_task(self.come_back(worker)))
+ITEMS = 10
+PROMPT_TOKENS = 20000
+# Within a burst of 6 times 1.03 batch jobs a second for 3 s.
+FAR_JOBS = 9
+JOBS_PER_S = 6
+DOWN_S = 4.5
+FINISH_S = 18
+# Items that failed at a worker in the last 20 s don't count for the rule.
+FAILED_S = 20
+CALM_S = 5
+
+
+async def prefill_first(worker, request, after, reader, writer):
+    """Reads the whole prompt before the first event."""
+    tokens = int(request.header(s.PREFIX + "token-count").split(",")[0])
+    await worker.prefill(tokens)
+    if worker.crashed:
         return False
+    return None
+
+
+async def add_worker(fleet, name, zone):
+    worker = await fleet.add_worker(name, zone=zone)
+    worker.answer = prefill_first
+    # 176 events of 7 tokens at 3.82 ms each, four of them at once.
+    worker.events, worker.pause = 44, 0.107
+    return worker
 
-    async def come_back(self, worker):
-        await asyncio.sleep(BACK_S)
-        await self.add_worker(worker.zone)
-
-    async def send(self, daemon, middle):
-        """Sends a request of the caller t1, whose prompts share FIRST_PART."""
-        request = s.new_id()
-        parts = f"{FIRST_PART}:500,{middle}:300,{request[:8]}:200"
-        sent_at = time.monotonic()
-        reply = await s.call(
-            daemon.front, "POST", f"/resume/{request[:4]}",
-            s.headers(request, **{s.PREFIX + "Prompt-Prefix": parts,
-                                  s.PREFIX + "Token-Count": "1000,20"}),
-            b"prompt " + request.encode())
-        kind = "sound" if middle == SOUND_PART else "bad"
-        self.fleet.record.add(f"{kind} {request} at {daemon.name}: "
-                              f"{reply.status} {reply.body[:60]!r}")
-        if kind == "sound":
-            began = reply.status == 200 and b"data: " in reply.body
-            self.sound.append((sent_at, began))
-
-    async def send_other(self, daemon, _):
-        """Sends a request of the caller t2."""
-        request = s.new_id()
-        parts = f"0ther00{request[0]}:500,{request[:8]}:500"
-        reply = await s.call(
-            daemon.front, "POST", f"/resume/{request[:4]}",
-            s.headers(request, **{s.PREFIX + "Prompt-Prefix": parts,
-                                  "X-Api-Key": "key-of-t2"}),
-            b"prompt " + request.encode())
-        self.others[reply.status] = self.others.get(reply.status, 0) + 1
-
-    async def send_every(self, period, send, middle, until):
-        turn = 0
-        while not until.is_set():
-            daemon = self.fleet.daemons[turn % len(self.fleet.daemons)]
-            self.tasks.append(asyncio.create_task(send(daemon, middle)))
-            turn += 1
-            await asyncio.sleep(period)
+
+async def hand_in(fleet, daemon, shared, prompt):
+    job = s.new_id()
+    items = [(s.new_id(), f"/batch/{i}") for i in range(ITEMS)]
+    reply = await s.call(daemon.front, "POST", f"/batch/{job}",
+                         s.job_headers(job),
+                         s.job_body(items, shared, prompt))
+    fleet.record.add(f"job {job} on part {shared} handed in: {reply.status}")
+    if reply.status != 202:
+        raise s.CannotRun(f"a job was answered {reply.status}")
+    return job, [item for item, _ in items]
 
 
 async def case(fleet, trouble):
-    play = Case(fleet)
-    for number in range(12):
-        await play.add_worker("cairo" if number % 2 else "alex")
+    # 18 workers; the rack is the 3 of the zone that is alone in its region.
+    rack = [await add_worker(fleet, f"i-aswan-{n}", "aswan") for n in range(3)]
+    for number in range(15):
+        await add_worker(fleet, f"i-delta-{number}",
+                         "cairo" if number % 2 else "alex")
     await fleet.put_config()
-    for number in range(3):
-        await fleet.add_daemon(f"edge-{number}")
-    for daemon in fleet.daemons:
+    near = [await fleet.add_daemon(f"edge-aswan-{n}", zone="aswan",
+                                   region="upper") for n in range(2)]
+    far = [await fleet.add_daemon(f"edge-cairo-{n}") for n in range(2)]
+    for daemon in near + far:
         await daemon.wait_ready()
-    await asyncio.sleep(2)
-
-    over = asyncio.Event()
-    senders = [asyncio.create_task(each) for each in (
-        play.send_every(SOUND_EVERY_S, play.send, SOUND_PART, over),
-        play.send_every(OTHERS_EVERY_S, play.send_other, "", over))]
-    await asyncio.sleep(MIN_SENT * SOUND_EVERY_S + 0.4)
-    calm_until = time.monotonic()
+    await asyncio.sleep(3)
+
+    jobs = []
+    for number in range(FAR_JOBS):
+        jobs.append(await hand_in(fleet, far[number % 2], s.new_id()[:8], 350))
+        await asyncio.sleep(1 / JOBS_PER_S)
+    jobs.append(await hand_in(fleet, near[0], s.new_id()[:8], PROMPT_TOKENS))
+    await asyncio.sleep(0.7)
+    crashed_at = time.monotonic()
     if trouble:
-        senders.append(asyncio.create_task(
-            play.send_every(BAD_EVERY_S, play.send, BAD_PART, over)))
-        await asyncio.sleep(CONTACT_S)
-    # Bad requests still come; the last crash, at most the fifth, counts.
-    counts_from = time.monotonic() + 2 * CONTACT_S
-    if play.crashes:
-        counts_from = play.crashes[:5][-1] + 2 * CONTACT_S
-    await asyncio.sleep(counts_from - time.monotonic() +
-                        (MIN_SENT + 1) * SOUND_EVERY_S)
-    over.set()
-    await asyncio.gather(*senders)
-    await asyncio.sleep(2)
-
-    before = [began for at, began in play.sound if at < calm_until]
-    after = [began for at, began in play.sound if at > counts_from]
-    fleet.record.add(f"{len(play.crashes)} crashes; sound requests: "
-                     f"{sum(before)} of {len(before)} began before, "
-                     f"{sum(after)} of {len(after)} from 2 x contactMs after "
-                     "the fifth crash (the last, if there are fewer); "
-                     f"statuses of the other caller: {play.others}")
-    if len(before) < MIN_SENT or len(after) < MIN_SENT:
-        raise s.CannotRun("too few sound requests")
-    if sum(after) / len(after) < sum(before) / len(before) / 2:
-        return [f"LOST: {sum(after)} of {len(after)} sound requests with the "
-                f"same first part begin, {sum(before)} of {len(before)} "
-                "before the crashes"]
-    return []
+        for worker in rack:
+            await worker.crash()
+        await asyncio.sleep(DOWN_S)
+        for number in range(3):
+            await add_worker(fleet, f"i-aswan-{number + 3}", "aswan")
+    await asyncio.sleep(max(FINISH_S, FAILED_S + CALM_S) +
+                        crashed_at - time.monotonic())
+
+    faults = []
+    for number, (job, items) in enumerate(jobs):
+        listed = await read(fleet, near[1] if number == FAR_JOBS else far[0],
+                            job)
+        recent = sum(1 for worker in fleet.workers
+                     for at, request, _, _ in worker.runs
+                     if request in items and
+                     at > time.monotonic() - FAILED_S)
+        left = set(items) - set(listed)
+        fleet.record.add(f"job {job}: {len(listed)} of {len(items)} listed, "
+                         f"{recent} runs begun in the last {FAILED_S} s")
+        if left and recent == 0:
+            faults.append(f"LOST: {len(left)} items of the batch job {job} "
+                          "are listed neither as done nor as dead_letter, and "
+                          f"no worker had one in the last {FAILED_S} s")
+    return faults
+
+
+async def read(fleet, daemon, job):
+    """Returns the state of each listed item."""
+    listed = {}
+    while True:
+        reply = await s.call(daemon.front, "GET",
+                             f"/gypsumtrack/lots/{job}?after={len(listed)}",
+                             s.job_headers())
+        if reply.status != 200:
+            raise s.CannotRun(f"a read was answered {reply.status}")
+        page = json.loads(reply.body)
+        for result in page["results"]:
+            listed[result["id"]] = result["state"]
+        if not page["results"]:
+            return listed
 
 
 s.run_case(FOLDER, case)
