Show that bytes without end outlast the timeout of their request

Tried: one of 50 answers of a worker goes on with blank lines at full speed (four times for 5.5 s), on a route with a timeout of 3 s before clients that wait 5 s.

--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,7 +1,6 @@
-"""A rack of workers crashes while it reads the prompts of a batch job."""
+"""Answers in which bytes that say nothing come without end."""
 
 import asyncio
-import json
 import os
 import sys
 import time
@@ -10,109 +9,123 @@
 sys.path.insert(0, os.path.join(FOLDER, "..", "lib"))
 import standins as s  # noqa: E402
 
-ITEMS = 10
-PROMPT_TOKENS = 20000
-# Within a burst of 6 times 1.03 batch jobs a second for 3 s.
-FAR_JOBS = 9
-JOBS_PER_S = 6
-DOWN_S = 4.5
-FINISH_S = 18
-# Items that failed at a worker in the last 20 s don't count for the rule.
-FAILED_S = 20
-CALM_S = 5
-
-
-async def prefill_first(worker, request, after, reader, writer):
-    """Reads the whole prompt before the first event."""
-    tokens = int(request.header(s.PREFIX + "token-count").split(",")[0])
-    await worker.prefill(tokens)
-    if worker.crashed:
-        return False
-    return None
-
-
-async def add_worker(fleet, name, zone):
-    worker = await fleet.add_worker(name, zone=zone)
-    worker.answer = prefill_first
-    # 176 events of 7 tokens at 3.82 ms each, four of them at once.
-    worker.events, worker.pause = 44, 0.107
-    return worker
-
-
-async def hand_in(fleet, daemon, shared, prompt):
-    job = s.new_id()
-    items = [(s.new_id(), f"/batch/{i}") for i in range(ITEMS)]
-    reply = await s.call(daemon.front, "POST", f"/batch/{job}",
-                         s.job_headers(job),
-                         s.job_body(items, shared, prompt))
-    fleet.record.add(f"job {job} on part {shared} handed in: {reply.status}")
-    if reply.status != 202:
-        raise s.CannotRun(f"a job was answered {reply.status}")
-    return job, [item for item, _ in items]
+# x and for_s of garble: one of 50 answers of the faulty worker, for 5.5 s,
+# which comes four times.
+GARBLED = 50
+GARBLE_S = 5.5
+PERIOD_S = 8.0
+TIMES = 4
+REQUESTS_PER_S = 200
+TIMEOUT_S = 3.0
+LATE_S = 0.5
+# A stream must not pause for longer, or its client abandons it.
+EVENT_EVERY_S = 0.5
+BLANK_LINES = b"\n" * (256 * 1024)
+
+
+class Case:
+    def __init__(self, fleet, trouble):
+        self.fleet, self.trouble = fleet, trouble
+        self.faulty = None
+        self.faulty_answers = 0
+        self.started = 0
+        # How long each request took to its final answer, and whether that
+        # was its client's own end.
+        self.durations = []
+
+    async def answer(self, worker, request, after, reader, writer):
+        self.faulty = self.faulty or worker
+        if worker is not self.faulty:
+            return None
+        self.faulty_answers += 1
+        in_period = (time.monotonic() - self.started) % PERIOD_S < GARBLE_S
+        if (not self.trouble or not in_period or
+                self.faulty_answers % GARBLED != 10):
+            return None
+        request_id = request.header(s.PREFIX + "request-id")
+        self.fleet.record.add(f"{worker.name} sends bytes without end to "
+                              f"{request_id}")
+        await worker.begin_stream(request, writer, framed=False)
+        event = after
+        due = time.monotonic()
+        while True:
+            if time.monotonic() >= due:
+                event += 1
+                due += EVENT_EVERY_S
+                await worker.send_event(request, event, writer, framed=False)
+            writer.write(BLANK_LINES)
+            await writer.drain()
+
+    async def send(self, daemon):
+        request = s.new_id()
+        host, port = daemon.front.rsplit(":", 1)
+        reader, writer = await asyncio.open_connection(host, int(port))
+        sent_at = time.monotonic()
+        await s.send_request(writer, "POST", f"/resume/{request[:4]}",
+                             s.headers(request), b"prompt")
+        end = b""
+        how = "answered"
+        try:
+            # The client leaves at its deadline, 5,000 ms.
+            while True:
+                left = sent_at + 5.0 - time.monotonic()
+                part = await asyncio.wait_for(reader.read(65536), left)
+                end = (end + part)[-5:]
+                if not part or end == b"0\r\n\r\n":
+                    break
+        except asyncio.TimeoutError:
+            how = "left by its client at its deadline"
+        except ConnectionError:
+            how = "reset"
+        finally:
+            writer.close()
+        took = time.monotonic() - sent_at
+        self.durations.append(took)
+        if took > 1:
+            self.fleet.record.add(f"{request}: {how} after {took:.2f} s")
+
+
+def make_routes(fleet):
+    routes = s.Fleet.routes(fleet)
+    for route in routes:
+        if route["kind"] == "stream":
+            route["timeoutMs"] = int(TIMEOUT_S * 1000)
+    return routes
 
 
 async def case(fleet, trouble):
-    # 18 workers; the rack is the 3 of the zone that is alone in its region.
-    rack = [await add_worker(fleet, f"i-aswan-{n}", "aswan") for n in range(3)]
-    for number in range(15):
-        await add_worker(fleet, f"i-delta-{number}",
-                         "cairo" if number % 2 else "alex")
+    play = Case(fleet, trouble)
+    fleet.routes = lambda: make_routes(fleet)
+    for number in range(3):
+        worker = await fleet.add_worker(f"i-{number}", slots=16)
+        worker.answer = play.answer
+        worker.events, worker.pause = 3, 0.01
     await fleet.put_config()
-    near = [await fleet.add_daemon(f"edge-aswan-{n}", zone="aswan",
-                                   region="upper") for n in range(2)]
-    far = [await fleet.add_daemon(f"edge-cairo-{n}") for n in range(2)]
-    for daemon in near + far:
+    for number in range(2):
+        await fleet.add_daemon(f"edge-{number}")
+    for daemon in fleet.daemons:
         await daemon.wait_ready()
-    await asyncio.sleep(3)
-
-    jobs = []
-    for number in range(FAR_JOBS):
-        jobs.append(await hand_in(fleet, far[number % 2], s.new_id()[:8], 350))
-        await asyncio.sleep(1 / JOBS_PER_S)
-    jobs.append(await hand_in(fleet, near[0], s.new_id()[:8], PROMPT_TOKENS))
-    await asyncio.sleep(0.7)
-    crashed_at = time.monotonic()
-    if trouble:
-        for worker in rack:
-            await worker.crash()
-        await asyncio.sleep(DOWN_S)
-        for number in range(3):
-            await add_worker(fleet, f"i-aswan-{number + 3}", "aswan")
-    await asyncio.sleep(max(FINISH_S, FAILED_S + CALM_S) +
-                        crashed_at - time.monotonic())
-
-    faults = []
-    for number, (job, items) in enumerate(jobs):
-        listed = await read(fleet, near[1] if number == FAR_JOBS else far[0],
-                            job)
-        recent = sum(1 for worker in fleet.workers
-                     for at, request, _, _ in worker.runs
-                     if request in items and
-                     at > time.monotonic() - FAILED_S)
-        left = set(items) - set(listed)
-        fleet.record.add(f"job {job}: {len(listed)} of {len(items)} listed, "
-                         f"{recent} runs begun in the last {FAILED_S} s")
-        if left and recent == 0:
-            faults.append(f"LOST: {len(left)} items of the batch job {job} "
-                          "are listed neither as done nor as dead_letter, and "
-                          f"no worker had one in the last {FAILED_S} s")
-    return faults
-
-
-async def read(fleet, daemon, job):
-    """Returns the state of each listed item."""
-    listed = {}
-    while True:
-        reply = await s.call(daemon.front, "GET",
-                             f"/gypsumtrack/lots/{job}?after={len(listed)}",
-                             s.job_headers())
-        if reply.status != 200:
-            raise s.CannotRun(f"a read was answered {reply.status}")
-        page = json.loads(reply.body)
-        for result in page["results"]:
-            listed[result["id"]] = result["state"]
-        if not page["results"]:
-            return listed
+    await asyncio.sleep(1)
+
+    play.started = time.monotonic()
+    sent = []
+    until = play.started + TIMES * PERIOD_S
+    while time.monotonic() < until:
+        daemon = fleet.daemons[len(sent) % 2]
+        sent.append(asyncio.create_task(play.send(daemon)))
+        await asyncio.sleep(1 / REQUESTS_PER_S)
+    await asyncio.gather(*sent)
+
+    unanswered = [took for took in play.durations if took >= TIMEOUT_S]
+    late = [took for took in unanswered if took >= TIMEOUT_S + LATE_S]
+    fleet.record.add(f"{len(play.durations)} requests; {len(unanswered)} "
+                     f"without a final answer at timeoutMs, {len(late)} of "
+                     "them half a second later")
+    if len(late) >= 8 and len(late) * 4 > len(unanswered):
+        return [f"CONFIG: of {len(unanswered)} requests that lasted longer "
+                f"than their route's timeoutMs, {len(late)} had no final "
+                "answer half a second later"]
+    return []
 
 
 s.run_case(FOLDER, case)
