--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -14,7 +14,6 @@
 import sys
 import tempfile
 import time
-import tomllib
 from urllib.parse import parse_qs, unquote, urlsplit
 
 SITE = {"contactMs": 4000, "ackMs": 5000, "drainMs": 2500, "graceS": 8,
@@ -459,9 +458,13 @@
 
 
 def run_command(root):
-    with open(os.path.join(root, "deploy/system.toml"), "rb") as file:
-        role = tomllib.load(file)["roles"]["daemon"]
-    return role["run"].split()
+    """The command of the deploy file's only role."""
+    with open(os.path.join(root, "deploy/system.toml"),
+              encoding="utf-8") as file:
+        found = re.search(r'^run = "([^"]+)"', file.read(), re.MULTILINE)
+    if not found:
+        raise CannotRun("the deploy file names no program")
+    return found.group(1).split()
 
 
 class Daemon:
@@ -733,6 +736,9 @@
     with 0 if there are none, 1 if there are, and 2 if it couldn't run."""
     async def main():
         code = 2
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(
+                number, asyncio.current_task().cancel)
         try:
             code = await play(folder, case)
         finally:
