--- a/review/2/case.py
+++ b/review/2/case.py
@@ -9,9 +9,6 @@
 sys.path.insert(0, os.path.join(FOLDER, "..", "lib"))
 import standins as s  # noqa: E402
 
-# x and for_s of garble: one of 50 answers of the faulty worker, for 5.5 s.
-GARBLED = 50
-GARBLE_S = 5.5
 TRAILER_BYTES = 80000
 CLIENTS = 40
 SECONDS = 10
@@ -20,30 +17,24 @@
 
 class Case:
     def __init__(self, fleet, trouble):
-        self.fleet, self.trouble = fleet, trouble
-        self.faulty = None
-        self.faulty_answers = 0
-        self.garble_until = 0
+        self.fleet = fleet
+        self.garble = s.Garble(trouble)
         self.over = False
         self.own_ends = 0
         # Ids of requests on connections that had been used before, which
-        # closed without an answer.
+        # closed without an answer, at machines in touch.
         self.unanswered = []
 
     async def answer(self, worker, request, after, reader, writer):
-        self.faulty = self.faulty or worker
-        if worker is self.faulty:
-            self.faulty_answers += 1
-            if (self.trouble and time.monotonic() < self.garble_until and
-                    self.faulty_answers % GARBLED == 20):
-                request_id = request.header(s.PREFIX + "request-id")
-                self.fleet.record.add(f"{worker.name} garbles {request_id}")
-                await worker.begin_stream(request, writer)
-                await worker.send_event(request, after + 1, writer)
-                writer.write(b"0\r\nX: " + b"x" * TRAILER_BYTES +
-                             b"\r\n\r\n")
-                await writer.drain()
-                return True
+        if self.garble.count(worker) and self.garble.take():
+            request_id = request.header(s.PREFIX + "request-id")
+            self.fleet.record.add(f"{worker.name} garbles {request_id}, "
+                                  f"answer {self.garble.answers}")
+            await worker.begin_stream(request, writer)
+            await worker.send_event(request, after + 1, writer)
+            writer.write(b"0\r\nX: " + b"x" * TRAILER_BYTES + b"\r\n\r\n")
+            await writer.drain()
+            return True
         # The prompt is read for 150 ms before the first event.
         await asyncio.sleep(0.15)
         return None
@@ -62,7 +53,8 @@
 
     async def client(self, number):
         """Sends one request after the other on kept connections."""
-        host, port = self.fleet.daemons[number % 2].front.rsplit(":", 1)
+        daemon = self.fleet.daemons[number % 2]
+        host, port = daemon.front.rsplit(":", 1)
         while not self.over:
             try:
                 reader, writer = await asyncio.open_connection(host, int(port))
@@ -73,6 +65,9 @@
             while not self.over:
                 request = s.new_id()
                 prefix = "/resume/" if number % 4 else "/once/"
+                # A start of the machine counts against it as well.
+                in_touch = (time.monotonic() - daemon.started_at >
+                            s.CONTACT_S)
                 try:
                     await s.send_request(writer, "POST",
                                          f"{prefix}{request[:4]}",
@@ -81,9 +76,11 @@
                 except ConnectionError:
                     reply = s.Reply()
                 if reply.status == 0 and used and not self.over:
-                    self.unanswered.append(request)
-                    self.fleet.record.add(f"{prefix} {request}: the kept "
-                                          "connection closes, no answer")
+                    if in_touch:
+                        self.unanswered.append(request)
+                    self.fleet.record.add(
+                        f"{prefix} {request}: the kept connection closes, no "
+                        f"answer{'' if in_touch else ' (not in touch)'}")
                 used += 1
                 if not reply.complete:
                     break
@@ -99,11 +96,9 @@
     await fleet.put_config()
     for number in range(2):
         await fleet.add_daemon(f"edge-{number}")
-    for daemon in fleet.daemons:
-        await daemon.wait_ready()
-    await asyncio.sleep(1)
+    await fleet.settle()
 
-    play.garble_until = time.monotonic() + GARBLE_S
+    play.garble.start()
     watches = [asyncio.create_task(play.watch(d)) for d in fleet.daemons]
     clients = [asyncio.create_task(play.client(n)) for n in range(CLIENTS)]
     await asyncio.sleep(SECONDS)
@@ -112,7 +107,7 @@
     await asyncio.wait(clients, timeout=3)
 
     sound = {request for worker in fleet.workers
-             if worker is not play.faulty
+             if worker is not play.garble.worker
              for _, request, _, _ in worker.runs}
     lost = [each for each in play.unanswered if each in sound]
     fleet.record.add(f"{play.own_ends} ends of processes by themselves; "
