--- a/review/3/case.py
+++ b/review/3/case.py
@@ -11,21 +11,18 @@
 import standins as s  # noqa: E402
 
 ITEMS = 10
-# Every 50th answer of the faulty worker is spoiled: 0.02.
-SPOILED_ANSWERS = 50
-JOBS = 20
+JOBS = 12
+JOBS_PER_S = 2
+STREAMS_PER_S = 80
 
 
 async def case(fleet, trouble):
-    for number in (1, 2, 3):
-        await fleet.add_worker(f"i-{number}")
-    faulty = fleet.workers[0]
-    answers = 0
+    garble = s.Garble(trouble)
 
     async def answer(worker, request, after, reader, writer):
-        nonlocal answers
-        answers += 1
-        if not trouble or answers % SPOILED_ANSWERS != 25:
+        is_faulty = garble.count(worker)
+        is_item = request.path.startswith("/batch/")
+        if not is_faulty or not is_item or not garble.take():
             return None
         request_id = request.header(s.PREFIX + "request-id")
         fleet.record.add(f"{worker.name} spoils its answer to {request_id}")
@@ -38,13 +35,17 @@
         writer.write(b"0\r\n\r\n")
         await writer.drain()
         return True
-    faulty.answer = answer
 
+    for number in (1, 2, 3):
+        worker = await fleet.add_worker(f"i-{number}")
+        worker.answer = answer
     await fleet.put_config()
     daemons = [await fleet.add_daemon(f"edge-{n}") for n in (1, 2)]
-    for daemon in daemons:
-        await daemon.wait_ready()
+    await fleet.settle()
 
+    garble.start()
+    over = asyncio.Event()
+    streams = asyncio.create_task(send_streams(daemons, over))
     jobs = {}
     for number in range(JOBS):
         job = s.new_id()
@@ -56,7 +57,9 @@
         if reply.status != 202:
             raise s.CannotRun(f"a job was answered {reply.status}")
         jobs[job] = [item for item, _ in items]
-        await asyncio.sleep(0.2)
+        await asyncio.sleep(1 / JOBS_PER_S)
+    over.set()
+    await streams
 
     # dueMs and finishS of the deployment.
     until = time.monotonic() + 36
@@ -76,6 +79,18 @@
             for job in unread]
 
 
+async def send_streams(daemons, over):
+    """The usual streams, beside the batch jobs."""
+    sent = []
+    while not over.is_set():
+        request = s.new_id()
+        sent.append(asyncio.create_task(s.call(
+            daemons[len(sent) % 2].front, "POST", f"/resume/{request[:4]}",
+            s.headers(request), b"prompt " + request.encode())))
+        await asyncio.sleep(1 / STREAMS_PER_S)
+    await asyncio.gather(*sent)
+
+
 async def read_job(daemon, job, items):
     """Reads the job from its start. Returns whether all is listed, and what
     was seen."""
