--- a/review/5/case.py
+++ b/review/5/case.py
@@ -9,12 +9,9 @@
 sys.path.insert(0, os.path.join(FOLDER, "..", "lib"))
 import standins as s  # noqa: E402
 
-# x and for_s of garble: one of 50 answers of the faulty worker, for 5.5 s,
-# which comes four times.
-GARBLED = 50
-GARBLE_S = 5.5
+# The disruption comes more than once.
 PERIOD_S = 8.0
-TIMES = 4
+TIMES = 5
 REQUESTS_PER_S = 200
 TIMEOUT_S = 3.0
 LATE_S = 0.5
@@ -25,22 +22,14 @@
 
 class Case:
     def __init__(self, fleet, trouble):
-        self.fleet, self.trouble = fleet, trouble
-        self.faulty = None
-        self.faulty_answers = 0
-        self.started = 0
+        self.fleet = fleet
+        self.garble = s.Garble(trouble, periods=TIMES, every_s=PERIOD_S)
         # How long each request took to its final answer, and whether that
         # was its client's own end.
         self.durations = []
 
     async def answer(self, worker, request, after, reader, writer):
-        self.faulty = self.faulty or worker
-        if worker is not self.faulty:
-            return None
-        self.faulty_answers += 1
-        in_period = (time.monotonic() - self.started) % PERIOD_S < GARBLE_S
-        if (not self.trouble or not in_period or
-                self.faulty_answers % GARBLED != 10):
+        if not self.garble.count(worker) or not self.garble.take():
             return None
         request_id = request.header(s.PREFIX + "request-id")
         self.fleet.record.add(f"{worker.name} sends bytes without end to "
@@ -103,13 +92,11 @@
     await fleet.put_config()
     for number in range(2):
         await fleet.add_daemon(f"edge-{number}")
-    for daemon in fleet.daemons:
-        await daemon.wait_ready()
-    await asyncio.sleep(1)
+    await fleet.settle()
 
-    play.started = time.monotonic()
+    play.garble.start()
     sent = []
-    until = play.started + TIMES * PERIOD_S
+    until = time.monotonic() + TIMES * PERIOD_S
     while time.monotonic() < until:
         daemon = fleet.daemons[len(sent) % 2]
         sent.append(asyncio.create_task(play.send(daemon)))
