Keep a damaged byte of an item's output out of the store

Cause: event data went unchecked into the JSON of the result's row; the library writes such text but doesn't parse it, and one unreadable row ended the whole page and the load by a new owner.

Why it works: such an event ends its run before anything of it is stored, so the item goes on elsewhere; rows that are damaged already cost their own position.

--- a/packages/gateway/include/gypsumtrack/gateway/serving/store_layout.h
+++ b/packages/gateway/include/gypsumtrack/gateway/serving/store_layout.h
@@ -102,21 +102,31 @@
 /// Whether the key is that of a job's row.
 bool IsJobBacklogKey(std::string_view key);
 
+/// Whether the store's rows can be named after the job: the id is text of at
+/// most kMaxJobIdBytes.
+bool IsValidJobId(const base::JobId& job);
+/// The store's keys have at most 200 bytes; a result's key adds the position.
+inline constexpr std::size_t kMaxJobIdBytes = 192;
+
 /// The result of an item. A large output is stored as an object.
 struct ResultRow {
   /// The output is empty if it is stored as an object.
   policy::JobItemResult result;
   /// Name of the object that holds the output; empty if the row holds it.
   std::string output_object;
+  /// Whether the row, or its output, can't be read.
+  bool is_damaged = false;
 };
 /// Serializes a result row.
 std::string SerializeResult(const ResultRow& row);
-/// Parses a result row. Errors: kInvalid.
-base::Outcome<ResultRow> ParseResult(std::string_view value);
+/// Parses a result row. One that can't be read counts as given up, with the
+/// item if that can be read: it costs its own position of the list only.
+ResultRow ParseResult(std::string_view value);
 /// Serializes the partial output of a job's unfinished items.
 std::string SerializePartials(const std::vector<policy::PartialItem>& partials);
-/// Parses a row of partial output. Leaves out output of unknown origin, as
-/// written by earlier versions of this software. Errors: kInvalid.
+/// Parses a row of partial output. Leaves out output of unknown origin and
+/// output that isn't UTF-8, as written by earlier versions of this software.
+/// Errors: kInvalid.
 base::Outcome<std::vector<policy::PartialItem>> ParsePartials(
     std::string_view value);
 
--- a/packages/gateway/src/idempotency_store.cc
+++ b/packages/gateway/src/idempotency_store.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "gypsumtrack/base/hash.h"
+#include "gypsumtrack/base/utf8.h"
 #include "gypsumtrack/gateway/store_await.h"
 
 namespace gypsumtrack::gateway {
@@ -17,10 +18,15 @@
 constexpr std::string_view kRowPrefix = "idempotency/";
 constexpr std::size_t kOperationIdBytes = 12;
 constexpr base::Duration kStoreTimeout = std::chrono::seconds(2);
-/// A longer body isn't stored; a repeated request gets the status, which
-/// shows that it ran, and an empty body.
 constexpr std::size_t kMaxStoredBodyBytes = std::size_t{64} * 1024;
 
+/// Whether the record of a request can hold the body. A longer one, and one
+/// that isn't UTF-8, isn't stored; a repeated request gets the status, which
+/// shows that it ran, and an empty body.
+bool IsStorableBody(const std::string& body) {
+  return body.size() <= kMaxStoredBodyBytes && base::IsUtf8(body);
+}
+
 /// Value of an intent's row.
 struct IntentRecord {
   std::string digest;
@@ -150,7 +156,7 @@
       co_await ScanTable(platform, std::move(scan), store_deadline);
   if (!found.ok() || found->rows.empty()) co_return;
   const auto& row = found->rows.front();
-  if (response.body.size() > kMaxStoredBodyBytes) response.body.clear();
+  if (!IsStorableBody(response.body)) response.body.clear();
   IntentRecord record = DecodeRecord(row.value);
   record.response = std::move(response);
   auto commit = MakeCommit(intent.row_key, row.version, EncodeRecord(record));
--- a/packages/gateway/src/serving/job_garbage_collector.cc
+++ b/packages/gateway/src/serving/job_garbage_collector.cc
@@ -56,10 +56,9 @@
     for (std::size_t i = begin; i < end; ++i) {
       const auto& row = page->rows[i];
       const auto result = layout::ParseResult(row.value);
-      const bool has_object = result.ok() && !result->output_object.empty();
-      if (has_object) {
+      if (!result.output_object.empty()) {
         const bool object_removed =
-            co_await DeleteObject(store, result->output_object);
+            co_await DeleteObject(store, result.output_object);
         if (!object_removed) co_return false;
       }
       removal.removals.push_back(row.at);
--- a/packages/gateway/src/serving/job_requests.cc
+++ b/packages/gateway/src/serving/job_requests.cc
@@ -55,6 +55,11 @@
     co_await Refuse(this->context, exchange, metadata, access.refusal);
     co_return;
   }
+  if (!layout::IsValidJobId(request.job)) {
+    Refusal refusal{status::kNotFound, "no_such_job", {}};
+    co_await Refuse(this->context, exchange, metadata, std::move(refusal));
+    co_return;
+  }
   const auto key = MakeJobKey(access, request.job);
   switch (request.kind) {
     case JobRequestKind::kResults:
--- a/packages/gateway/src/serving/job_store.cc
+++ b/packages/gateway/src/serving/job_store.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "gypsumtrack/base/event_log.h"
+#include "gypsumtrack/base/utf8.h"
 #include "gypsumtrack/gateway/serving/row_store_await.h"
 
 namespace gypsumtrack::gateway {
@@ -271,7 +272,7 @@
     const auto* stored = FindRow(current, row_key);
     if (stored == nullptr) break;
     const auto read = layout::ParseResult(stored->value);
-    if (!read.ok() || read->result.item != row.result.item) break;
+    if (read.result.item != row.result.item) break;
     ++count;
   }
   return count;
@@ -472,6 +473,36 @@
   co_return found;
 }
 
+namespace {
+
+void LogDamagedResult(const JobKey& key, const std::string& row_key,
+                      const std::string& item) {
+  base::LogEvent("result_unreadable",
+                 {{"job", key.job.text}, {"row", row_key}, {"item", item}});
+}
+
+/// Returns the result of a row with its output. Errors: only those of a call to
+/// the store; what can't be read counts as given up.
+asio::awaitable<base::Outcome<policy::JobItemResult>> ReadResult(
+    const JobStore& store, JobKey key, const base::VersionedRow& row,
+    base::Instant deadline) {
+  auto read = layout::ParseResult(row.value);
+  if (!read.output_object.empty()) {
+    auto output = co_await GetObject(store.store, read.output_object, deadline);
+    if (!output.ok()) co_return output.error();
+    read.is_damaged = !base::IsUtf8(*output);
+    if (read.is_damaged) {
+      read.result.status = policy::JobItemStatus::kGivenUp;
+    } else {
+      read.result.output = std::move(*output);
+    }
+  }
+  if (read.is_damaged) LogDamagedResult(key, row.at.key, read.result.item);
+  co_return std::move(read.result);
+}
+
+}  // namespace
+
 asio::awaitable<base::Outcome<std::vector<policy::JobItemResult>>> ReadResults(
     const JobStore& store, JobKey key, std::size_t from,
     base::Instant deadline) {
@@ -482,17 +513,11 @@
   std::vector<policy::JobItemResult> results;
   std::size_t bytes = 0;
   for (const auto& row : page->rows) {
-    auto read = layout::ParseResult(row.value);
-    if (!read.ok()) co_return read.error();
-    if (!read->output_object.empty()) {
-      auto output =
-          co_await GetObject(store.store, read->output_object, deadline);
-      if (!output.ok()) co_return output.error();
-      read->result.output = std::move(*output);
-    }
-    bytes += read->result.output.size();
+    auto result = co_await ReadResult(store, key, row, deadline);
+    if (!result.ok()) co_return result.error();
+    bytes += result->output.size();
     if (!results.empty() && bytes > kMaxPageBytes) break;
-    results.push_back(std::move(read->result));
+    results.push_back(std::move(*result));
   }
   co_return results;
 }
@@ -506,8 +531,8 @@
   std::vector<std::string> items;
   for (const auto& row : page->rows) {
     auto read = layout::ParseResult(row.value);
-    if (!read.ok()) co_return read.error();
-    items.push_back(std::move(read->result.item));
+    if (read.is_damaged) LogDamagedResult(key, row.at.key, read.result.item);
+    items.push_back(std::move(read.result.item));
   }
   co_return items;
 }
--- a/packages/gateway/src/serving/job_store.h
+++ b/packages/gateway/src/serving/job_store.h
@@ -142,14 +142,14 @@
                                                         JobKey key,
                                                         base::Instant deadline);
 
-/// Reads a page of results with their outputs, from position `from` on. Errors:
-/// those of a read.
+/// Reads a page of results with their outputs, from position `from` on. A
+/// result that can't be read is listed as given up. Errors: those of a read.
 boost::asio::awaitable<base::Outcome<std::vector<policy::JobItemResult>>>
 ReadResults(const JobStore& store, JobKey key, std::size_t from,
             base::Instant deadline);
 
-/// Reads the ids of all items whose results are committed, in order. Errors:
-/// those of a read.
+/// Reads the ids of all items whose results are committed, in order; an empty
+/// id where it can't be read. Errors: those of a read.
 boost::asio::awaitable<base::Outcome<std::vector<std::string>>> ReadListedItems(
     const JobStore& store, JobKey key, base::Instant deadline);
 
--- a/packages/gateway/src/serving/job_submissions.cc
+++ b/packages/gateway/src/serving/job_submissions.cc
@@ -53,7 +53,7 @@
   auto items = this->context.wire.read_submission(*body);
   const bool readable = items.ok() && !items->empty() &&
                         items->size() <= kMaxItemsPerJob &&
-                        !metadata.request_id.empty();
+                        layout::IsValidJobId(base::JobId(metadata.request_id));
   if (!readable) {
     Refusal refusal{status::kBadRequest, "not_a_job", {}};
     co_await Refuse(this->context, exchange, metadata, std::move(refusal));
--- a/packages/gateway/src/serving/store_layout.cc
+++ b/packages/gateway/src/serving/store_layout.cc
@@ -5,6 +5,7 @@
 #include <boost/json.hpp>
 
 #include "gypsumtrack/base/hash.h"
+#include "gypsumtrack/base/utf8.h"
 
 namespace gypsumtrack::gateway::layout {
 namespace {
@@ -21,19 +22,34 @@
   return {base::Errc::kInvalid, fmt::format("The {} row is malformed.", table)};
 }
 
-/// Returns an empty object if the text isn't a JSON object.
+/// Returns an empty object if the text isn't a JSON object. Text that isn't
+/// UTF-8, which earlier releases wrote, is left to StringField: it costs its
+/// own field only.
 json::object ParseObject(std::string_view text) {
+  json::parse_options options;
+  options.allow_invalid_utf8 = true;
   boost::system::error_code error;
-  auto value = json::parse(text, error);
+  auto value = json::parse(text, error, {}, options);
   if (error || !value.is_object()) return {};
   return std::move(value.as_object());
 }
 
+/// Returns none if the field is missing or isn't UTF-8 text.
 std::optional<std::string> StringField(const json::object& object,
                                        std::string_view name) {
   const auto* value = object.if_contains(name);
   if (value == nullptr || !value->is_string()) return std::nullopt;
-  return std::string(value->as_string());
+  const std::string_view text = value->get_string();
+  if (!base::IsUtf8(text)) return std::nullopt;
+  return std::string(text);
+}
+
+/// A result whose output was lost. The item is empty if it isn't known either.
+ResultRow LostResult(std::string item) {
+  ResultRow row;
+  row.result = {std::move(item), policy::JobItemStatus::kGivenUp, ""};
+  row.is_damaged = true;
+  return row;
 }
 
 std::optional<std::uint64_t> NumberField(const json::object& object,
@@ -154,6 +170,11 @@
   return key.starts_with(kJobKeyPrefix);
 }
 
+bool IsValidJobId(const base::JobId& job) {
+  return !job.text.empty() && job.text.size() <= kMaxJobIdBytes &&
+         base::IsUtf8(job.text);
+}
+
 std::string SerializeResult(const ResultRow& row) {
   json::object object{
       {"item", row.result.item},
@@ -166,7 +187,7 @@
   return json::serialize(object);
 }
 
-base::Outcome<ResultRow> ParseResult(std::string_view value) {
+ResultRow ParseResult(std::string_view value) {
   const auto object = ParseObject(value);
   const auto item = StringField(object, "item");
   const auto status_name = StringField(object, "verdict");
@@ -176,7 +197,7 @@
                           ? policy::kJobItemStatusNames.Parse(*status_name)
                           : std::nullopt;
   if (!item || !status || (!output && !output_object))
-    return MalformedRow("result");
+    return LostResult(item.value_or(""));
   ResultRow row;
   row.result = {*item, *status, output.value_or("")};
   row.output_object = output_object.value_or("");
@@ -209,9 +230,12 @@
     const auto item = StringField(fields, "item");
     const auto last_event = NumberField(fields, "last_event");
     const auto events = NumberField(fields, "events");
-    const auto text = StringField(fields, "text");
-    if (!item || !last_event || !events || !text)
+    const bool has_text = fields.contains("text");
+    if (!item || !last_event || !events || !has_text)
       return MalformedRow("partial");
+    const auto text = StringField(fields, "text");
+    // Damaged output, of a daemon that didn't check it.
+    if (!text) continue;
     const auto service = StringField(fields, "service");
     const auto version = StringField(fields, "version");
     // Of a daemon that didn't know versions: no endpoint surely fits.
--- a/packages/gateway/test/serving/job_store_test.cc
+++ b/packages/gateway/test/serving/job_store_test.cc
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <memory>
 
+#include "gypsumtrack/gateway/serving/row_store_await.h"
 #include "gypsumtrack/testing/memory_row_store.h"
 #include "run_coroutine.h"
 
@@ -219,6 +220,67 @@
   }
 }
 
+/// A row of a result as daemons of earlier releases wrote it if a byte of the
+/// item's output was damaged: JSON with text that isn't UTF-8.
+const std::string kDamagedResult =
+    "{\"item\":\"b\",\"verdict\":\"done\",\"output\":\"te\xF8t\"}";
+
+// Guards against a job that can't be read, and is never taken over, for one row
+// of its results that can't.
+TEST_CASE("a result that can't be read costs its own position only") {
+  JobStoreFixture fixture;
+  const auto job = fixture.Own(fixture.Accept(fixture.first_daemon));
+  JobStoreFixture::RunItems(*job, 3);
+  REQUIRE(fixture.Commit(fixture.first_daemon, *job).count == 3);
+  const auto overwrite = [&](std::size_t position, const std::string& value) {
+    base::RowTransaction change;
+    change.puts.push_back({{layout::kResultTable, kKey.organisation.text,
+                            layout::ResultKey(kKey.job, position)},
+                           value});
+    REQUIRE(RunCoroutine(
+                Transact(fixture.client, std::move(change), fixture.Deadline()))
+                .ok());
+  };
+  const auto read = [&] {
+    return RunCoroutine(
+        ReadResults(fixture.second_daemon, kKey, 0, fixture.Deadline()));
+  };
+  SECTION("its item is listed without output, the others with theirs") {
+    overwrite(1, kDamagedResult);
+    const auto results = read();
+    REQUIRE(results.ok());
+    REQUIRE(results->size() == 3);
+    CHECK(results->at(0) ==
+          policy::JobItemResult{"a", policy::JobItemStatus::kDone, "text"});
+    CHECK(results->at(1) ==
+          policy::JobItemResult{"b", policy::JobItemStatus::kGivenUp, ""});
+    CHECK(results->at(2).output == "text");
+    SECTION("and a new owner knows which items are listed") {
+      CHECK(fixture.ListedIds() == std::vector<std::string>{"a", "b", "c"});
+    }
+  }
+  SECTION("so is one whose output is a damaged object") {
+    overwrite(1, R"({"item":"b","verdict":"done","object":"damaged"})");
+    REQUIRE(RunCoroutine(PutObject(fixture.client, "damaged", "te\xF8t",
+                                   fixture.Deadline()))
+                .ok());
+    const auto results = read();
+    REQUIRE(results.ok());
+    REQUIRE(results->size() == 3);
+    CHECK(results->at(1) ==
+          policy::JobItemResult{"b", policy::JobItemStatus::kGivenUp, ""});
+  }
+  SECTION("a row without any sense keeps its position") {
+    overwrite(1, "{");
+    const auto results = read();
+    REQUIRE(results.ok());
+    REQUIRE(results->size() == 3);
+    CHECK(results->at(1) ==
+          policy::JobItemResult{"", policy::JobItemStatus::kGivenUp, ""});
+    CHECK(fixture.ListedIds() == std::vector<std::string>{"a", "", "c"});
+  }
+}
+
 // Guards against a new owner that continues an output at another version, or
 // can't read the row that a daemon of an earlier release has written.
 TEST_CASE("a row of partial output names the origin of each output") {
@@ -236,6 +298,13 @@
     REQUIRE(parsed.ok());
     CHECK(*parsed == std::vector{partials[1]});
   }
+  SECTION("an output that isn't UTF-8 is left out, and the others are read") {
+    auto damaged = row;
+    damaged.replace(damaged.find("\"x"), 2, "\"\xF8");
+    const auto parsed = layout::ParsePartials(damaged);
+    REQUIRE(parsed.ok());
+    CHECK(*parsed == std::vector{partials[1]});
+  }
   SECTION("a damaged row is rejected") {
     CHECK_FALSE(layout::ParsePartials(R"({"partials":[{"item":"a"}]})").ok());
   }
--- a/packages/policy/include/gypsumtrack/policy/serving/event_splitter.h
+++ b/packages/policy/include/gypsumtrack/policy/serving/event_splitter.h
@@ -43,9 +43,9 @@
   /// Whether an event exceeded kMaxEventBytes.
   bool event_too_long() const { return this->too_long; }  // NOLINT
   /// Whether there were bytes that are no event, such as the head or the text
-  /// of an error that an endpoint wrote into the stream. An event has a field
-  /// of server-sent events, and other lines only before the first one, as
-  /// those of the platform's endpoints have.
+  /// of an error that an endpoint wrote into the stream. An event is UTF-8, has
+  /// a field of server-sent events, and other lines only before the first one,
+  /// as those of the platform's endpoints have.
   bool event_malformed() const { return this->malformed; }  // NOLINT
 
  private:
--- a/packages/policy/src/serving/event_splitter.cc
+++ b/packages/policy/src/serving/event_splitter.cc
@@ -4,6 +4,8 @@
 #include <charconv>
 #include <utility>
 
+#include "gypsumtrack/base/utf8.h"
+
 namespace gypsumtrack::policy {
 namespace {
 
@@ -97,7 +99,7 @@
   for (auto end = FindEventEnd(this->buffer, from); end != std::string::npos;
        end = FindEventEnd(this->buffer, begin)) {
     auto block = this->buffer.substr(begin, end - begin);
-    this->malformed = !IsEvent(block);
+    this->malformed = !IsEvent(block) || !base::IsUtf8(block);
     if (this->malformed) return events;
     events.push_back(ParseEvent(std::move(block)));
     begin = end;
--- a/packages/policy/test/serving/event_splitter_test.cc
+++ b/packages/policy/test/serving/event_splitter_test.cc
@@ -90,6 +90,32 @@
   }
 }
 
+// Guards against bytes of a damaged response in the output of an item: the row
+// that holds it could never be read again.
+TEST_CASE("an event with bytes that aren't UTF-8 is no event") {
+  EventSplitter splitter;
+  SECTION("the events before it count, and nothing after it does") {
+    const auto events = splitter.Feed(
+        "id: 1\ndata: a\n\nid: 2\ndata: b\xE1 c\n\nid: 3\ndata: d\n\n");
+    REQUIRE(events.size() == 1);
+    CHECK(events[0].id == 1);
+    CHECK(splitter.event_malformed());
+    CHECK_FALSE(splitter.at_event_end());
+    CHECK(splitter.Feed("id: 2\ndata: b\n\n").empty());
+  }
+  SECTION("it doesn't matter in which field they are") {
+    CHECK(splitter.Feed("event: \xFF\nid: 1\ndata: a\n\n").empty());
+    CHECK(splitter.event_malformed());
+  }
+  SECTION("a character may be cut between two parts of the stream") {
+    CHECK(splitter.Feed("id: 1\ndata: Liivam\xC3").empty());
+    const auto events = splitter.Feed("\xA4gi \xF0\x9F\x8C\x8D\n\n");
+    REQUIRE(events.size() == 1);
+    CHECK(events[0].data == "Liivam\xC3\xA4gi \xF0\x9F\x8C\x8D");
+    CHECK(splitter.at_event_end());
+  }
+}
+
 TEST_CASE("an event arrives in parts") {
   using std::chrono::seconds;
   const base::Instant start{};
