Let a field that is too large close one connection, not the daemon

Cause: the limit on heads doesn't hold for trailers, and Beast throws for a field of over 65,533 bytes in a handler of the I/O context, which nothing caught.

Evidence: before the fix 'an endpoint sends a field that is too large' and 'a caller sends a field that is too large' ended with SIGABRT at 65,534 bytes (the sizes 65,532 and 65,533 passed).

Why it works: the parser of all outside bytes reports such a field as an error of its read; and an exception of a Boost library in any handler closes that connection, is logged and counted, while the event loop goes on.

--- a/packages/gateway/include/gypsumtrack/gateway/serving/serving_context.h
+++ b/packages/gateway/include/gypsumtrack/gateway/serving/serving_context.h
@@ -49,6 +49,7 @@
   telemetry::Counter& crashed_runs;
   telemetry::Counter& tunnelled;
   telemetry::Counter& quarantined;
+  telemetry::Counter& handler_exceptions;
   telemetry::LatencyHistogram& first_byte;
   telemetry::LatencyHistogram& complete_response;
   telemetry::LatencyHistogram& job_acceptance;
--- a/packages/gateway/src/daemon.cc
+++ b/packages/gateway/src/daemon.cc
@@ -29,6 +29,7 @@
 #include "gypsumtrack/gateway/report_service.h"
 #include "gypsumtrack/peer/peer_transport.h"
 #include "gypsumtrack/platform/http_platform.h"
+#include "run_handlers.h"
 
 namespace gypsumtrack::gateway {
 namespace {
@@ -224,7 +225,11 @@
     if (!started.ok()) return started;
   }
   for (std::uint32_t i = 0; i < this->runtime.settings.threads; ++i) {
-    this->threads.emplace_back([this] { this->context.run(); });
+    this->threads.emplace_back([this] {
+      RunHandlers(this->context, [](const std::string& reason) {
+        kLog.Error("A handler threw an exception: {}.", reason);
+      });
+    });
   }
   this->membership->Start();
   this->config->Start();
--- a/packages/gateway/src/endpoint_client.cc
+++ b/packages/gateway/src/endpoint_client.cc
@@ -12,6 +12,7 @@
 #include "gypsumtrack/base/hash.h"
 #include "gypsumtrack/gateway/header_syntax.h"
 #include "gypsumtrack/gateway/http_status.h"
+#include "gypsumtrack/platform/bounded_parser.h"
 #include "socket_address.h"
 #include "tcp_options.h"
 #include "watchdog.h"
@@ -22,7 +23,7 @@
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 using boost::system::error_code;
-using Parser = http::response_parser<http::buffer_body>;
+using Parser = platform::BoundedResponseParser<http::buffer_body>;
 
 constexpr auto kAwaitTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t kBodyPartBytes = std::size_t{16} * 1024;
--- a/packages/gateway/src/http_connection.h
+++ b/packages/gateway/src/http_connection.h
@@ -14,6 +14,7 @@
 
 #include "gypsumtrack/gateway/error_reply.h"
 #include "gypsumtrack/gateway/http_server.h"
+#include "gypsumtrack/platform/bounded_parser.h"
 #include "watchdog.h"
 
 /// Connections of the HTTP server.
@@ -76,7 +77,7 @@
 
  private:
   using Parser =
-      boost::beast::http::request_parser<boost::beast::http::buffer_body>;
+      platform::BoundedRequestParser<boost::beast::http::buffer_body>;
 
   /// What the connection waits for.
   enum class Awaited {
--- a/packages/gateway/src/http_server.cc
+++ b/packages/gateway/src/http_server.cc
@@ -199,17 +199,27 @@
     const bool at_limit =
         this->connections.size() >= this->context->options.max_connections;
     this->connections.insert(connection);
-    asio::co_spawn(
-        connection->strand(),
-        [connection, at_limit] {
-          return at_limit ? connection->Refuse() : connection->Run();
-        },
-        [self = this->shared_from_this(),
-         connection](const std::exception_ptr&) {
+    auto serve = [self = this->shared_from_this(), connection, at_limit] {
+      return self->Serve(connection, at_limit);
+    };
+    asio::co_spawn(connection->strand(), std::move(serve), asio::detached);
+  }
+
+  /// Serves the connection and removes it, also if an exception in a handler
+  /// destroys this coroutine.
+  asio::awaitable<void> Serve(std::shared_ptr<detail::Connection> connection,
+                              bool at_limit) {
+    const std::shared_ptr<void> removal(
+        nullptr, [self = this->shared_from_this(), connection](void*) {
           asio::post(self->strand, [self, connection] {
             self->RemoveConnection(connection);
           });
         });
+    if (at_limit) {
+      co_await connection->Refuse();
+    } else {
+      co_await connection->Run();
+    }
   }
 
   void RemoveConnection(const std::shared_ptr<detail::Connection>& connection) {
--- a/packages/gateway/src/serving/serving_context.cc
+++ b/packages/gateway/src/serving/serving_context.cc
@@ -41,6 +41,9 @@
       quarantined(registry.GetCounter("gypsumtrack_quarantined_total", "",
                                       "Requests refused because they or a part "
                                       "of their prompt crash endpoints.")),
+      handler_exceptions(registry.GetCounter(
+          "gypsumtrack_handler_exceptions_total", "",
+          "Connections closed because a handler threw an exception.")),
       first_byte(registry.GetHistogram(
           "gypsumtrack_first_event_seconds", "",
           "From a request to the first byte of its response's body.")),
--- a/packages/gateway/src/serving/serving_daemon.cc
+++ b/packages/gateway/src/serving/serving_daemon.cc
@@ -16,6 +16,7 @@
 #include <unordered_map>
 #include <utility>
 
+#include "../run_handlers.h"
 #include "gypsumtrack/base/event_log.h"
 #include "gypsumtrack/gateway/http_status.h"
 #include "gypsumtrack/gateway/serving/crash_service.h"
@@ -183,8 +184,12 @@
   }
 
   void Run() {
-    std::thread view_thread([this] { this->view_context.run(); });
-    this->context.run();
+    const auto on_exception = [this](const std::string& reason) {
+      this->OnHandlerException(reason);
+    };
+    std::thread view_thread(
+        [&] { RunHandlers(this->view_context, on_exception); });
+    RunHandlers(this->context, on_exception);
     this->view_context.stop();
     view_thread.join();
     base::LogEvent("stopped", {{"vm", this->serving.self.name}});
@@ -192,6 +197,11 @@
   }
 
  private:
+  void OnHandlerException(const std::string& reason) {
+    this->serving.metrics.handler_exceptions.Add();
+    base::LogEvent("handler_exception", {{"reason", reason}});
+  }
+
   // Store view.
 
   void ApplyStoreView() {
--- a/packages/platform/src/http_pool.cc
+++ b/packages/platform/src/http_pool.cc
@@ -21,6 +21,8 @@
 #include <utility>
 #include <vector>
 
+#include "gypsumtrack/platform/bounded_parser.h"
+
 namespace gypsumtrack::platform {
 namespace {
 
@@ -38,6 +40,8 @@
 /// A transfer that delivers nothing for this long has stalled.
 constexpr auto kMaxTransferPause = std::chrono::milliseconds(1500);
 constexpr std::uint64_t kMaxReplyBytes = 256ULL * 1024 * 1024;
+/// Bounds what is kept of a head, a chunk's size or a trailer without end.
+constexpr std::size_t kMaxBufferBytes = std::size_t{128} * 1024;
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 
@@ -46,7 +50,7 @@
       : stream(executor) {}
 
   beast::tcp_stream stream;
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{kMaxBufferBytes};
   base::Instant idle_until;
 };
 
@@ -257,7 +261,7 @@
     const auto [write_error, written] =
         co_await http::async_write(connection->stream, request, kAwait);
     if (write_error) co_return this->NoResponse(write_error.message());
-    http::response_parser<http::string_body> parser;
+    BoundedResponseParser<http::string_body> parser;
     parser.body_limit(kMaxReplyBytes);
     while (!parser.is_done()) {
       const auto [read_error, read] = co_await http::async_read_some(
