End a call at its deadline, whatever still arrives

Blank lines counted as events.

Why it works: at the deadline the bytes that have arrived are counted, and these are read, once; nothing later moves that. Blank lines and comments are no progress, so that such an attempt is moved as a silent one is. The same for bodies of callers.

--- a/packages/gateway/include/gypsumtrack/gateway/endpoint_client.h
+++ b/packages/gateway/include/gypsumtrack/gateway/endpoint_client.h
@@ -112,6 +112,8 @@
   /// one that received a response within
   /// EndpointClientOptions::liveness_window.
   bool idempotent = true;
+  /// The call ends then, whatever arrives later. What had arrived by then is
+  /// still read and passed on.
   base::Instant deadline = base::kNever;
   /// Maximum time without progress while sending the request or receiving the
   /// response.
@@ -140,6 +142,9 @@
   /// Receives each part of a 2xx body instead of EndpointResult::body. An error
   /// ends the call: kInvalid as kMismatched, others as kCancelled.
   PartHook on_part;
+  /// Asked after each part that `on_part` has accepted: whether it is progress,
+  /// so that `progress_timeout` begins anew. If empty, each part is.
+  std::function<bool()> made_progress;
   /// Called with the head of the response, before its body is read.
   std::function<void(const ResponseHead& head)> on_head;
   /// Whether the parts passed to `on_part` form a complete response. Called at
--- a/packages/gateway/src/endpoint_client.cc
+++ b/packages/gateway/src/endpoint_client.cc
@@ -38,6 +38,13 @@
 constexpr base::Duration kAbandonCheckInterval = std::chrono::milliseconds(50);
 /// Time to read input that has arrived by the time at which a timeout expires.
 constexpr base::Duration kUnreadInputTimeout = std::chrono::seconds(1);
+
+/// What had arrived when the deadline of a call passed.
+struct LateInput {
+  /// Number of bytes that aren't read yet.
+  std::size_t bytes_left = 0;
+  base::Instant read_until;
+};
 /// Fraction of the endpoint's idle timeout for which a connection is reused, so
 /// that the endpoint doesn't close it first.
 constexpr double kIdleTimeoutFraction = 0.7;
@@ -257,25 +264,78 @@
 
   void OnTimeout() {
     const auto now = this->clock.now();
-    // After a standstill of the process, the timer may fire before the socket
-    // is found to be readable.
-    if (this->reading && this->HasUnreadInput()) {
-      this->watchdog->Set(now + kUnreadInputTimeout);
-      return;
-    }
+    if (this->reading && this->MayReadArrivedInput(now)) return;
     const bool may_wait = this->exchange_started && this->call.may_abandon &&
                           now < this->call.deadline;
     if (!may_wait || this->call.may_abandon()) {
       this->Close();
       return;
     }
+    this->next_stall_check_at = now + kAbandonCheckInterval;
     this->SetTimeout(kAbandonCheckInterval);
   }
 
-  /// Whether the endpoint has sent bytes that aren't read yet.
-  bool HasUnreadInput() const {
+  /// Number of bytes that the endpoint has sent and that aren't read yet.
+  std::size_t CountUnreadInput() const {
     error_code error;
-    return this->connection->socket.available(error) > 0 && !error;
+    const auto unread = this->connection->socket.available(error);
+    return error ? 0 : unread;
+  }
+
+  /// Gives more time after a timeout to read what has arrived already. After a
+  /// standstill of the process, the timer may fire before the socket is found
+  /// to be readable. Input that goes on arriving gives no further time.
+  bool MayReadArrivedInput(base::Instant now) {
+    if (this->CountUnreadInput() == 0) return false;
+    if (now >= this->call.deadline) {
+      if (this->late_input) return false;
+      this->BeginLateInput(now);
+      this->watchdog->Set(this->late_input->read_until);
+      return true;
+    }
+    if (this->stall_prolonged) return false;
+    this->stall_prolonged = true;
+    this->SetTimeout(kUnreadInputTimeout);
+    return true;
+  }
+
+  void BeginLateInput(base::Instant now) {
+    const auto bytes =
+        this->connection->buffer.size() + this->CountUnreadInput();
+    this->late_input = LateInput{bytes, now + kUnreadInputTimeout};
+  }
+
+  /// Whether to read on: until the deadline, and then what had arrived by then.
+  bool MayReadOn() {
+    const auto now = this->clock.now();
+    if (now < this->call.deadline) return true;
+    if (!this->late_input) this->BeginLateInput(now);
+    return this->late_input->bytes_left > 0 &&
+           now < this->late_input->read_until;
+  }
+
+  void OnBytesRead(std::size_t count) {
+    if (!this->late_input) return;
+    auto& left = this->late_input->bytes_left;
+    left -= std::min(left, count);
+  }
+
+  /// Begins the time without progress anew.
+  void OnProgress() {
+    this->stalled_at = this->clock.now() + this->call.progress_timeout;
+    this->stall_prolonged = false;
+  }
+
+  /// Limits the next read to the end of the time without progress and to the
+  /// deadline of the call.
+  void SetReadTimeout() {
+    if (this->late_input) {
+      this->watchdog->Set(this->late_input->read_until);
+      return;
+    }
+    const auto stall_check_at =
+        std::max(this->stalled_at, this->next_stall_check_at);
+    this->watchdog->Set(std::min(this->call.deadline, stall_check_at));
   }
 
   bool Cancelled() const {
@@ -361,6 +421,7 @@
     while (!this->parser->is_done()) {
       const auto size_read = co_await this->ReadSome(part);
       if (!size_read) co_return false;
+      this->OnProgress();
       discarded += *size_read;
       if (discarded > this->options.max_body_bytes) co_return false;
     }
@@ -379,7 +440,8 @@
       this->parser->header_limit(kMaxHeaderBytes);
       this->parser->body_limit(boost::none);
       if (this->call.method == "HEAD") this->parser->skip(true);
-      this->SetTimeout(this->call.progress_timeout);
+      this->OnProgress();
+      this->SetReadTimeout();
       this->reading = true;
       const auto [error, size] = co_await http::async_read_header(
           this->connection->socket, this->connection->buffer, *this->parser,
@@ -389,6 +451,7 @@
         this->result.outcome = this->FailureOutcome();
         co_return false;
       }
+      this->OnBytesRead(size);
       if (HasInnerStatusLine(*this->parser)) {
         this->result.outcome = CallOutcome::kInvalid;
         co_return false;
@@ -436,6 +499,7 @@
 
   asio::awaitable<bool> ReadBody() {
     std::string part(kBodyPartBytes, '\0');
+    this->OnProgress();
     while (!this->parser->is_done()) {
       const auto size_read = co_await this->ReadSome(part);
       if (!size_read) co_return false;
@@ -448,13 +512,17 @@
   }
 
   /// Reads body bytes into `part` and returns their number; none if the
-  /// connection failed.
+  /// connection failed or the deadline has passed.
   asio::awaitable<std::optional<std::size_t>> ReadSome(std::string& part) {
+    if (!this->MayReadOn()) {
+      this->result.outcome = CallOutcome::kDeadline;
+      co_return std::nullopt;
+    }
     auto& body = this->parser->get().body();
     body.data = part.data();
     body.size = part.size();
     body.more = true;
-    this->SetTimeout(this->call.progress_timeout);
+    this->SetReadTimeout();
     this->reading = true;
     auto [error, size] = co_await http::async_read_some(
         this->connection->socket, this->connection->buffer, *this->parser,
@@ -465,6 +533,7 @@
       this->result.outcome = this->FailureOutcome();
       co_return std::nullopt;
     }
+    this->OnBytesRead(size);
     co_return part.size() - body.size;
   }
 
@@ -475,13 +544,18 @@
     if (streamed) {
       this->watchdog->Set(base::kNever);
       const auto status = co_await this->call.on_part(this->result.head, part);
-      if (status.ok()) co_return true;
+      if (status.ok()) {
+        if (!this->call.made_progress || this->call.made_progress())
+          this->OnProgress();
+        co_return true;
+      }
       this->result.outcome = status.error().Is(base::Errc::kInvalid)
                                  ? CallOutcome::kMismatched
                                  : CallOutcome::kCancelled;
       co_return false;
     }
     this->result.body += part;
+    this->OnProgress();
     if (this->result.body.size() <= this->options.max_body_bytes)
       co_return true;
     this->result.outcome = CallOutcome::kInvalid;
@@ -521,6 +595,15 @@
   bool exchange_started = false;
   /// Whether a part of the response is awaited.
   bool reading = false;
+  /// When the call has made no progress for its progress timeout.
+  base::Instant stalled_at{};
+  /// When to ask next whether to end the call, if it has made none by then.
+  base::Instant next_stall_check_at{};
+  /// Whether there was more time already, since the last progress, to read what
+  /// had arrived.
+  bool stall_prolonged = false;
+  /// Set once the deadline has passed.
+  std::optional<LateInput> late_input;
   bool keep_alive = false;
 };
 
--- a/packages/gateway/src/http_connection.cc
+++ b/packages/gateway/src/http_connection.cc
@@ -32,6 +32,7 @@
 /// Time to read input that has arrived by the time at which a timeout expires.
 constexpr base::Duration kUnreadInputTimeout = std::chrono::seconds(1);
 constexpr unsigned kHttp11 = 11;
+constexpr const char* kSlowBodyMessage = "The body came too slowly.";
 
 /// Whether a segment of the path is `.` or `..`.
 bool HasDotSegment(std::string_view path) {
@@ -104,8 +105,9 @@
   // After a standstill of the process, the timer may fire before the socket is
   // found to be readable.
   const bool awaits_input = this->awaited != Awaited::kOther;
-  if (awaits_input && this->HasUnreadInput()) {
-    this->watchdog->Set(now + kUnreadInputTimeout);
+  if (awaits_input && !this->late_input_until && this->HasUnreadInput()) {
+    this->late_input_until = now + kUnreadInputTimeout;
+    this->watchdog->Set(*this->late_input_until);
     return;
   }
   if (this->awaited == Awaited::kRequest && now < this->IdleDeadline()) {
@@ -123,6 +125,20 @@
   this->Close();
 }
 
+void Connection::SetInputDeadline(base::Instant deadline) {
+  if (deadline > this->context->clock.now()) this->late_input_until.reset();
+  this->watchdog->Set(this->late_input_until.value_or(deadline));
+}
+
+bool Connection::MayReadBody() {
+  const auto now = this->context->clock.now();
+  if (now < this->BodyDeadline()) return true;
+  const bool has_input = this->buffer.size() > 0 || this->HasUnreadInput();
+  if (has_input && !this->late_input_until)
+    this->late_input_until = now + kUnreadInputTimeout;
+  return !this->late_input_until || now < *this->late_input_until;
+}
+
 base::Instant Connection::IdleDeadline() const {
   return this->idle_since + this->context->Limits().idle_timeout;
 }
@@ -166,7 +182,7 @@
   const bool takes_no_more = this->context->drain_grace_over.load();
   if (takes_no_more && !this->HasUnreadInput()) co_return false;
   this->idle_since = this->context->clock.now();
-  this->watchdog->Set(this->IdleDeadline());
+  this->SetInputDeadline(this->IdleDeadline());
   this->awaited = Awaited::kRequest;
   const auto [error] = co_await this->socket.async_wait(
       asio::socket_base::wait_read, kAwaitTuple);
@@ -177,7 +193,7 @@
 asio::awaitable<bool> Connection::ReadHead() {
   const auto now = this->context->clock.now();
   const auto limits = this->context->Limits();
-  this->watchdog->Set(now + limits.header_timeout);
+  this->SetInputDeadline(now + limits.header_timeout);
   this->exchange_deadline = now + this->context->options.request_timeout;
   this->started = this->streaming = this->ended = false;
   this->keeps_alive = false;
@@ -333,11 +349,16 @@
   if (this->continue_pending) co_await this->WriteContinue();
   std::string part(kBodyPartBytes, '\0');
   while (!this->parser->is_done()) {
+    if (!this->MayReadBody()) {
+      this->watchdog->Set(base::kNever);
+      this->must_close = true;
+      co_return base::Error(base::Errc::kTimeout, kSlowBodyMessage);
+    }
     auto& body = this->parser->get().body();
     body.data = part.data();
     body.size = part.size();
     body.more = true;
-    this->watchdog->Set(this->BodyDeadline());
+    this->SetInputDeadline(this->BodyDeadline());
     this->BeginRead();
     auto [error, size] = co_await http::async_read_some(
         this->socket, this->buffer, *this->parser, kAwaitTuple);
@@ -347,8 +368,7 @@
       this->watchdog->Set(base::kNever);
       this->must_close = true;
       if (this->input_timed_out) {
-        co_return base::Error(base::Errc::kTimeout,
-                              "The body came too slowly.");
+        co_return base::Error(base::Errc::kTimeout, kSlowBodyMessage);
       }
       const bool malformed =
           error.category() ==
--- a/packages/gateway/src/http_connection.h
+++ b/packages/gateway/src/http_connection.h
@@ -89,6 +89,11 @@
   void OnTimeout();
   /// When the connection has been idle too long, by the limits in force now.
   base::Instant IdleDeadline() const;
+  /// Sets when input is too late. Once that has passed, what had arrived by
+  /// then is read until `late_input_until`, which later input doesn't move.
+  void SetInputDeadline(base::Instant deadline);
+  /// Whether to read on: until the body is too slow, and then what had arrived.
+  bool MayReadBody();
   /// Whether the caller has sent bytes that aren't read yet.
   bool HasUnreadInput() const;
 
@@ -128,6 +133,8 @@
   base::Instant body_started_at{};
   /// When it began to wait for a request.
   base::Instant idle_since{};
+  /// Set once the deadline of input has passed while some was unread.
+  std::optional<base::Instant> late_input_until;
   std::uint64_t body_bytes = 0;
   /// Incremented when an exchange begins and ends, so that a late readiness
   /// event of an earlier exchange is recognised and ignored.
--- a/packages/gateway/src/serving/job_runner.cc
+++ b/packages/gateway/src/serving/job_runner.cc
@@ -419,6 +419,7 @@
   const auto suspects = policy::ToSuspects(item.shared_parts);
   policy::EventSplitter splitter;
   policy::EventArrivalLimit arrival_limit;
+  auto part_content = policy::PartContent::kNone;
   EndpointCall call;
   call.address = endpoint.address;
   call.method = "POST";
@@ -435,7 +436,7 @@
   call.cancel = job->running[start.index].cancel;
   const auto events_before = job->run.event_count(start.index);
   call.on_part = [this, job, start, events_before, &suspects, &splitter,
-                  &arrival_limit](
+                  &arrival_limit, &part_content](
                      const ResponseHead& head,
                      std::string_view part) -> asio::awaitable<base::Status> {
     base::Status status = base::Done{};
@@ -461,8 +462,9 @@
     const bool has_first = count_before == events_before &&
                            job->run.event_count(start.index) > events_before;
     if (has_first) ReportFirstEvent(this->context, suspects);
+    part_content = policy::ClassifyPart(splitter, events);
     const bool in_time = arrival_limit.OnPart(
-        !events.empty(), this->context.clock.now(), kItemIdleTimeout);
+        part_content, this->context.clock.now(), kItemIdleTimeout);
     const bool is_sound =
         in_time && !splitter.event_too_long() && !splitter.event_malformed();
     if (status.ok() && !is_sound) {
@@ -472,6 +474,9 @@
     }
     co_return status;
   };
+  call.made_progress = [&part_content] {
+    return part_content != policy::PartContent::kNone;
+  };
   call.is_complete = [job, start, &splitter](const ResponseHead& head) {
     // One without a length or chunks that ends before any event was broken off,
     // unless it resumes an output, which may have had all events.
--- a/packages/gateway/src/serving/relay_service.cc
+++ b/packages/gateway/src/serving/relay_service.cc
@@ -423,6 +423,9 @@
       call.on_part = [this](const ResponseHead& head, std::string_view part) {
         return this->RelayPart(head, std::string(part));
       };
+      call.made_progress = [this] {
+        return this->part_content != policy::PartContent::kNone;
+      };
       call.is_complete = [this](const ResponseHead& head) {
         return this->IsComplete(head);
       };
@@ -473,7 +476,8 @@
     // retry resumes after the last of them.
     auto relayed = co_await this->RelayEvents(head, std::move(bytes));
     const auto now = this->Now();
-    const bool in_time = this->arrival_limit.OnPart(!events.empty(), now,
+    this->part_content = policy::ClassifyPart(this->splitter, events);
+    const bool in_time = this->arrival_limit.OnPart(this->part_content, now,
                                                     this->ProgressTimeout(now));
     const bool valid = in_order && in_time &&
                        !this->splitter.event_too_long() &&
@@ -513,8 +517,7 @@
   }
 
   void CountEvent(const policy::StreamEvent& event) {
-    const bool is_comment = !event.id && event.data.empty();
-    if (is_comment) return;
+    if (!policy::IsContent(event)) return;
     if (this->attempt_events++ == 0)
       ReportFirstEvent(this->context, this->suspects);
   }
@@ -692,6 +695,8 @@
   /// Number of events received in the current attempt.
   std::uint64_t attempt_events = 0;
   policy::EventArrivalLimit arrival_limit;
+  /// What the last part of the stream has brought.
+  policy::PartContent part_content = policy::PartContent::kNone;
   /// Id of the last event that was relayed, at first of the last one that the
   /// caller reports to have received.
   std::optional<std::uint64_t> after_event;
--- a/packages/gateway/test/endpoint_client_test.cc
+++ b/packages/gateway/test/endpoint_client_test.cc
@@ -11,6 +11,7 @@
 #include <utility>
 #include <vector>
 
+#include "gypsumtrack/gateway/serving/row_store_await.h"
 #include "gypsumtrack/testing/raw_endpoint.h"
 #include "serving/run_coroutine.h"
 #include "silent_listeners.h"
@@ -248,6 +249,65 @@
   }
 }
 
+// Guards against a call that outlasts its deadline for as long as bytes go on
+// arriving.
+TEST_CASE("an endpoint sends on after the deadline of a call") {
+  constexpr auto kTimeLeft = std::chrono::milliseconds(300);
+  constexpr auto kMaxDelay = std::chrono::milliseconds(500);
+  ClientFixture fixture;
+  const std::string piece(16 * 1024, '\n');
+  fixture.endpoint.SetResponses(
+      {{kCloseDelimitedHead, RawEnd::kKeepOpen, piece}});
+  auto call = fixture.MakeCall();
+  const auto clock = base::SystemClock();
+  call.deadline = clock.now() + kTimeLeft;
+  call.may_abandon = [] { return false; };
+  const auto deadline = call.deadline;
+  base::Instant last_part_at{};
+  // Slower than the endpoint sends, so that there are always bytes to read.
+  call.on_part = [&](const ResponseHead&,
+                     std::string_view) -> boost::asio::awaitable<base::Status> {
+    co_await Pause(std::chrono::milliseconds(1));
+    last_part_at = clock.now();
+    co_return base::Done{};
+  };
+  const auto result = fixture.Send(std::move(call));
+  CHECK(result.outcome == CallOutcome::kDeadline);
+  CHECK(result.run == policy::RunState::kUnknown);
+  CHECK(clock.now() < deadline + kMaxDelay);
+  // What had arrived by then is read.
+  CHECK(last_part_at >= deadline);
+  CHECK(fixture.client.idle_count(fixture.endpoint.address()) == 0);
+}
+
+// Guards against bytes that bring nothing and keep a call from being given up.
+TEST_CASE("an endpoint sends what is no progress") {
+  ClientFixture fixture;
+  const std::string piece(1024, '\n');
+  const std::chrono::milliseconds pause(5);
+  fixture.endpoint.SetResponses(
+      {{kCloseDelimitedHead, RawEnd::kKeepOpen, piece, pause}});
+  auto call = fixture.MakeCall();
+  call.progress_timeout = std::chrono::milliseconds(200);
+  call.on_part = [](const ResponseHead&,
+                    std::string_view) -> boost::asio::awaitable<base::Status> {
+    co_return base::Done{};
+  };
+  int asked = 0;
+  SECTION("the call is given up if it may be") {
+    call.made_progress = [] { return false; };
+    call.may_abandon = [&asked] { return ++asked > 2; };
+    CHECK(fixture.Send(call).outcome == CallOutcome::kStalled);
+    CHECK(asked == 3);
+  }
+  SECTION("if it is progress, the call goes on to its deadline") {
+    call.deadline = base::SystemClock().now() + std::chrono::seconds(1);
+    call.may_abandon = [&asked] { return ++asked > 2; };
+    CHECK(fixture.Send(call).outcome == CallOutcome::kDeadline);
+    CHECK(asked == 0);
+  }
+}
+
 TEST_CASE("an endpoint sends bytes without end") {
   ClientFixture fixture;
   std::string text;
--- a/packages/gateway/test/http_connection_test.cc
+++ b/packages/gateway/test/http_connection_test.cc
@@ -1,5 +1,6 @@
 #include "../src/http_connection.h"
 
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -9,7 +10,6 @@
 #include <future>
 #include <memory>
 #include <string>
-#include <thread>
 #include <tuple>
 #include <utility>
 #include <vector>
@@ -305,6 +305,39 @@
   }
 }
 
+// Guards against a body that never ends and that holds its request for as long
+// as bytes go on arriving, because each timeout finds some that are unread.
+TEST_CASE("a body goes on arriving without getting anywhere") {
+  constexpr int kMaxParts = 200;
+  ServerFixture fixture;
+  fixture.options.slow_body_grace = kShort;
+  fixture.options.min_body_bytes_per_second = std::uint64_t{1} << 40;
+  std::string error;
+  std::atomic<bool> is_over = false;
+  fixture.Start([&](Exchange& exchange) -> asio::awaitable<void> {
+    for (int i = 0; i < kMaxParts && error.empty(); ++i) {
+      const auto part = co_await exchange.ReadPart();
+      if (!part.ok()) error = part.error().message;
+      fixture.now += kShort;
+      ServerFixture::AwaitTimers();
+    }
+    is_over = true;
+    ResponseHead head;
+    head.status = 408;
+    std::ignore = co_await exchange.Send(std::move(head), std::string());
+  });
+  auto& caller = fixture.Connect();
+  caller.SendRaw(
+      "POST /s HTTP/1.1\r\nHost: g\r\nTransfer-Encoding: chunked\r\n\r\n");
+  std::string chunks;
+  const std::string extension(10'000, 'a');
+  for (int i = 0; i < 100; ++i) chunks += "1;" + extension + "\r\nx\r\n";
+  fixture.RunDuring([&] {
+    while (!is_over) caller.SendRaw(chunks);
+  });
+  CHECK(error == "The body came too slowly.");
+}
+
 // Guards against responses that promise to keep a connection that is then
 // closed, because too much of the request's body is left to discard.
 TEST_CASE("a request is refused before its body is read") {
--- a/packages/policy/include/gypsumtrack/policy/serving/event_splitter.h
+++ b/packages/policy/include/gypsumtrack/policy/serving/event_splitter.h
@@ -40,6 +40,9 @@
   bool at_event_end() const {  // NOLINT
     return this->buffer.empty() && !this->too_long && !this->malformed;
   }
+  /// Whether a part of an event has arrived whose rest is missing. Blank lines
+  /// and comments are no part of one.
+  bool has_partial_event() const;  // NOLINT
   /// Whether an event exceeded kMaxEventBytes.
   bool event_too_long() const { return this->too_long; }  // NOLINT
   /// Whether there were bytes that are no event, such as the head or the text
@@ -57,16 +60,31 @@
   bool malformed = false;
 };
 
+/// Whether the block has an id or data. Comments and blank lines don't.
+bool IsContent(const StreamEvent& event);
+
+/// What a part of a stream has brought.
+enum class PartContent {
+  kNone,          ///< nothing but blank lines and comments
+  kPartialEvent,  ///< a part of an event, and no complete one
+  kEvent,         ///< at least one complete event
+};
+
+/// Classifies a part of a stream by the events that `splitter` returned for it.
+/// What brings nothing is as good as silence.
+PartContent ClassifyPart(const EventSplitter& splitter,
+                         const std::vector<StreamEvent>& events);
+
 /// Limits the time that an event takes to arrive, so that an endpoint can't
 /// hold an attempt by sending bytes that complete no event. The time of a
 /// silence doesn't count. Not thread-safe.
 class EventArrivalLimit {
  public:
-  /// Records a part of the stream that arrived at `now` and whether it
-  /// completed an event. Returns false if no event was completed within
-  /// `timeout` of the first part that completed none, or of the first one after
-  /// a silence of `timeout` or longer.
-  bool OnPart(bool completed_event, base::Instant now, base::Duration timeout);
+  /// Records a part of the stream that arrived at `now`. Returns false if no
+  /// event was completed within `timeout` of the first part that completed
+  /// none, or of the first one after a silence of `timeout` or longer. Parts
+  /// that bring nothing don't count.
+  bool OnPart(PartContent content, base::Instant now, base::Duration timeout);
 
  private:
   /// kNever unless a part arrived since the last event.
--- a/packages/policy/src/serving/event_splitter.cc
+++ b/packages/policy/src/serving/event_splitter.cc
@@ -118,11 +118,37 @@
   return events;
 }
 
-bool EventArrivalLimit::OnPart(bool completed_event, base::Instant now,
+bool EventSplitter::has_partial_event() const {
+  std::string_view text(this->buffer);
+  while (!text.empty()) {
+    const bool is_ignored =
+        text.front() == '\n' || text.front() == '\r' || text.front() == ':';
+    if (!is_ignored) return true;
+    const auto line_feed = text.find('\n');
+    if (line_feed == std::string_view::npos) return false;
+    text.remove_prefix(line_feed + 1);
+  }
+  return false;
+}
+
+bool IsContent(const StreamEvent& event) {
+  return event.id || !event.data.empty();
+}
+
+PartContent ClassifyPart(const EventSplitter& splitter,
+                         const std::vector<StreamEvent>& events) {
+  if (std::any_of(events.begin(), events.end(), IsContent))
+    return PartContent::kEvent;
+  return splitter.has_partial_event() ? PartContent::kPartialEvent
+                                      : PartContent::kNone;
+}
+
+bool EventArrivalLimit::OnPart(PartContent content, base::Instant now,
                                base::Duration timeout) {
+  if (content == PartContent::kNone) return true;
   const bool was_silent = now - this->last_part_at >= timeout;
   this->last_part_at = now;
-  if (completed_event) {
+  if (content == PartContent::kEvent) {
     this->deadline = base::kNever;
     return true;
   }
--- a/packages/policy/src/serving/job_run.cc
+++ b/packages/policy/src/serving/job_run.cc
@@ -83,8 +83,7 @@
 bool JobRun::OnEvent(std::size_t index, const StreamEvent& event) {
   auto& each = this->progress[index];
   if (each.state != State::kRunning) return false;
-  // A comment, or bytes that are no event.
-  if (!event.id && event.data.empty()) return true;
+  if (!IsContent(event)) return true;
   if (event.id) {
     const bool follows =
         each.last_event ? *event.id == *each.last_event + 1 : each.text.empty();
--- a/packages/policy/test/serving/event_splitter_test.cc
+++ b/packages/policy/test/serving/event_splitter_test.cc
@@ -120,22 +120,53 @@
   using std::chrono::seconds;
   const base::Instant start{};
   const base::Duration timeout = seconds(2);
+  const auto kPartial = PartContent::kPartialEvent;
+  const auto kWhole = PartContent::kEvent;
   EventArrivalLimit limit;
-  REQUIRE(limit.OnPart(false, start, timeout));
-  CHECK(limit.OnPart(false, start + seconds(1), timeout));
+  REQUIRE(limit.OnPart(kPartial, start, timeout));
+  CHECK(limit.OnPart(kPartial, start + seconds(1), timeout));
   SECTION("it may take as long as the timeout") {
-    CHECK_FALSE(limit.OnPart(false, start + seconds(2), timeout));
+    CHECK_FALSE(limit.OnPart(kPartial, start + seconds(2), timeout));
   }
   SECTION("the next event has a time of its own, from its first part") {
-    CHECK(limit.OnPart(true, start + seconds(3), timeout));
-    CHECK(limit.OnPart(false, start + seconds(8), timeout));
-    CHECK(limit.OnPart(false, start + seconds(9), timeout));
-    CHECK_FALSE(limit.OnPart(false, start + seconds(10), timeout));
+    CHECK(limit.OnPart(kWhole, start + seconds(3), timeout));
+    CHECK(limit.OnPart(kPartial, start + seconds(8), timeout));
+    CHECK(limit.OnPart(kPartial, start + seconds(9), timeout));
+    CHECK_FALSE(limit.OnPart(kPartial, start + seconds(10), timeout));
+  }
+  SECTION("blank lines and comments give it no more time") {
+    CHECK(limit.OnPart(PartContent::kNone, start + seconds(1), timeout));
+    CHECK_FALSE(limit.OnPart(kPartial, start + seconds(2), timeout));
   }
   SECTION("it has the whole time again after a silence in the middle of it") {
-    CHECK(limit.OnPart(false, start + seconds(4), timeout));
-    CHECK(limit.OnPart(false, start + seconds(5), timeout));
-    CHECK_FALSE(limit.OnPart(false, start + seconds(6), timeout));
+    CHECK(limit.OnPart(kPartial, start + seconds(4), timeout));
+    CHECK(limit.OnPart(kPartial, start + seconds(5), timeout));
+    CHECK_FALSE(limit.OnPart(kPartial, start + seconds(6), timeout));
+  }
+}
+
+// Guards against blank lines without end that count as a stream that goes on.
+TEST_CASE("blank lines and comments bring nothing") {
+  EventSplitter splitter;
+  const auto classify = [&](std::string_view part) {
+    return ClassifyPart(splitter, splitter.Feed(part));
+  };
+  SECTION("however they are cut into parts") {
+    for (const auto* part : {"\n", "\n\n\n", "\r\n\r", "\n", ": ke", "ep\n",
+                             "\n", ":\n\n:\n\n\n"}) {
+      INFO(part);
+      CHECK(classify(part) == PartContent::kNone);
+    }
+    CHECK(classify("data: a\n\n") == PartContent::kEvent);
+  }
+  SECTION("but an event behind them does") {
+    CHECK(classify("\n\n: keep\nid") == PartContent::kPartialEvent);
+    CHECK(classify(": 1\n") == PartContent::kPartialEvent);
+    CHECK(classify("\n") == PartContent::kEvent);
+    CHECK(classify("\n\n") == PartContent::kNone);
+  }
+  SECTION("and so does an event without data") {
+    CHECK(classify("id: 7\n\n") == PartContent::kEvent);
   }
 }
 
