Know the other daemons before admitting more than a share of a limit

Callers saw: an organisation got more than its limit (QUOTA) when daemons started while it sent several times its rate.

Cause: a daemon knows the limits some 10 ms after its start, but published its list of peers a heartbeat period later, and an empty list before: for a second it took itself to be alone, admitted from the whole bucket and sent its counts to nobody.

Why it works: peers are published when the registrations are read, never before, and until then a tenth of each bucket is available, one request at least. In the simulation no request within the limit is refused after one, three or all restarts.

--- a/packages/gateway/include/gypsumtrack/gateway/serving/fleet_service.h
+++ b/packages/gateway/include/gypsumtrack/gateway/serving/fleet_service.h
@@ -119,6 +119,8 @@
   std::shared_ptr<TableFollower> follower;
   /// All registered daemons, keyed by VM name.
   std::map<std::string, PeerDaemon> registered;
+  /// Whether the registrations have ever been read.
+  bool has_registrations = false;
   std::vector<PeerDaemon> live_peers;
   std::size_t holder_count = 0;
   /// The next heartbeat must write this daemon's registration as well.
--- a/packages/gateway/src/serving/fleet_service.cc
+++ b/packages/gateway/src/serving/fleet_service.cc
@@ -102,10 +102,12 @@
     daemons.push_back({daemon.vm, daemon.location.domain});
   }
   this->leases.SetRegistered(daemons, this->clock.now());
+  this->has_registrations = true;
   // Peers remove the registration of a daemon that couldn't renew its lease.
   const auto own = this->registered.find(this->self().name);
   this->registration_due =
       own == this->registered.end() || own->second.vm != this->self();
+  this->PublishPeers();
 }
 
 base::RowKey FleetService::RegistrationKey() const {
@@ -189,6 +191,8 @@
 }
 
 void FleetService::PublishPeers() {
+  // An empty list would mean that this daemon is alone.
+  if (!this->has_registrations) return;
   const auto now = this->clock.now();
   this->live_peers.clear();
   for (const auto& [name, daemon] : this->registered) {
--- a/packages/gateway/src/serving/serving_daemon.cc
+++ b/packages/gateway/src/serving/serving_daemon.cc
@@ -79,6 +79,7 @@
   options.random_seed = std::random_device{}();
   options.excess_fraction = settings.quota_excess_fraction;
   options.excess_requests = settings.quota_excess_requests;
+  options.starts_without_peers = true;
   return options;
 }
 
--- a/packages/gateway/test/serving/fleet_service_test.cc
+++ b/packages/gateway/test/serving/fleet_service_test.cc
@@ -33,7 +33,7 @@
     settings.cpu_cores = 0.5;
     this->daemons.push_back(std::make_unique<FleetService>(
         this->context.get_executor(), base::SystemClock(), store, settings,
-        base::VmId{name, incarnation}, [](const std::vector<PeerDaemon>&) {}));
+        base::VmId{name, incarnation}, this->on_peers));
     this->daemons.back()->Start();
     return *this->daemons.back();
   }
@@ -62,9 +62,33 @@
   testing::MemoryRowStore rows;
   base::RowStore client;
   boost::asio::io_context context;
+  /// Given to daemons that start from now on.
+  FleetService::PeersHook on_peers = [](const std::vector<PeerDaemon>&) {};
   std::vector<std::unique_ptr<FleetService>> daemons;
 };
 
+// Guards against a daemon that takes itself to be alone, and admits all that a
+// limit allows, for the second before it reads the others' heartbeats.
+TEST_CASE("a daemon that starts hears of all others at once") {
+  FleetFixture fleet;
+  fleet.Start("vm-1", "cairo", 7);
+  fleet.Start("vm-2", "alex", 8);
+  fleet.RunUntil([&] {
+    return fleet.Exists(layout::kLeaseTable, "cairo", "vm-1") &&
+           fleet.Exists(layout::kLeaseTable, "alex", "vm-2");
+  });
+  std::vector<std::size_t> peer_counts;
+  fleet.on_peers = [&](const std::vector<PeerDaemon>& peers) {
+    peer_counts.push_back(peers.size());
+  };
+  const auto started_at = base::SystemClock().now();
+  fleet.Start("vm-3", "cairo", 9);
+  fleet.RunUntil([&] { return !peer_counts.empty(); });
+  CHECK(peer_counts.front() == 2);
+  CHECK(base::SystemClock().now() - started_at <
+        std::chrono::milliseconds(500));
+}
+
 TEST_CASE("daemons find each other through the store") {
   FleetFixture fleet;
   auto& first = fleet.Start("vm-1", "cairo", 7);
--- a/packages/policy/include/gypsumtrack/policy/serving/fleet_quota.h
+++ b/packages/policy/include/gypsumtrack/policy/serving/fleet_quota.h
@@ -52,6 +52,9 @@
   /// Fraction of the burst that is available to a daemon that has just started,
   /// because daemons that ran before may have used the rest.
   double initial_fill = 0.5;
+  /// Whether the daemon may admit requests before SetPeers tells it of the
+  /// others. Until then, kShareWithoutPeers of each bucket is available to it.
+  bool starts_without_peers = false;
   /// Shortest interval between full messages.
   base::Duration full_message_period = std::chrono::milliseconds(400);
   /// Delta messages contain the counts that changed within this time. It is
@@ -68,6 +71,10 @@
   std::uint32_t random_seed = 1;
 };
 
+/// Fraction of a bucket that is available to a daemon that doesn't know yet how
+/// many others use it.
+inline constexpr double kShareWithoutPeers = 0.1;
+
 /// Which request asks to be admitted.
 enum class AdmissionKind {
   kNew,
@@ -209,6 +216,8 @@
   void OnPeersChanged(Bucket& bucket, const std::vector<std::string>& added,
                       base::Instant now) const;
   bool AllPeersResponsive() const;
+  /// Whether the daemon admits requests without knowing who else does.
+  bool LacksPeers() const;
   double EvenShare() const;
   /// Must be called after a change of shares.
   void UpdateReservedShare(Bucket& bucket) const;
@@ -257,6 +266,8 @@
   /// Whether all peers have ever been responsive at the same time, so that
   /// shares were computed from demand.
   bool shares_known = false;
+  /// Whether SetPeers was called.
+  bool peers_known = false;
   /// When the last round of gossip ended.
   base::Instant confirmed_at{};
 };
--- a/packages/policy/src/serving/fleet_quota.cc
+++ b/packages/policy/src/serving/fleet_quota.cc
@@ -64,6 +64,10 @@
       bucket.own_share = this->EvenShare();
       bucket.idle_share = this->EvenShare();
       this->UpdateReservedShare(bucket);
+      if (this->LacksPeers()) {
+        // One request at least: an organisation that sends few isn't refused.
+        bucket.tokens = std::max(1.0, bucket.tokens * kShareWithoutPeers);
+      }
     }
     bucket.tokens = std::min(bucket.tokens, bucket.capacity);
   }
@@ -89,7 +93,8 @@
   for (const auto& name : listed) {
     if (this->peers.try_emplace(name).second) added.push_back(name);
   }
-  if (removed == 0 && added.empty()) return;
+  const bool are_first = !std::exchange(this->peers_known, true);
+  if (removed == 0 && added.empty() && !are_first) return;
   this->CountPeers();
   if (!added.empty()) this->full_message_at = base::Instant::min();
   for (auto& [organisation, bucket] : this->buckets) {
@@ -118,6 +123,10 @@
   this->UpdateReservedShare(bucket);
 }
 
+bool FleetQuota::LacksPeers() const {
+  return this->options.starts_without_peers && !this->peers_known;
+}
+
 bool FleetQuota::AllPeersResponsive() const {
   return this->unresponsive_count == 0;
 }
@@ -379,6 +388,7 @@
   const auto remaining = bucket.reserved_share - ShareOfPeer(bucket, peer);
   bucket.reserved_share =
       this->AllPeersResponsive() ? 0 : std::max(0.0, remaining);
+  if (this->LacksPeers()) this->UpdateReservedShare(bucket);
 }
 
 void FleetQuota::UpdateShares(base::Instant now) {
@@ -417,6 +427,10 @@
 }
 
 void FleetQuota::UpdateReservedShare(Bucket& bucket) const {
+  if (this->LacksPeers()) {
+    bucket.reserved_share = 1 - kShareWithoutPeers;
+    return;
+  }
   bucket.reserved_share = 0;
   if (this->AllPeersResponsive()) return;
   for (const auto& [name, peer] : this->peers) {
--- a/packages/policy/test/serving/fleet_quota_test.cc
+++ b/packages/policy/test/serving/fleet_quota_test.cc
@@ -22,18 +22,12 @@
   FleetSimulation(std::size_t size, double rate, double burst,
                   base::Duration gossip_period = milliseconds(100))
       : gossip_period(gossip_period), random(1) {
-    std::vector<std::string> names;
-    for (std::size_t i = 0; i < size; ++i) names.push_back(Name(i));
-    for (std::size_t i = 0; i < size; ++i) {
-      FleetQuotaOptions options;
-      options.random_seed = static_cast<std::uint32_t>(i + 1);
-      this->daemons.push_back(std::make_unique<FleetQuota>(options));
-      auto others = names;
-      others.erase(others.begin() + static_cast<std::ptrdiff_t>(i));
-      this->daemons[i]->SetRules({{kOrganisation, rate, burst, std::nullopt}},
-                                 kStart);
-      this->daemons[i]->SetPeers(others, kStart);
-    }
+    this->rules = {{kOrganisation, rate, burst, std::nullopt}};
+    this->daemons.resize(size);
+    this->incarnations.resize(size);
+    this->isolated.resize(size);
+    this->peers_known_at.resize(size, base::kNever);
+    for (std::size_t i = 0; i < size; ++i) this->Start(i);
     // The daemons exchange messages before the first request.
     this->Run(seconds(1), 0, size);
   }
@@ -45,6 +39,7 @@
     double due = 0;
     for (base::Duration elapsed{0}; elapsed < duration; elapsed += step) {
       this->now += step;
+      this->SetKnownPeers();
       due += per_second * 0.01;
       for (; due >= 1; --due) this->SendRequest(this->random() % reachable);
       if (this->now - this->exchanged_at >= this->gossip_period) {
@@ -53,9 +48,30 @@
     }
   }
 
+  /// Starts a daemon anew. It knows nothing of what was admitted before, and
+  /// the other VMs after a time.
+  void Start(std::size_t daemon, base::Duration peers_known_after = {}) {
+    FleetQuotaOptions options;
+    options.random_seed = static_cast<std::uint32_t>(daemon + 1);
+    options.starts_without_peers = true;
+    this->daemons[daemon] = std::make_unique<FleetQuota>(options);
+    this->daemons[daemon]->SetRules(this->rules, this->now);
+    this->peers_known_at[daemon] = this->now + peers_known_after;
+    ++this->incarnations[daemon];
+    this->SetKnownPeers();
+  }
+
+  /// Stops all daemons, and starts them a second later. Sends `per_second`
+  /// requests until they know each other.
+  void RestartAll(base::Duration peers_known_after, double per_second) {
+    this->now += seconds(1);
+    for (std::size_t i = 0; i < this->daemons.size(); ++i)
+      this->Start(i, peers_known_after);
+    this->Run(peers_known_after, per_second, this->daemons.size());
+  }
+
   /// Stops or resumes all messages from and to a daemon.
   void SetIsolated(std::size_t daemon, bool is_isolated) {
-    this->isolated.resize(this->daemons.size());
     this->isolated[daemon] = is_isolated;
   }
 
@@ -84,6 +100,19 @@
  private:
   static std::string Name(std::size_t i) { return "vm-" + std::to_string(i); }
 
+  /// Tells each daemon of the others when it is due.
+  void SetKnownPeers() {
+    for (std::size_t i = 0; i < this->daemons.size(); ++i) {
+      if (this->now < this->peers_known_at[i]) continue;
+      this->peers_known_at[i] = base::kNever;
+      std::vector<std::string> others;
+      for (std::size_t other = 0; other < this->daemons.size(); ++other) {
+        if (other != i) others.push_back(Name(other));
+      }
+      this->daemons[i]->SetPeers(others, this->now);
+    }
+  }
+
   void SendRequest(std::size_t daemon) {
     ++this->requests;
     if (this->daemons[daemon]->TryAdmit(kOrganisation, this->now)) {
@@ -95,19 +124,24 @@
 
   void ExchangeCounts() {
     this->exchanged_at = this->now;
-    this->isolated.resize(this->daemons.size());
     for (std::size_t from = 0; from < this->daemons.size(); ++from) {
+      const bool knows_peers = this->peers_known_at[from] == base::kNever;
+      if (!knows_peers) continue;
       const auto message =
           this->daemons[from]->NextCountsMessage(this->now, true);
       for (std::size_t to = 0; to < this->daemons.size(); ++to) {
         if (from == to || this->isolated[from] || this->isolated[to]) continue;
         if (this->dropped_links.contains({from, to})) continue;
-        this->daemons[to]->OnPeerCounts({Name(from), 1}, message, this->now);
+        this->daemons[to]->OnPeerCounts({Name(from), this->incarnations[from]},
+                                        message, this->now);
         if (message.is_full) ++this->full_messages;
       }
     }
   }
 
+  std::vector<OrganisationRule> rules;
+  std::vector<std::uint64_t> incarnations;
+  std::vector<base::Instant> peers_known_at;
   std::vector<bool> isolated;
   std::set<std::pair<std::size_t, std::size_t>> dropped_links;
   std::deque<base::Instant> admitted;
@@ -116,6 +150,11 @@
   base::Instant exchanged_at = kStart;
 };
 
+/// Limit on requests in 5 s, with an excess of a tenth and 20 requests.
+std::size_t LimitInWindow(double rate, double burst) {
+  return static_cast<std::size_t>((5 * rate + burst) * 1.1 + 20);
+}
+
 /// Limit on requests in 5 s for rate 70 and burst 70, with an excess of a tenth
 /// and 20 requests.
 constexpr std::size_t kMaxAdmitted =
@@ -356,6 +395,60 @@
   CHECK(CountAdmittedInSecond(quota, now) >= 60);
 }
 
+// Guards against daemons that each take a restart of all for a fleet of one:
+// for a moment they know the limits, but not yet who else admits requests.
+TEST_CASE("all daemons restart while an organisation sends too much") {
+  const auto rate = GENERATE(as<double>(), 5, 25, 70);
+  const auto size = GENERATE(as<std::size_t>(), 4, 14);
+  const auto peers_known_after = milliseconds(GENERATE(0, 100, 1000));
+  INFO(rate << " a second, " << size << " daemons, peers known after "
+            << peers_known_after.count() << " ms");
+  FleetSimulation fleet(size, rate, rate);
+  fleet.Run(seconds(10), 0, size);
+  fleet.Run(seconds(3), 8 * rate, size);
+  fleet.RestartAll(peers_known_after, 8 * rate);
+  fleet.Run(seconds(4), 8 * rate, size);
+  CHECK(fleet.MaxAdmittedInWindow() <= LimitInWindow(rate, rate));
+}
+
+TEST_CASE("daemons restart while an organisation sends too much") {
+  const auto rate = GENERATE(as<double>(), 5, 25, 70);
+  const auto size = GENERATE(as<std::size_t>(), 4, 14);
+  const auto restarts = GENERATE(as<std::size_t>(), 1, 3);
+  INFO(restarts << " of " << size << " daemons, " << rate << " a second");
+  FleetSimulation fleet(size, rate, rate);
+  fleet.Run(seconds(10), 8 * rate, size);
+  for (std::size_t i = 0; i < restarts; ++i) {
+    fleet.Start(i, milliseconds(100));
+    fleet.Run(seconds(1), 8 * rate, size);
+  }
+  fleet.Run(seconds(4), 8 * rate, size);
+  CHECK(fleet.MaxAdmittedInWindow() <= LimitInWindow(rate, rate));
+}
+
+// Guards against limits that hold at the price of requests within them.
+TEST_CASE("daemons restart while an organisation stays within its limit") {
+  const auto rate = GENERATE(as<double>(), 2, 25, 70);
+  const auto size = GENERATE(as<std::size_t>(), 4, 14);
+  const auto peers_known_after = milliseconds(GENERATE(0, 100));
+  INFO(rate << " a second, " << size << " daemons, peers known after "
+            << peers_known_after.count() << " ms");
+  const auto demand = 0.6 * rate;
+  FleetSimulation fleet(size, rate, rate);
+  fleet.Run(seconds(10), demand, size);
+  fleet.refused = 0;
+  SECTION("all of them") { fleet.RestartAll(peers_known_after, demand); }
+  SECTION("one") { fleet.Start(0, peers_known_after); }
+  SECTION("three, one after the other") {
+    for (std::size_t i = 0; i < 3; ++i) {
+      fleet.Start(i, peers_known_after);
+      fleet.Run(seconds(1), demand, size);
+    }
+  }
+  fleet.Run(seconds(3), demand, size);
+  CHECK(fleet.refused == 0);
+}
+
 TEST_CASE("a change of the limit takes effect at once") {
   FleetQuota quota({});
   auto now = kStart;
