Ignore counts of peers until the limits are known

Cause: counts name organisations by a hash of their name.

Why it works: such messages are ignored and a full one is asked for, whose counts are what later ones are compared with.

--- a/packages/policy/include/gypsumtrack/policy/serving/fleet_quota.h
+++ b/packages/policy/include/gypsumtrack/policy/serving/fleet_quota.h
@@ -112,7 +112,9 @@
   void SetPeers(const std::vector<std::string>& names, base::Instant now);
   /// Records the counts that a peer has sent. An unresponsive peer becomes
   /// responsive with its next full message; delta messages before that are
-  /// ignored, because there is no count to which they could be compared.
+  /// ignored, because there is no count to which they could be compared. So are
+  /// all messages before the first SetRules, whose counts belong to
+  /// organisations that aren't known yet.
   void OnPeerCounts(const base::VmId& vm, const CountsMessage& message,
                     base::Instant now);
   /// Returns the message to be sent to the peers now. Single messages may be
@@ -266,7 +268,8 @@
   /// Whether all peers have ever been responsive at the same time, so that
   /// shares were computed from demand.
   bool shares_known = false;
-  /// Whether SetPeers was called.
+  /// Whether SetRules and SetPeers were called.
+  bool rules_known = false;
   bool peers_known = false;
   /// When the last round of gossip ended.
   base::Instant confirmed_at{};
--- a/packages/policy/src/serving/fleet_quota.cc
+++ b/packages/policy/src/serving/fleet_quota.cc
@@ -46,6 +46,7 @@
 
 void FleetQuota::SetRules(const std::vector<OrganisationRule>& organisations,
                           base::Instant now) {
+  this->rules_known = true;
   std::set<base::Organisation> listed;
   for (const auto& rule : organisations) {
     if (rule.rate <= 0) continue;
@@ -161,6 +162,10 @@
 
 void FleetQuota::OnPeerCounts(const base::VmId& vm,
                               const CountsMessage& message, base::Instant now) {
+  if (!this->rules_known) {
+    this->full_wanted_at = now;
+    return;
+  }
   this->DetectUnresponsivePeers(now);
   const auto [at, is_new] = this->peers.try_emplace(vm.name);
   if (is_new) this->CountPeers();
--- a/packages/policy/test/serving/fleet_quota_test.cc
+++ b/packages/policy/test/serving/fleet_quota_test.cc
@@ -449,6 +449,28 @@
   CHECK(fleet.refused == 0);
 }
 
+// Guards against a daemon that takes all that its peers have ever admitted for
+// new, and refuses requests within the limit for seconds.
+TEST_CASE("messages of peers come before the limits are known") {
+  FleetQuota quota({});
+  const CountsMessage message{true, {{kOrganisation, 5'000}}, false};
+  // The names of the organisations aren't known yet.
+  quota.OnPeerCounts({"vm-1", 1}, {true, {}, false}, kStart);
+  quota.SetRules({{kOrganisation, 20, 20, std::nullopt}}, kStart);
+  quota.SetPeers({"vm-1"}, kStart);
+  const auto now = kStart + milliseconds(100);
+  CHECK(quota.NextCountsMessage(now, true).wants_full);
+  quota.OnPeerCounts({"vm-1", 1}, message, now);
+  CHECK(quota.Tokens(kOrganisation) > 0);
+  CHECK(quota.TryAdmit(kOrganisation, now));
+  SECTION("and later counts are compared with them") {
+    const auto tokens = quota.Tokens(kOrganisation);
+    const CountsMessage next{true, {{kOrganisation, 5'003}}, false};
+    quota.OnPeerCounts({"vm-1", 1}, next, now);
+    CHECK(quota.Tokens(kOrganisation) == tokens - 3);
+  }
+}
+
 TEST_CASE("a change of the limit takes effect at once") {
   FleetQuota quota({});
   auto now = kStart;
