Limit the bodies that all calls to endpoints hold together

Callers saw, at another operator: bytes without end from a faulty worker filled the memory of the machine, and all requests on it ended (LOST).

Cause here: each call is bounded, to 4 MB for a body that isn't streamed, but not all together. 40 calls that get an endless error held 167 MB; VMs have 88 to 140 MB.

Evidence: 'an endpoint sends bytes without end to many calls' fails without the new limit (167,400,448 bytes held, 34,603,008 allowed) and passes with it, while 40 calls to a sound endpoint are answered.

Why it works: the sum is counted, and beyond 24 MB the calls with large bodies end; those with small ones, as most answers are, go on.

--- a/packages/gateway/include/gypsumtrack/gateway/endpoint_client.h
+++ b/packages/gateway/include/gypsumtrack/gateway/endpoint_client.h
@@ -188,6 +188,10 @@
   std::uint32_t max_idle_per_endpoint = 64;
   std::uint32_t max_calls_per_connection = 1000;
   std::uint64_t max_body_bytes = 64ULL * 1024 * 1024;
+  /// Maximum size of the bodies that all calls together hold. Beyond it, calls
+  /// whose body is larger than `small_body_bytes` end as kInvalid.
+  std::uint64_t max_held_bytes = 256ULL * 1024 * 1024;
+  std::uint64_t small_body_bytes = 256ULL * 1024;
   EndpointProtocol protocol = DefaultProtocol();
 };
 
@@ -214,6 +218,8 @@
   /// Closes all idle connections. Thread-safe.
   void CloseIdle();
 
+  /// Size of the bodies that the calls in flight hold. Thread-safe.
+  std::uint64_t held_bytes() const;  // NOLINT
   /// Number of idle direct connections to the endpoint. Thread-safe.
   std::size_t idle_count(const std::string& address) const;  // NOLINT
   /// Number of idle connections to the endpoint through the peer. Thread-safe.
--- a/packages/gateway/src/endpoint_client.cc
+++ b/packages/gateway/src/endpoint_client.cc
@@ -1,6 +1,7 @@
 #include "gypsumtrack/gateway/endpoint_client.h"
 
 #include <algorithm>
+#include <atomic>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -111,9 +112,11 @@
 /// strand.
 class ConnectionCall {
  public:
+  /// `held_bytes` counts the bodies that all calls of the client hold.
   ConnectionCall(EndpointCall& call, const EndpointClientOptions& options,
-                 const base::Clock& clock, const asio::any_io_executor& strand)
-      : call(call), options(options), clock(clock) {
+                 const base::Clock& clock, const asio::any_io_executor& strand,
+                 std::atomic<std::uint64_t>& held_bytes)
+      : call(call), options(options), clock(clock), held_bytes(held_bytes) {
     this->watchdog = std::make_shared<Watchdog>(strand, clock,
                                                 [this] { this->OnTimeout(); });
     if (call.cancel) call.cancel->SetHandler([this] { this->Close(); });
@@ -122,6 +125,7 @@
   ~ConnectionCall() {
     this->watchdog->Stop();
     if (this->call.cancel) this->call.cancel->SetHandler(nullptr);
+    this->held_bytes -= this->own_held_bytes;
   }
 
   ConnectionCall(const ConnectionCall&) = delete;
@@ -556,12 +560,21 @@
     }
     this->result.body += part;
     this->OnProgress();
-    if (this->result.body.size() <= this->options.max_body_bytes)
-      co_return true;
+    if (this->MayHold(part.size())) co_return true;
     this->result.outcome = CallOutcome::kInvalid;
     co_return false;
   }
 
+  /// Counts bytes that were added to the body of the result. Returns whether it
+  /// may be held.
+  bool MayHold(std::size_t added) {
+    this->own_held_bytes += added;
+    const auto held_by_all = this->held_bytes += added;
+    if (this->own_held_bytes > this->options.max_body_bytes) return false;
+    return this->own_held_bytes <= this->options.small_body_bytes ||
+           held_by_all <= this->options.max_held_bytes;
+  }
+
   /// Sets the outcome and run state after the whole response was read.
   void ProcessResponse() {
     const auto& head = this->result.head;
@@ -588,6 +601,9 @@
   EndpointCall& call;
   const EndpointClientOptions& options;
   const base::Clock& clock;
+  std::atomic<std::uint64_t>& held_bytes;
+  /// Size of the body of the result, which is moved away at the end.
+  std::uint64_t own_held_bytes = 0;
   std::shared_ptr<Watchdog> watchdog;
   EndpointConnectionPtr connection;
   std::optional<Parser> parser;
@@ -672,6 +688,8 @@
   const base::Clock clock;
   const EndpointClientOptions options;
   ConnectionPool idle;
+  /// Size of the bodies that the calls in flight hold.
+  std::atomic<std::uint64_t> held_bytes = 0;
 
  private:
   /// Returns the connection to the pool if another call may use it.
@@ -697,7 +715,8 @@
 asio::awaitable<EndpointResult> EndpointClient::Call(EndpointCall call) {
   const auto strand = co_await asio::this_coro::executor;
   const auto connection_call = std::make_unique<ConnectionCall>(
-      call, this->pool->options, this->pool->clock, strand);
+      call, this->pool->options, this->pool->clock, strand,
+      this->pool->held_bytes);
   co_await this->pool->Run(*connection_call, call);
   co_return std::move(connection_call->result);
 }
@@ -712,6 +731,10 @@
 
 void EndpointClient::CloseIdle() { this->pool->idle.DropAll(); }
 
+std::uint64_t EndpointClient::held_bytes() const {
+  return this->pool->held_bytes;
+}
+
 std::size_t EndpointClient::idle_count(const std::string& address) const {
   return this->pool->idle.idle_count(EndpointRoute(address));
 }
--- a/packages/gateway/src/serving/serving_daemon.cc
+++ b/packages/gateway/src/serving/serving_daemon.cc
@@ -51,6 +51,8 @@
 /// Maximum size of a response that isn't a stream. As much as a deployment lets
 /// callers send; a VM may have 140 MB in all.
 constexpr std::uint64_t kMaxResponseBytes = std::uint64_t{4} * 1024 * 1024;
+/// Maximum size of all such responses at a time, apart from small ones.
+constexpr std::uint64_t kMaxHeldResponseBytes = std::uint64_t{24} * 1024 * 1024;
 /// Longest usual time from making a gossip message to its receipt through two
 /// other daemons.
 constexpr base::Duration kMaxGossipDelay = std::chrono::milliseconds(600);
@@ -63,6 +65,7 @@
   options.connect_timeout = kConnectTimeout;
   options.max_idle_per_endpoint = kMaxIdleConnectionsPerEndpoint;
   options.max_body_bytes = kMaxResponseBytes;
+  options.max_held_bytes = kMaxHeldResponseBytes;
   options.protocol.request_id_header = wire.request_id_header;
   options.protocol.set_host_to_address = false;
   options.protocol.accepts_close_delimited_body = true;
@@ -460,6 +463,10 @@
     this->registry.AddGauge(
         "gypsumtrack_endpoints", "", "Endpoints known.",
         [this] { return static_cast<double>(this->serving.endpoints.size()); });
+    this->registry.AddGauge(
+        "gypsumtrack_held_answer_bytes", "",
+        "Bodies of answers, other than streams, that aren't complete yet.",
+        [this] { return static_cast<double>(this->client.held_bytes()); });
     this->registry.AddGauge("gypsumtrack_cut_from_endpoints", "",
                             "1 while this VM is cut from all endpoints.",
                             [this] {
--- a/packages/gateway/test/endpoint_client_test.cc
+++ b/packages/gateway/test/endpoint_client_test.cc
@@ -1,5 +1,6 @@
 #include "gypsumtrack/gateway/endpoint_client.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
@@ -376,6 +377,57 @@
   }
 }
 
+// Guards against a daemon that runs out of memory, and takes the requests of
+// sound endpoints with it, because many calls hold large bodies at a time.
+TEST_CASE("an endpoint sends bytes without end to many calls") {
+  constexpr int kCalls = 40;
+  constexpr std::uint64_t kMaxHeld = std::uint64_t{8} * 1024 * 1024;
+  auto options = Options();
+  options.max_body_bytes = std::uint64_t{4} * 1024 * 1024;
+  options.max_held_bytes = kMaxHeld;
+  ClientFixture fixture(options);
+  testing::RawEndpoint sound(fixture.context.get_executor());
+  REQUIRE(sound.Start().ok());
+  const std::string body(128 * 1024, 'y');
+  sound.SetResponses({{kHead + "Content-Length: " +
+                           std::to_string(body.size()) + "\r\n\r\n" + body,
+                       RawEnd::kKeepOpen}});
+  const std::string piece(64 * 1024, 'x');
+  const std::chrono::milliseconds pause(1);
+  fixture.endpoint.SetResponses({{"HTTP/1.1 500 Internal Server Error\r\n\r\n",
+                                  RawEnd::kKeepOpen, piece, pause}});
+  std::vector<std::optional<EndpointResult>> faulty(kCalls);
+  std::vector<std::optional<EndpointResult>> served(kCalls);
+  const auto start = [&](EndpointCall call, auto& result) {
+    boost::asio::co_spawn(
+        fixture.context,
+        StoreResult(fixture.client.Call(std::move(call)), result),
+        boost::asio::detached);
+  };
+  for (int i = 0; i < kCalls; ++i) {
+    start(fixture.MakeCall(), faulty[i]);
+    auto call = fixture.MakeCall();
+    call.address = sound.address();
+    start(std::move(call), served[i]);
+  }
+  const auto ended = [](const auto& result) { return result.has_value(); };
+  std::uint64_t max_held = 0;
+  while (!std::all_of(faulty.begin(), faulty.end(), ended) ||
+         !std::all_of(served.begin(), served.end(), ended)) {
+    fixture.context.run_one();
+    max_held = std::max(max_held, fixture.client.held_bytes());
+  }
+  for (const auto& result : faulty)
+    CHECK(result->outcome == CallOutcome::kInvalid);
+  for (const auto& result : served) {
+    CHECK(result->outcome == CallOutcome::kComplete);
+    CHECK(result->body == body);
+  }
+  CHECK(max_held <=
+        kMaxHeld + 2 * kCalls * (options.small_body_bytes + piece.size()));
+  CHECK(fixture.client.held_bytes() == 0);
+}
+
 /// A response that refuses the request with that id, or names no id if empty.
 std::string Refusal(const std::string& id) {
   return "HTTP/1.1 503 Service Unavailable\r\nX-Run-State: not-run\r\n" +
