Answer every request that a stopping daemon takes

Callers saw, at another operator: requests that came late in the grace period of a planned stop were passed on and cut with no answer at its end (LOST).

Cause: after the listener is closed a connection with a part of a request stays open, and its request was taken until the event loop stops; what ran then just ended.

Why it works: a request that usually wouldn't be answered in time is refused as not run before it is admitted, and 0.8 s before the kill those that still run are cancelled and answered: 502 if they may have run, 503 if not.

--- a/packages/gateway/include/gypsumtrack/gateway/serving/serving_context.h
+++ b/packages/gateway/include/gypsumtrack/gateway/serving/serving_context.h
@@ -13,6 +13,7 @@
 
 #include "gypsumtrack/base/row_store.h"
 #include "gypsumtrack/gateway/endpoint_client.h"
+#include "gypsumtrack/gateway/serving/planned_stop.h"
 #include "gypsumtrack/gateway/serving/serving_settings.h"
 #include "gypsumtrack/gateway/serving/store_view_service.h"
 #include "gypsumtrack/gateway/serving/wire.h"
@@ -172,6 +173,7 @@
   std::minstd_rand random;
   /// Set once the daemon has been asked to stop.
   bool shutting_down = false;
+  PlannedStop planned_stop;
 
   /// Returns a random number of 31 bits.
   std::uint64_t NextRandom() { return this->random(); }
--- a/packages/gateway/src/serving/job_requests.cc
+++ b/packages/gateway/src/serving/job_requests.cc
@@ -15,6 +15,8 @@
 namespace asio = boost::asio;
 
 constexpr base::Duration kReadTimeout = std::chrono::milliseconds(1500);
+/// Longest usual time of the store to read a job.
+constexpr base::Duration kUsualReadTime = std::chrono::milliseconds(500);
 constexpr base::Duration kEndTimeout = std::chrono::milliseconds(2500);
 /// Period of polling the store for a caller that waits for results at a daemon
 /// that doesn't run the job.
@@ -60,6 +62,12 @@
     co_await Refuse(this->context, exchange, metadata, std::move(refusal));
     co_return;
   }
+  const auto now = this->context.clock.now();
+  if (this->context.planned_stop.ComesTooLate(now, kUsualReadTime)) {
+    Refusal refusal{status::kUnavailable, "stopping", kRetryAfterFailure};
+    co_await Refuse(this->context, exchange, metadata, std::move(refusal));
+    co_return;
+  }
   const auto key = MakeJobKey(access, request.job);
   switch (request.kind) {
     case JobRequestKind::kResults:
--- a/packages/gateway/src/serving/job_submissions.cc
+++ b/packages/gateway/src/serving/job_submissions.cc
@@ -1,5 +1,6 @@
 #include "job_submissions.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "gypsumtrack/base/event_log.h"
@@ -14,6 +15,8 @@
 /// Maximum time to accept a submission. After it, a retry at another daemon
 /// helps the caller more than a late response.
 constexpr base::Duration kAcceptTimeout = std::chrono::milliseconds(3500);
+/// Longest usual time of the store to accept a submission.
+constexpr base::Duration kUsualAcceptTime = std::chrono::milliseconds(1000);
 constexpr base::Duration kRetryAfterOverLimit = std::chrono::milliseconds(1000);
 /// If the cached rules are older than this, a failed call is taken as a sign
 /// that the store rejects this daemon, and the submission is refused so that
@@ -59,10 +62,19 @@
     co_await Refuse(this->context, exchange, metadata, std::move(refusal));
     co_return;
   }
+  const auto& stop = this->context.planned_stop;
+  const auto now = this->context.clock.now();
+  if (stop.ComesTooLate(now, kUsualAcceptTime)) {
+    Refusal refusal{status::kUnavailable, "stopping", kRetryAfterFailure};
+    co_await Refuse(this->context, exchange, metadata, std::move(refusal));
+    co_return;
+  }
+  const auto accept_until =
+      std::min(started_at + kAcceptTimeout, stop.answers_until());
   const auto key = MakeJobKey(access, base::JobId(metadata.request_id));
   const auto acceptance = co_await AcceptJob(
       this->store, key, access.route->name, *items, *body,
-      access.route->max_waiting_tokens, started_at + kAcceptTimeout,
+      access.route->max_waiting_tokens, accept_until,
       [this] { return this->context.StoreViewAge() > kStoreUnreachableAge; });
   if (acceptance.owner_version != 0) {
     this->ownership.Own(
--- a/packages/gateway/src/serving/relay_service.cc
+++ b/packages/gateway/src/serving/relay_service.cc
@@ -39,8 +39,12 @@
 /// Retry delay for callers while it can't be read who began their stream.
 constexpr base::Duration kUnknownOriginRetryAfter =
     std::chrono::milliseconds(300);
+/// Retry delay for callers of a daemon that is about to end.
+constexpr base::Duration kStoppingRetryAfter = std::chrono::milliseconds(10);
 /// Error code while neither this daemon nor a peer reaches endpoints.
 constexpr const char* kNoPathCode = "endpoints_unreachable";
+/// Error code of requests that a stopping daemon doesn't take or can't finish.
+constexpr const char* kStoppingCode = "stopping";
 /// Error codes of requests that crash endpoints, by themselves or by a part of
 /// their prompt.
 constexpr const char* kBadRequestCode = "request_crashes_endpoints";
@@ -66,6 +70,8 @@
                  std::min(this->facts.requested_timeout.value_or(
                               this->route.timeout),
                           this->route.timeout)),
+        registration(
+            context.planned_stop.Register([this] { this->StopForShutdown(); })),
         cancel(std::make_shared<CallCancellation>()),
         after_event(this->facts.after_event),
         origin(context, this->route, this->facts) {
@@ -96,6 +102,10 @@
     }
     this->exchange.OnCallerDisconnect(
         [cancel = this->cancel] { cancel->Cancel(); });
+    if (this->ComesTooLate()) {
+      co_await this->RefuseTooLate();
+      co_return;
+    }
     const bool is_admitted = co_await this->Admit();
     if (this->CallerDisconnected()) {
       if (is_admitted) this->context.quota.ReturnToken(this->organisation);
@@ -118,7 +128,42 @@
 
  private:
   base::Instant Now() const { return this->context.clock.now(); }
-  bool CallerDisconnected() const { return this->cancel->cancelled(); }
+  bool CallerDisconnected() const {
+    return this->cancel->cancelled() && !this->must_stop;
+  }
+
+  /// Makes the request answer at once: the daemon is about to end.
+  void StopForShutdown() {
+    if (this->cancel->cancelled()) return;
+    this->must_stop = true;
+    this->cancel->Cancel();
+  }
+
+  /// Whether the daemon stops and the request would probably run at its end.
+  bool ComesTooLate() const {
+    const auto now = this->Now();
+    return this->must_stop ||
+           this->context.planned_stop.ComesTooLate(now, this->deadline - now);
+  }
+
+  /// Refuses a request that hasn't been admitted. A retry, on another
+  /// connection, reaches another VM.
+  asio::awaitable<void> RefuseTooLate() {
+    Refusal refusal{status::kUnavailable, kStoppingCode, kStoppingRetryAfter};
+    co_await SendRefusal(this->context, this->exchange, this->facts.request_id,
+                         std::move(refusal));
+  }
+
+  /// Ends a request because the daemon is about to end.
+  asio::awaitable<void> EndForShutdown() {
+    if (this->response_started) {
+      this->AbortResponse(kStoppingCode);
+    } else if (this->attempts.may_have_run()) {
+      co_await this->Fail(status::kBadGateway, kStoppingCode);
+    } else {
+      co_await this->RefuseNotRun(kStoppingCode);
+    }
+  }
 
   /// Refuses a request that continues a stream of which can't be told who began
   /// it.
@@ -164,7 +209,7 @@
         std::min(now + kContinuationTokenWait, this->deadline);
     quota.OnContinuationWaits(this->organisation);
     while (!is_admitted && this->Now() < wait_deadline &&
-           !this->CallerDisconnected()) {
+           !this->cancel->cancelled()) {
       co_await Pause(kCapacityPollInterval);
       is_admitted = quota.TryAdmit(this->organisation, this->Now(),
                                    AdmissionKind::kWaitingContinuation);
@@ -175,6 +220,10 @@
 
   /// Makes one attempt. Returns whether to retry the request.
   asio::awaitable<bool> Attempt() {
+    if (this->must_stop) {
+      co_await this->EndForShutdown();
+      co_return false;
+    }
     if (this->attempts.attempt_count() == 0 && !this->HasPath()) {
       co_await this->RefuseNotRun(kNoPathCode);
       co_return false;
@@ -184,6 +233,10 @@
       this->OnCallerDisconnected("before_send");
       co_return false;
     }
+    if (this->must_stop) {
+      co_await this->EndForShutdown();
+      co_return false;
+    }
     if (choice.status != policy::ChoiceStatus::kChosen) {
       co_await this->GiveUpWithoutEndpoint(choice.status);
       co_return false;
@@ -222,7 +275,7 @@
       const bool settled = choice.status == policy::ChoiceStatus::kChosen ||
                            choice.status == policy::ChoiceStatus::kNoEndpoint;
       if (settled || now >= std::min(wait_deadline, this->deadline) ||
-          this->CallerDisconnected()) {
+          this->cancel->cancelled()) {
         co_return choice;
       }
       co_await Pause(kCapacityPollInterval);
@@ -578,6 +631,9 @@
         this->route, outcome, this->response_started, this->deadline - now);
     if (step == policy::NextStep::kRetry && !this->CanResume())
       step = policy::NextStep::kAbort;
+    // Attempt() ends the request in place of the retry.
+    if (this->must_stop && result.outcome != CallOutcome::kComplete)
+      step = policy::NextStep::kRetry;
     base::LogEvent("send_ended",
                    {{"request", this->facts.request_id},
                     {"endpoint", choice.endpoint.id.text},
@@ -680,6 +736,9 @@
   base::Organisation organisation;
   const base::Instant arrived;
   const base::Instant deadline;
+  const PlannedStop::Registration registration;
+  /// Set when the daemon is about to end.
+  bool must_stop = false;
   std::shared_ptr<CallCancellation> cancel;
   std::string body;
   /// Set once the body was read.
--- a/packages/gateway/src/serving/serving_daemon.cc
+++ b/packages/gateway/src/serving/serving_daemon.cc
@@ -41,6 +41,13 @@
 constexpr base::Duration kJobHandoverMargin = std::chrono::milliseconds(1500);
 /// How long before the process is killed the daemon stops waiting for callers.
 constexpr base::Duration kShutdownMargin = std::chrono::milliseconds(500);
+/// How long before that the requests that still run are ended, so that their
+/// answers reach their callers.
+constexpr base::Duration kLastAnswersMargin = std::chrono::milliseconds(300);
+/// Time in which all but this fraction of the requests were answered.
+constexpr double kSlowFraction = 0.01;
+/// The same of a daemon that has answered none.
+constexpr base::Duration kDefaultAnswerTime = std::chrono::milliseconds(2000);
 /// With an older store view the daemon reports that it isn't ready, so that the
 /// load balancer sends callers to other daemons.
 constexpr base::Duration kMaxReadyViewAge = std::chrono::milliseconds(2600);
@@ -77,6 +84,14 @@
   return options;
 }
 
+/// How long a request has usually taken here, by the longest answers.
+base::Duration UsualAnswerTime(const telemetry::LatencyHistogram& answers) {
+  const auto slowest = answers.QuantileSeconds(1 - kSlowFraction);
+  if (!slowest) return kDefaultAnswerTime;
+  return std::chrono::duration_cast<base::Duration>(
+      std::chrono::duration<double>(*slowest));
+}
+
 policy::FleetQuotaOptions QuotaOptions(const ServingSettings& settings) {
   policy::FleetQuotaOptions options;
   options.random_seed = std::random_device{}();
@@ -532,16 +547,19 @@
   void BeginShutdown() {
     if (this->serving.shutting_down) return;
     this->serving.shutting_down = true;
-    const auto now = this->clock.now();
-    base::LogEvent("leaving",
-                   {{"vm", this->serving.self.name},
-                    {"grace_ms",
-                     this->serving.settings.stop_grace_period.count() / 1000}});
+    const auto killed_at =
+        this->clock.now() + this->serving.settings.stop_grace_period;
+    const auto usual_time =
+        UsualAnswerTime(this->serving.metrics.complete_response);
+    this->serving.planned_stop.Begin(
+        killed_at - kShutdownMargin - kLastAnswersMargin, usual_time);
+    base::LogEvent(
+        "leaving",
+        {{"vm", this->serving.self.name},
+         {"grace_ms", this->serving.settings.stop_grace_period.count() / 1000},
+         {"usual_answer_ms", usual_time.count() / 1000}});
     asio::co_spawn(
-        this->context,
-        [this, killed_at = now + this->serving.settings.stop_grace_period] {
-          return this->ShutDown(killed_at);
-        },
+        this->context, [this, killed_at] { return this->ShutDown(killed_at); },
         asio::detached);
   }
 
@@ -552,10 +570,9 @@
     this->paths->Drain();
     co_await this->jobs->ShutDown(killed_at - kJobHandoverMargin);
     base::LogEvent("jobs_handed_over", {});
-    while ((!this->callers_drained || this->paths->tunnel_count() > 0) &&
-           this->clock.now() < killed_at - kShutdownMargin) {
-      co_await Pause(std::chrono::milliseconds(50));
-    }
+    co_await this->WaitForCallers(this->serving.planned_stop.answers_until());
+    this->serving.planned_stop.EndRequests();
+    co_await this->WaitForCallers(killed_at - kShutdownMargin);
     base::LogEvent("callers_gone", {{"all", this->callers_drained ? 1 : 0},
                                     {"tunnels", this->paths->tunnel_count()}});
     co_await this->fleet->Deregister();
@@ -563,6 +580,14 @@
     this->context.stop();
   }
 
+  /// Waits until no caller and no tunnel is connected any more.
+  asio::awaitable<void> WaitForCallers(base::Instant wait_until) {
+    while ((!this->callers_drained || this->paths->tunnel_count() > 0) &&
+           this->clock.now() < wait_until) {
+      co_await Pause(std::chrono::milliseconds(50));
+    }
+  }
+
   ServingAdapter adapter;
   base::Clock clock;
   asio::io_context context;
--- a/packages/telemetry/include/gypsumtrack/telemetry/metrics.h
+++ b/packages/telemetry/include/gypsumtrack/telemetry/metrics.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -51,6 +52,10 @@
   /// Returns the buckets in ascending order. Thread-safe; durations recorded
   /// during the call may be missing.
   std::vector<Bucket> Buckets() const;
+  /// Returns a duration in seconds that the given fraction of the durations
+  /// don't exceed, to the precision of the buckets; none if nothing was
+  /// recorded. Precondition: 0 < fraction <= 1. Thread-safe.
+  std::optional<double> QuantileSeconds(double fraction) const;
   /// Returns the sum of the recorded durations in seconds. Thread-safe.
   double SumSeconds() const;
 
--- a/packages/telemetry/src/metrics.cc
+++ b/packages/telemetry/src/metrics.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <boost/histogram.hpp>
+#include <cmath>
 #include <limits>
 
 namespace gypsumtrack::telemetry {
@@ -75,6 +76,22 @@
   return buckets;
 }
 
+std::optional<double> LatencyHistogram::QuantileSeconds(double fraction) const {
+  const auto buckets = this->Buckets();
+  std::uint64_t total = 0;
+  for (const auto& bucket : buckets) total += bucket.count;
+  if (total == 0) return std::nullopt;
+  const auto wanted = fraction * static_cast<double>(total);
+  std::uint64_t counted = 0;
+  double upper_bound = 0;
+  for (const auto& bucket : buckets) {
+    if (std::isfinite(bucket.upper_bound)) upper_bound = bucket.upper_bound;
+    counted += bucket.count;
+    if (static_cast<double>(counted) >= wanted) break;
+  }
+  return upper_bound;
+}
+
 double LatencyHistogram::SumSeconds() const {
   constexpr double kMicrosPerSecond = 1e6;
   const auto micros = this->state->sum_micros.load(std::memory_order_relaxed);
--- a/packages/telemetry/test/metrics_test.cc
+++ b/packages/telemetry/test/metrics_test.cc
@@ -1,6 +1,7 @@
 #include "gypsumtrack/telemetry/metrics.h"
 
 #include <catch2/catch.hpp>
+#include <cmath>
 #include <thread>
 
 namespace gypsumtrack::telemetry {
@@ -41,5 +42,24 @@
   }
 }
 
+TEST_CASE("a quantile of durations is read from the buckets") {
+  LatencyHistogram durations;
+  SECTION("there is none without durations") {
+    CHECK_FALSE(durations.QuantileSeconds(0.99));
+  }
+  SECTION("it isn't exceeded by that fraction, to the bucket's precision") {
+    for (int i = 0; i < 99; ++i) durations.Record(0.1);
+    durations.Record(3);
+    CHECK(*durations.QuantileSeconds(0.99) >= 0.1);
+    CHECK(*durations.QuantileSeconds(0.99) < 0.2);
+    CHECK(*durations.QuantileSeconds(1) >= 3);
+    CHECK(*durations.QuantileSeconds(1) < 6);
+  }
+  SECTION("beyond all buckets it is the last finite bound") {
+    durations.Record(1e9);
+    CHECK(std::isfinite(*durations.QuantileSeconds(0.5)));
+  }
+}
+
 }  // namespace
 }  // namespace gypsumtrack::telemetry
