Limit the rate that an endpoint can name to what slots can count

Seen by hand with -fsanitize=undefined: an endpoint that answers with Server-Limit overflows the number of its slots (rate_turns.cc).

Evidence: 'a limit beyond all demand limits nothing' ends with 'signed integer overflow' when built with that sanitizer before the fix; after it all three cases of the file pass there. Without the sanitizer it passes before too, on arm64.

Why it works: above a million requests a second a limit doesn't limit anything.

--- a/packages/policy/src/serving/rate_turns.cc
+++ b/packages/policy/src/serving/rate_turns.cc
@@ -8,6 +8,8 @@
 
 /// Requests a second that are sent even to an endpoint that accepts fewer.
 constexpr double kMinRate = 0.25;
+/// Higher limits don't limit anything; the number of a slot has to fit 64 bits.
+constexpr double kMaxRate = 1e6;
 /// Time after the begin of its slot for which a turn may be used. Turns saved
 /// in a lull serve the next peak.
 constexpr base::Duration kTurnValidity = std::chrono::milliseconds(1750);
@@ -16,7 +18,7 @@
 
 RateTurns::RateTurns(double per_second, std::uint64_t endpoint_salt,
                      const FleetPosition& position, base::Instant now)
-    : rate(std::max(per_second, kMinRate)), salt(endpoint_salt) {
+    : rate(std::clamp(per_second, kMinRate, kMaxRate)), salt(endpoint_salt) {
   this->Restart(position, now);
 }
 
--- a/packages/policy/test/serving/rate_turns_test.cc
+++ b/packages/policy/test/serving/rate_turns_test.cc
@@ -117,6 +117,20 @@
   }
 }
 
+// Guards against slot numbers that don't fit: an endpoint may name any limit.
+TEST_CASE("a limit beyond all demand limits nothing") {
+  const FleetPosition position{3, 4, kWallOffset};
+  for (const double limit : {1e6, 1e10, 1e23, 1e300}) {
+    INFO(limit);
+    RateTurns turns(limit, 1, position, kStart);
+    for (int i = 1; i <= 1000; ++i) {
+      const auto now = kStart + milliseconds(i);
+      REQUIRE(turns.HasTurn(position, now));
+      turns.TakeTurn(position, now);
+    }
+  }
+}
+
 TEST_CASE("a daemon's turns don't add up") {
   const FleetPosition position{0, 4, kWallOffset};
   RateTurns turns(2, 0, position, kStart);
