--- a/packages/testing/soak/daemon_process.cc
+++ b/packages/testing/soak/daemon_process.cc
@@ -65,7 +65,9 @@
   const auto output =
       fmt::format("{}/{}.log", this->config.directory, this->config.name);
   const auto variable = "GYPSUMTRACK_BOOT=" + this->SettingsPath();
-  std::array<char*, 2> arguments{this->config.program.data(), nullptr};
+  auto program = std::exchange(this->config.first_program, "");
+  if (program.empty()) program = this->config.program;
+  std::array<char*, 2> arguments{program.data(), nullptr};
   std::array<char*, 2> environment{const_cast<char*>(variable.c_str()),
                                    nullptr};
   posix_spawn_file_actions_t files{};
@@ -77,11 +79,11 @@
   // here.
   posix_spawn_file_actions_addclosefrom_np(&files, STDERR_FILENO + 1);
   const int spawn_error =
-      posix_spawn(&this->pid, this->config.program.c_str(), &files, nullptr,
+      posix_spawn(&this->pid, program.c_str(), &files, nullptr,
                   arguments.data(), environment.data());
   posix_spawn_file_actions_destroy(&files);
   if (spawn_error != 0) {
-    throw std::runtime_error("failed to start " + this->config.program);
+    throw std::runtime_error("failed to start " + program);
   }
 }
 
--- a/packages/testing/soak/daemon_process.h
+++ b/packages/testing/soak/daemon_process.h
@@ -14,6 +14,8 @@
 /// The program and settings of one daemon.
 struct DaemonConfig {
   std::string program;
+  /// The program that runs until the first restart; empty if `program` does.
+  std::string first_program;
   std::string name;
   std::string domain;
   std::string region;
--- a/packages/testing/soak/soak_fixture.cc
+++ b/packages/testing/soak/soak_fixture.cc
@@ -160,6 +160,7 @@
     const auto& location = kDaemonLocations[i % kDaemonLocations.size()];
     DaemonConfig config;
     config.program = this->options.program;
+    config.first_program = this->options.old_program;
     config.name = fmt::format("vm-{}", i);
     config.domain = location.domain;
     config.region = location.region;
--- a/packages/testing/soak/soak_fixture.h
+++ b/packages/testing/soak/soak_fixture.h
@@ -20,6 +20,9 @@
 struct SoakOptions {
   /// The path of the daemon program.
   std::string program;
+  /// The path of an earlier release, which each daemon runs until it restarts;
+  /// empty if there is none.
+  std::string old_program;
   /// Holds the settings and the output of the daemons.
   std::string directory;
   std::uint64_t seed = 1;
--- a/packages/testing/soak/soak_main.cc
+++ b/packages/testing/soak/soak_main.cc
@@ -17,6 +17,7 @@
 constexpr int kExitUsage = 2;
 constexpr const char* kUsage =
     "usage: gypsumtrack_soak --program GYPSUMTRACKD --directory DIR\n"
+    "         [--old-program GYPSUMTRACKD]\n"
     "         [--first SEED] [--seeds COUNT] [--seconds SECONDS]\n"
     "         [--daemons COUNT] [--endpoints COUNT] [--callers COUNT]\n"
     "         [--cuts]\n";
@@ -30,6 +31,7 @@
 /// Parses the command line. Returns false if it is invalid.
 bool ParseCommandLine(int argc, char** argv, CommandLine& command_line) {
   const option flags[] = {{"program", required_argument, nullptr, 'p'},
+                          {"old-program", required_argument, nullptr, 'r'},
                           {"directory", required_argument, nullptr, 'o'},
                           {"first", required_argument, nullptr, 'f'},
                           {"seeds", required_argument, nullptr, 'n'},
@@ -48,6 +50,9 @@
       case 'p':
         options.program = text;
         break;
+      case 'r':
+        options.old_program = std::filesystem::absolute(text).string();
+        break;
       case 'o':
         options.directory = text;
         break;
