--- a/packages/gateway/test/endpoint_client_test.cc
+++ b/packages/gateway/test/endpoint_client_test.cc
@@ -256,7 +256,7 @@
   constexpr auto kTimeLeft = std::chrono::milliseconds(300);
   constexpr auto kMaxDelay = std::chrono::milliseconds(500);
   ClientFixture fixture;
-  const std::string piece(16 * 1024, '\n');
+  const std::string piece(std::size_t{16} * 1024, '\n');
   fixture.endpoint.SetResponses(
       {{kCloseDelimitedHead, RawEnd::kKeepOpen, piece}});
   auto call = fixture.MakeCall();
@@ -380,7 +380,7 @@
 // Guards against a daemon that runs out of memory, and takes the requests of
 // sound endpoints with it, because many calls hold large bodies at a time.
 TEST_CASE("an endpoint sends bytes without end to many calls") {
-  constexpr int kCalls = 40;
+  constexpr std::size_t kCalls = 40;
   constexpr std::uint64_t kMaxHeld = std::uint64_t{8} * 1024 * 1024;
   auto options = Options();
   options.max_body_bytes = std::uint64_t{4} * 1024 * 1024;
@@ -388,11 +388,11 @@
   ClientFixture fixture(options);
   testing::RawEndpoint sound(fixture.context.get_executor());
   REQUIRE(sound.Start().ok());
-  const std::string body(128 * 1024, 'y');
+  const std::string body(std::size_t{128} * 1024, 'y');
   sound.SetResponses({{kHead + "Content-Length: " +
                            std::to_string(body.size()) + "\r\n\r\n" + body,
                        RawEnd::kKeepOpen}});
-  const std::string piece(64 * 1024, 'x');
+  const std::string piece(std::size_t{64} * 1024, 'x');
   const std::chrono::milliseconds pause(1);
   fixture.endpoint.SetResponses({{"HTTP/1.1 500 Internal Server Error\r\n\r\n",
                                   RawEnd::kKeepOpen, piece, pause}});
@@ -404,7 +404,7 @@
         StoreResult(fixture.client.Call(std::move(call)), result),
         boost::asio::detached);
   };
-  for (int i = 0; i < kCalls; ++i) {
+  for (std::size_t i = 0; i < kCalls; ++i) {
     start(fixture.MakeCall(), faulty[i]);
     auto call = fixture.MakeCall();
     call.address = sound.address();
--- a/packages/gateway/test/run_handlers_test.cc
+++ b/packages/gateway/test/run_handlers_test.cc
@@ -19,6 +19,7 @@
 #include <new>
 #include <stdexcept>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace gypsumtrack::gateway {
@@ -95,7 +96,7 @@
     CHECK(reasons.empty());
   }
   SECTION("neither is a broken invariant") {
-    asio::post(context, [] { std::vector<int>().at(0); });
+    asio::post(context, [] { std::ignore = std::vector<int>().at(0); });
     CHECK_THROWS_AS(run(), std::out_of_range);
     CHECK(reasons.empty());
   }
--- a/packages/gateway/test/serving/job_store_test.cc
+++ b/packages/gateway/test/serving/job_store_test.cc
@@ -237,9 +237,9 @@
     change.puts.push_back({{layout::kResultTable, kKey.organisation.text,
                             layout::ResultKey(kKey.job, position)},
                            value});
-    REQUIRE(RunCoroutine(
-                Transact(fixture.client, std::move(change), fixture.Deadline()))
-                .ok());
+    const auto reply = RunCoroutine(
+        Transact(fixture.client, std::move(change), fixture.Deadline()));
+    REQUIRE(reply.ok());
   };
   const auto read = [&] {
     return RunCoroutine(
--- a/packages/policy/test/serving/event_splitter_test.cc
+++ b/packages/policy/test/serving/event_splitter_test.cc
@@ -120,28 +120,28 @@
   using std::chrono::seconds;
   const base::Instant start{};
   const base::Duration timeout = seconds(2);
-  const auto kPartial = PartContent::kPartialEvent;
-  const auto kWhole = PartContent::kEvent;
+  const auto partial = PartContent::kPartialEvent;
+  const auto whole = PartContent::kEvent;
   EventArrivalLimit limit;
-  REQUIRE(limit.OnPart(kPartial, start, timeout));
-  CHECK(limit.OnPart(kPartial, start + seconds(1), timeout));
+  REQUIRE(limit.OnPart(partial, start, timeout));
+  CHECK(limit.OnPart(partial, start + seconds(1), timeout));
   SECTION("it may take as long as the timeout") {
-    CHECK_FALSE(limit.OnPart(kPartial, start + seconds(2), timeout));
+    CHECK_FALSE(limit.OnPart(partial, start + seconds(2), timeout));
   }
   SECTION("the next event has a time of its own, from its first part") {
-    CHECK(limit.OnPart(kWhole, start + seconds(3), timeout));
-    CHECK(limit.OnPart(kPartial, start + seconds(8), timeout));
-    CHECK(limit.OnPart(kPartial, start + seconds(9), timeout));
-    CHECK_FALSE(limit.OnPart(kPartial, start + seconds(10), timeout));
+    CHECK(limit.OnPart(whole, start + seconds(3), timeout));
+    CHECK(limit.OnPart(partial, start + seconds(8), timeout));
+    CHECK(limit.OnPart(partial, start + seconds(9), timeout));
+    CHECK_FALSE(limit.OnPart(partial, start + seconds(10), timeout));
   }
   SECTION("blank lines and comments give it no more time") {
     CHECK(limit.OnPart(PartContent::kNone, start + seconds(1), timeout));
-    CHECK_FALSE(limit.OnPart(kPartial, start + seconds(2), timeout));
+    CHECK_FALSE(limit.OnPart(partial, start + seconds(2), timeout));
   }
   SECTION("it has the whole time again after a silence in the middle of it") {
-    CHECK(limit.OnPart(kPartial, start + seconds(4), timeout));
-    CHECK(limit.OnPart(kPartial, start + seconds(5), timeout));
-    CHECK_FALSE(limit.OnPart(kPartial, start + seconds(6), timeout));
+    CHECK(limit.OnPart(partial, start + seconds(4), timeout));
+    CHECK(limit.OnPart(partial, start + seconds(5), timeout));
+    CHECK_FALSE(limit.OnPart(partial, start + seconds(6), timeout));
   }
 }
 
