Let requests that the end of the event loop cuts off outlive its state

Found by reading the change: a request in progress when the event loop stops is destroyed after the daemon's state, and would have changed the list of requests of the planned stop, and the sum of held bodies, which were gone by then. Both are shared with what may outlive them now; 'a registration outlives the stop' covers the first, an end without all callers drained was needed for either.

--- a/packages/gateway/include/gypsumtrack/gateway/serving/planned_stop.h
+++ b/packages/gateway/include/gypsumtrack/gateway/serving/planned_stop.h
@@ -24,8 +24,8 @@
   /// called once.
   void Begin(base::Instant answers_until, base::Duration usual_time);
   /// Registers a request in progress. `end` makes it answer at once; it is
-  /// called once at most, by EndRequests, while the registration lives.
-  /// Precondition: the registration doesn't outlive this object.
+  /// called once at most, by EndRequests, while the registration lives, which
+  /// may be longer than this object.
   [[nodiscard]] Registration Register(std::function<void()> end);
   /// Ends all registered requests.
   void EndRequests();
@@ -41,7 +41,10 @@
  private:
   base::Instant until = base::kNever;
   base::Duration usual_time{0};
-  std::list<std::function<void()>> requests;
+  using Requests = std::list<std::function<void()>>;
+  /// Shared with the registrations: requests that are cut off by the end of the
+  /// event loop are destroyed after this object.
+  std::shared_ptr<Requests> requests = std::make_shared<Requests>();
 };
 
 }  // namespace gypsumtrack::gateway
--- a/packages/gateway/src/endpoint_client.cc
+++ b/packages/gateway/src/endpoint_client.cc
@@ -40,6 +40,10 @@
 /// Time to read input that has arrived by the time at which a timeout expires.
 constexpr base::Duration kUnreadInputTimeout = std::chrono::seconds(1);
 
+/// Size of the bodies that the calls of a client hold. A call that the end of
+/// the event loop cuts off may outlive its client.
+using HeldBytes = std::shared_ptr<std::atomic<std::uint64_t>>;
+
 /// What had arrived when the deadline of a call passed.
 struct LateInput {
   /// Number of bytes that aren't read yet.
@@ -115,8 +119,11 @@
   /// `held_bytes` counts the bodies that all calls of the client hold.
   ConnectionCall(EndpointCall& call, const EndpointClientOptions& options,
                  const base::Clock& clock, const asio::any_io_executor& strand,
-                 std::atomic<std::uint64_t>& held_bytes)
-      : call(call), options(options), clock(clock), held_bytes(held_bytes) {
+                 HeldBytes held_bytes)
+      : call(call),
+        options(options),
+        clock(clock),
+        held_bytes(std::move(held_bytes)) {
     this->watchdog = std::make_shared<Watchdog>(strand, clock,
                                                 [this] { this->OnTimeout(); });
     if (call.cancel) call.cancel->SetHandler([this] { this->Close(); });
@@ -125,7 +132,7 @@
   ~ConnectionCall() {
     this->watchdog->Stop();
     if (this->call.cancel) this->call.cancel->SetHandler(nullptr);
-    this->held_bytes -= this->own_held_bytes;
+    *this->held_bytes -= this->own_held_bytes;
   }
 
   ConnectionCall(const ConnectionCall&) = delete;
@@ -569,7 +576,7 @@
   /// may be held.
   bool MayHold(std::size_t added) {
     this->own_held_bytes += added;
-    const auto held_by_all = this->held_bytes += added;
+    const auto held_by_all = *this->held_bytes += added;
     if (this->own_held_bytes > this->options.max_body_bytes) return false;
     return this->own_held_bytes <= this->options.small_body_bytes ||
            held_by_all <= this->options.max_held_bytes;
@@ -601,7 +608,7 @@
   EndpointCall& call;
   const EndpointClientOptions& options;
   const base::Clock& clock;
-  std::atomic<std::uint64_t>& held_bytes;
+  const HeldBytes held_bytes;
   /// Size of the body of the result, which is moved away at the end.
   std::uint64_t own_held_bytes = 0;
   std::shared_ptr<Watchdog> watchdog;
@@ -689,7 +696,7 @@
   const EndpointClientOptions options;
   ConnectionPool idle;
   /// Size of the bodies that the calls in flight hold.
-  std::atomic<std::uint64_t> held_bytes = 0;
+  const HeldBytes held_bytes = std::make_shared<std::atomic<std::uint64_t>>(0);
 
  private:
   /// Returns the connection to the pool if another call may use it.
@@ -732,7 +739,7 @@
 void EndpointClient::CloseIdle() { this->pool->idle.DropAll(); }
 
 std::uint64_t EndpointClient::held_bytes() const {
-  return this->pool->held_bytes;
+  return *this->pool->held_bytes;
 }
 
 std::size_t EndpointClient::idle_count(const std::string& address) const {
--- a/packages/gateway/src/serving/planned_stop.cc
+++ b/packages/gateway/src/serving/planned_stop.cc
@@ -14,12 +14,14 @@
 
 PlannedStop::Registration PlannedStop::Register(std::function<void()> end) {
   const auto request =
-      this->requests.insert(this->requests.end(), std::move(end));
-  return {nullptr, [this, request](void*) { this->requests.erase(request); }};
+      this->requests->insert(this->requests->end(), std::move(end));
+  return {nullptr, [registered = this->requests, request](void*) {
+            registered->erase(request);
+          }};
 }
 
 void PlannedStop::EndRequests() {
-  for (auto& request : this->requests) {
+  for (auto& request : *this->requests) {
     const auto end = std::exchange(request, nullptr);
     if (end) end();
   }
--- a/packages/gateway/test/serving/planned_stop_test.cc
+++ b/packages/gateway/test/serving/planned_stop_test.cc
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 #include <optional>
+#include <utility>
 
 namespace gypsumtrack::gateway {
 namespace {
@@ -52,5 +53,15 @@
   }
 }
 
+// Guards against requests that are destroyed with the event loop, after the
+// state that they were registered with.
+TEST_CASE("a registration outlives the stop") {
+  std::optional<PlannedStop> stop(std::in_place);
+  auto registration = stop->Register([] {});
+  stop.reset();
+  registration.reset();
+  CHECK_FALSE(registration);
+}
+
 }  // namespace
 }  // namespace gypsumtrack::gateway
