--- a/packages/gateway/include/gypsumtrack/gateway/serving/fleet_service.h
+++ b/packages/gateway/include/gypsumtrack/gateway/serving/fleet_service.h
@@ -13,6 +13,7 @@
 #include "gypsumtrack/gateway/serving/serving_settings.h"
 #include "gypsumtrack/gateway/serving/table_follower.h"
 #include "gypsumtrack/policy/serving/fleet_leases.h"
+#include "gypsumtrack/policy/serving/region_limit.h"
 
 /// Membership of the fleet: registers this daemon in the store, writes its
 /// heartbeats there, follows the registrations of all daemons and reads the
@@ -64,6 +65,9 @@
   /// Returns the daemons that are known to hold a lease, including this one as
   /// long as HoldsLease().
   std::vector<base::VmId> LeaseHolders() const;
+  /// The same, those in the allowed regions only.
+  std::vector<base::VmId> LeaseHoldersIn(
+      const policy::RegionLimit& allowed) const;
   /// Returns the lease holders that may take over the jobs of a daemon that has
   /// lost its lease, or of none if its VM name is empty.
   std::vector<base::VmId> Adopters(const base::VmId& lost) const;
--- a/packages/gateway/include/gypsumtrack/gateway/serving/serving_context.h
+++ b/packages/gateway/include/gypsumtrack/gateway/serving/serving_context.h
@@ -201,6 +201,17 @@
     if (this->path_hooks.find_path) return this->path_hooks.find_path();
     return {PathKind::kDirect, {}, this->settings.location};
   }
+  /// The same for a request that may be passed on only within the allowed
+  /// regions and the one of this daemon, to which its caller has connected.
+  EndpointPath FindPath(const policy::RegionLimit& allowed_regions) const {
+    auto path = this->FindPath();
+    const auto& region = path.location.region;
+    const bool leaves_regions = path.kind == PathKind::kTunnel &&
+                                region != this->settings.location.region &&
+                                !policy::Allows(allowed_regions, region);
+    if (leaves_regions) path.kind = PathKind::kNone;
+    return path;
+  }
   /// Returns the time since the cached rules were confirmed.
   base::Duration StoreViewAge() const {
     return this->clock.now() - this->store_view.confirmed_at();
--- a/packages/gateway/include/gypsumtrack/gateway/serving/store_layout.h
+++ b/packages/gateway/include/gypsumtrack/gateway/serving/store_layout.h
@@ -80,9 +80,13 @@
 
 /// Serializes the row of the daemon that runs a job; an empty VM name means
 /// that no daemon owns it.
-std::string SerializeOwner(const base::VmId& owner);
+std::string SerializeOwner(const base::VmId& owner,
+                           const policy::RegionLimit& allowed_regions = {});
 /// Parses an owner row. Errors: kInvalid.
 base::Outcome<base::VmId> ParseOwner(std::string_view value);
+/// The regions whose daemons may own the job, as the row of its owner states
+/// them.
+policy::RegionLimit ParseOwnerRegions(std::string_view value);
 
 /// Tokens of a job's items whose results aren't listed yet.
 struct BacklogRow {
--- a/packages/gateway/include/gypsumtrack/gateway/serving/store_view_service.h
+++ b/packages/gateway/include/gypsumtrack/gateway/serving/store_view_service.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -24,6 +25,8 @@
 struct StoreView {
   /// Null until rules have been read.
   std::shared_ptr<const policy::ServingRules> rules;
+  /// Failure domains that the operators evacuate.
+  std::set<base::FailureDomain> evacuated_domains;
   std::vector<policy::EndpointEntry> endpoints;
   /// Whether the endpoints have been read.
   bool has_endpoints = false;
@@ -65,8 +68,17 @@
   base::Instant endpoints_confirmed_at() const;  // NOLINT
 
  private:
-  void ApplyRules(const std::vector<base::VersionedRow>& rows);
   /// `is_snapshot` states whether the rows are the whole table.
+  void ApplyOperatorRows(const std::vector<base::VersionedRow>& rows,
+                         bool is_snapshot);
+  /// Returns whether the row changed the rules.
+  bool ApplyRules(const base::VersionedRow& row);
+  /// Returns whether the row began or ended an evacuation.
+  bool ApplyEvacuation(const base::VersionedRow& row);
+  /// Ends the evacuations that a snapshot of the table doesn't contain. Returns
+  /// whether there are any.
+  bool EndMissingEvacuations(const std::vector<base::VersionedRow>& rows);
+  /// As for ApplyOperatorRows.
   void ApplyEndpoints(const std::vector<base::VersionedRow>& rows,
                       bool is_snapshot);
   /// Returns whether the row changed an entry.
--- a/packages/gateway/include/gypsumtrack/gateway/serving/wire.h
+++ b/packages/gateway/include/gypsumtrack/gateway/serving/wire.h
@@ -155,10 +155,14 @@
   /// Parses the rules' row. Errors: kInvalid.
   std::function<base::Outcome<policy::ServingRules>(std::string_view value)>
       read_rules;
-  /// Parses a row of the endpoints' table. Errors: kInvalid; the row then
-  /// registers no endpoint.
-  std::function<base::Outcome<policy::EndpointEntry>(const std::string& key,
-                                                     std::string_view value)>
+  /// Returns the failure domain whose evacuation a row of the rules' table
+  /// requests while it exists; none if the key is of another kind.
+  std::function<std::optional<base::FailureDomain>(const std::string& key)>
+      read_evacuation;
+  /// Parses a row of the endpoints' table that was read at `read_at`. Errors:
+  /// kInvalid; the row then registers no endpoint.
+  std::function<base::Outcome<policy::EndpointEntry>(
+      const std::string& key, std::string_view value, base::Instant read_at)>
       read_endpoint;
 };
 
--- a/packages/gateway/src/serving/fleet_service.cc
+++ b/packages/gateway/src/serving/fleet_service.cc
@@ -269,6 +269,17 @@
   return this->WithOwnLease(this->leases.Holders(this->clock.now()));
 }
 
+std::vector<base::VmId> FleetService::LeaseHoldersIn(
+    const policy::RegionLimit& allowed) const {
+  auto holders = this->LeaseHolders();
+  std::erase_if(holders, [&](const base::VmId& holder) {
+    const auto found = this->registered.find(holder.name);
+    return found == this->registered.end() ||
+           !policy::Allows(allowed, found->second.location.region);
+  });
+  return holders;
+}
+
 std::vector<base::VmId> FleetService::Adopters(const base::VmId& lost) const {
   auto adopters = this->leases.Adopters(lost, this->clock.now());
   if (adopters.empty()) return adopters;
--- a/packages/gateway/src/serving/job_ownership.cc
+++ b/packages/gateway/src/serving/job_ownership.cc
@@ -22,7 +22,8 @@
 std::optional<policy::OwnerRow> ParseOwnerRow(const base::VersionedRow& row) {
   auto owner = layout::ParseOwner(row.value);
   if (owner.ok()) {
-    return policy::OwnerRow{KeyOf(row), std::move(*owner), row.version};
+    return policy::OwnerRow{KeyOf(row), std::move(*owner), row.version,
+                            layout::ParseOwnerRegions(row.value)};
   }
   base::LogEvent("owner_unreadable",
                  {{"job", row.at.key}, {"row_version", row.version}});
@@ -41,6 +42,7 @@
       policy::JobRun(std::move(job_items), acquired.listed_ids, options),
       acquired.owner_version});
   job->acquired_at = now;
+  job->allowed_regions = std::move(acquired.allowed_regions);
   job->run.RestorePartialItems(acquired.partials, now);
   if (route != nullptr) {
     const std::chrono::milliseconds age(acquired.found.store_time -
@@ -126,6 +128,9 @@
   leases.adopters = [this](const base::VmId& vm) {
     return this->fleet.Adopters(vm);
   };
+  leases.holders_in = [this](const policy::RegionLimit& allowed) {
+    return this->fleet.LeaseHoldersIn(allowed);
+  };
   return this->owners.OrphansToAdopt(leases, this->context.clock.now());
 }
 
--- a/packages/gateway/src/serving/job_ownership.h
+++ b/packages/gateway/src/serving/job_ownership.h
@@ -28,6 +28,8 @@
   std::vector<policy::PartialItem> partials;
   /// Version of the owner row that names this daemon.
   std::uint64_t owner_version = 0;
+  /// The regions whose daemons may own the job.
+  policy::RegionLimit allowed_regions;
   /// The job's route; null if it isn't among the rules.
   const policy::RouteRule* route = nullptr;
 };
--- a/packages/gateway/src/serving/job_runner.cc
+++ b/packages/gateway/src/serving/job_runner.cc
@@ -249,6 +249,8 @@
         route == nullptr && are_current && confirmed_at > job->acquired_at;
     this->GiveUpExpiredItems(job, route_removed);
     if (route == nullptr) continue;
+    job->allowed_endpoints = policy::AllowedRegions(
+        *route, policy::FindOrganisation(*rules, job->key.organisation.text));
     while (started < kMaxStartsPerTick &&
            this->StartItem(job, *route, urgency)) {
       ++started;
@@ -296,7 +298,7 @@
                                policy::Urgency urgency) {
   for (const auto& origin :
        job->run.WaitingOrigins(this->context.clock.now())) {
-    const auto choice = this->ChooseForOrigin(origin, route, urgency);
+    const auto choice = this->ChooseForOrigin(*job, origin, route, urgency);
     if (choice && this->StartItemAt(job, *choice, route, urgency, {}))
       return true;
   }
@@ -304,12 +306,12 @@
 }
 
 std::optional<policy::EndpointChoice> JobRunner::ChooseForOrigin(
-    const policy::OutputOrigin& origin, const policy::RouteRule& route,
-    policy::Urgency urgency) {
+    const OwnedJob& job, const policy::OutputOrigin& origin,
+    const policy::RouteRule& route, policy::Urgency urgency) {
   if (!policy::LeadsTo(route, origin.service)) return std::nullopt;
-  const auto key = std::make_pair(origin, urgency);
+  const auto key = std::make_tuple(origin, urgency, job.allowed_endpoints);
   if (this->blocked_origins.contains(key)) return std::nullopt;
-  auto tried = this->TryOrigin(origin, route, urgency);
+  auto tried = this->TryOrigin(job, origin, route, urgency);
   if (const auto* block = std::get_if<OriginBlock>(&tried)) {
     this->blocked_origins[key] = *block;
     return std::nullopt;
@@ -318,9 +320,10 @@
 }
 
 std::variant<policy::EndpointChoice, JobRunner::OriginBlock>
-JobRunner::TryOrigin(const policy::OutputOrigin& origin,
+JobRunner::TryOrigin(const OwnedJob& job, const policy::OutputOrigin& origin,
                      const policy::RouteRule& route, policy::Urgency urgency) {
   auto query = this->context.MakeQuery(route);
+  query.allowed_regions = job.allowed_endpoints;
   query.service = origin.service;
   query.version = origin.version;
   auto choice = this->context.endpoints.ChooseBatch(
@@ -341,7 +344,8 @@
 bool JobRunner::BeginOutput(const OwnedJobPtr& job,
                             const policy::RouteRule& route,
                             policy::Urgency urgency) {
-  const auto query = this->context.MakeQuery(route);
+  auto query = this->context.MakeQuery(route);
+  query.allowed_regions = job->allowed_endpoints;
   if (this->RemainingStarts(query.service, urgency) == 0) return false;
   const auto choice = this->context.endpoints.ChooseBatch(
       query, policy::SlotsToKeepFree(urgency), this->context.clock.now());
@@ -358,7 +362,8 @@
                            const policy::RouteRule& route,
                            policy::Urgency urgency) const {
   if (!policy::LeadsTo(route, origin.service)) return true;
-  const auto found = this->blocked_origins.find({origin, urgency});
+  const auto found = this->blocked_origins.find(
+      std::make_tuple(origin, urgency, job.allowed_endpoints));
   if (found == this->blocked_origins.end()) return false;
   if (found->second == OriginBlock::kNoEndpoint) return true;
   if (found->second == OriginBlock::kNoStartsLeft) return false;
@@ -485,8 +490,9 @@
   };
   const auto cancel = call.cancel;
   const auto started_at = this->context.clock.now();
-  const auto result = co_await SendToEndpoint(
-      this->context, endpoint, policy::WorkKind::kBatch, std::move(call));
+  const auto result =
+      co_await SendToEndpoint(this->context, endpoint, policy::WorkKind::kBatch,
+                              std::move(call), false, job->allowed_endpoints);
   const auto events = job->run.event_count(start.index);
   ReportRunEnd(this->context, suspects, item.id, endpoint, result,
                events - events_before);
--- a/packages/gateway/src/serving/job_runner.h
+++ b/packages/gateway/src/serving/job_runner.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <tuple>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -101,12 +102,12 @@
   /// Chooses an endpoint that can continue an output of that origin. None if no
   /// item can be started at one in this tick.
   std::optional<policy::EndpointChoice> ChooseForOrigin(
-      const policy::OutputOrigin& origin, const policy::RouteRule& route,
-      policy::Urgency urgency);
+      const OwnedJob& job, const policy::OutputOrigin& origin,
+      const policy::RouteRule& route, policy::Urgency urgency);
   /// The same regardless of `blocked_origins` and of the route.
   std::variant<policy::EndpointChoice, OriginBlock> TryOrigin(
-      const policy::OutputOrigin& origin, const policy::RouteRule& route,
-      policy::Urgency urgency);
+      const OwnedJob& job, const policy::OutputOrigin& origin,
+      const policy::RouteRule& route, policy::Urgency urgency);
   /// Whether an item may lose its output, which no endpoint continues now, to
   /// start from the beginning at a free one.
   bool MayRestart(const OwnedJob& job, std::size_t index,
@@ -137,7 +138,9 @@
       remaining_starts;
   /// Origins of which no output can be continued in the rest of this tick.
   /// Bounds the choices of a tick.
-  std::map<std::pair<policy::OutputOrigin, policy::Urgency>, OriginBlock>
+  std::map<
+      std::tuple<policy::OutputOrigin, policy::Urgency, policy::RegionLimit>,
+      OriginBlock>
       blocked_origins;
   bool starting_items = true;
   bool stopped = false;
--- a/packages/gateway/src/serving/job_store.cc
+++ b/packages/gateway/src/serving/job_store.cc
@@ -82,7 +82,7 @@
                                            const layout::JobRow& row,
                                            const Backlog& backlog,
                                            std::uint64_t tokens,
-                                           const base::VmId& owner) {
+                                           const std::string& owner_value) {
   const base::RowKey route{layout::kBacklogTable, key.organisation.text,
                            layout::RouteBacklogKey(row.route)};
   const auto job = JobRowKey(layout::kJobTable, key);
@@ -95,8 +95,7 @@
   accept.expectations.push_back({job, 0});
   accept.puts.push_back({route, "{}"});
   accept.puts.push_back({job, layout::SerializeJob(row)});
-  accept.puts.push_back(
-      {JobRowKey(layout::kOwnerTable, key), layout::SerializeOwner(owner)});
+  accept.puts.push_back({JobRowKey(layout::kOwnerTable, key), owner_value});
   accept.puts.push_back(
       {BacklogRowKey(key), layout::SerializeBacklog({row.route, tokens})});
   return accept;
@@ -125,7 +124,8 @@
     const JobStore& store, JobKey key, std::string route,
     const std::vector<SubmittedItem>& items, std::string submission,
     std::uint64_t max_waiting_tokens, base::Instant deadline,
-    std::function<bool()> store_unreachable) {
+    std::function<bool()> store_unreachable,
+    policy::RegionLimit allowed_regions) {
   JobAcceptance acceptance;
   acceptance.outcome = AcceptOutcome::kNotAccepted;
   acceptance.row.route = std::move(route);
@@ -176,8 +176,9 @@
       submission_stored = true;
     }
     acceptance.row.accepted_at = backlog.store_time;
-    auto transaction =
-        MakeAcceptTransaction(key, acceptance.row, backlog, tokens, store.self);
+    auto transaction = MakeAcceptTransaction(
+        key, acceptance.row, backlog, tokens,
+        layout::SerializeOwner(store.self, allowed_regions));
     if (!acceptance.row.in_object) {
       transaction.puts.push_back(
           {JobRowKey(layout::kSubmissionTable, key), submission});
@@ -333,11 +334,12 @@
 /// given version.
 base::RowTransaction MakeOwnerTransaction(const JobKey& key,
                                           std::uint64_t owner_version,
-                                          const base::VmId& owner) {
+                                          const base::VmId& owner,
+                                          const policy::RegionLimit& regions) {
   base::RowTransaction change;
   const auto row_key = JobRowKey(layout::kOwnerTable, key);
   change.expectations.push_back({row_key, owner_version});
-  change.puts.push_back({row_key, layout::SerializeOwner(owner)});
+  change.puts.push_back({row_key, layout::SerializeOwner(owner, regions)});
   return change;
 }
 
@@ -357,8 +359,10 @@
 }  // namespace
 
 asio::awaitable<std::optional<std::uint64_t>> TakeOver(
-    const JobStore& store, JobKey key, std::uint64_t owner_version) {
-  auto change = MakeOwnerTransaction(key, owner_version, store.self);
+    const JobStore& store, JobKey key, std::uint64_t owner_version,
+    policy::RegionLimit allowed_regions) {
+  auto change =
+      MakeOwnerTransaction(key, owner_version, store.self, allowed_regions);
   const auto reply = co_await Transact(store.store, std::move(change),
                                        store.clock.now() + kCallTimeout);
   if (!reply.ok() || !reply->applied) co_return std::nullopt;
@@ -367,7 +371,8 @@
 
 asio::awaitable<bool> HandOver(const JobStore& store, const OwnedJob& job) {
   const base::VmId nobody;
-  auto change = MakeOwnerTransaction(job.key, job.owner_version, nobody);
+  auto change = MakeOwnerTransaction(job.key, job.owner_version, nobody,
+                                     job.allowed_regions);
   AddPartials(store, job, change);
   const auto reply = co_await Transact(store.store, std::move(change),
                                        store.clock.now() + kCallTimeout);
--- a/packages/gateway/src/serving/job_store.h
+++ b/packages/gateway/src/serving/job_store.h
@@ -58,7 +58,8 @@
     const JobStore& store, JobKey key, std::string route,
     const std::vector<SubmittedItem>& items, std::string submission,
     std::uint64_t max_waiting_tokens, base::Instant deadline,
-    std::function<bool()> store_unreachable);
+    std::function<bool()> store_unreachable,
+    policy::RegionLimit allowed_regions = {});
 
 /// How a commit ended.
 enum class CommitOutcome {
@@ -90,7 +91,8 @@
 /// version. Returns the new version of the row, or none if that failed or the
 /// response was lost.
 boost::asio::awaitable<std::optional<std::uint64_t>> TakeOver(
-    const JobStore& store, JobKey key, std::uint64_t owner_version);
+    const JobStore& store, JobKey key, std::uint64_t owner_version,
+    policy::RegionLimit allowed_regions = {});
 
 /// Gives up the ownership of a job and saves its partial output, so that any
 /// daemon can take it over. Returns whether the store confirmed it.
--- a/packages/gateway/src/serving/job_submissions.cc
+++ b/packages/gateway/src/serving/job_submissions.cc
@@ -72,13 +72,18 @@
   const auto accept_until =
       std::min(started_at + kAcceptTimeout, stop.answers_until());
   const auto key = MakeJobKey(access, base::JobId(metadata.request_id));
+  const auto allowed_regions =
+      policy::AllowedRegions(*access.route, access.organisation);
   const auto acceptance = co_await AcceptJob(
       this->store, key, access.route->name, *items, *body,
       access.route->max_waiting_tokens, accept_until,
-      [this] { return this->context.StoreViewAge() > kStoreUnreachableAge; });
+      [this] { return this->context.StoreViewAge() > kStoreUnreachableAge; },
+      allowed_regions);
   if (acceptance.owner_version != 0) {
-    this->ownership.Own(
-        MakeAcquiredJob(key, acceptance, std::move(*items), *access.route));
+    auto acquired =
+        MakeAcquiredJob(key, acceptance, std::move(*items), *access.route);
+    acquired.allowed_regions = allowed_regions;
+    this->ownership.Own(std::move(acquired));
   }
   this->LogAcceptance(key, acceptance, started_at);
   co_await this->Respond(exchange, metadata, acceptance);
--- a/packages/gateway/src/serving/job_takeover.cc
+++ b/packages/gateway/src/serving/job_takeover.cc
@@ -36,10 +36,11 @@
 
 asio::awaitable<void> JobTakeover::Adopt(policy::OwnerRow orphan) {
   const auto& key = orphan.key;
-  const auto version = co_await TakeOver(this->store, key, orphan.version);
+  const auto version = co_await TakeOver(this->store, key, orphan.version,
+                                         orphan.allowed_regions);
   if (!version) co_return;
   this->context.metrics.jobs_taken_over.Add();
-  const auto loaded = co_await this->LoadAndOwn(key, *version);
+  const auto loaded = co_await this->LoadAndOwn(orphan, *version);
   base::LogEvent(
       "job_taken_over",
       {{"job", key.job.text},
@@ -50,7 +51,8 @@
 }
 
 asio::awaitable<base::Status> JobTakeover::LoadAndOwn(
-    JobKey key, std::uint64_t owner_version) {
+    policy::OwnerRow orphan, std::uint64_t owner_version) {
+  const auto& key = orphan.key;
   const auto deadline = this->context.clock.now() + kLoadTimeout;
   auto found = co_await FindJob(this->store, key, deadline);
   if (!found.ok()) co_return found.error();
@@ -66,6 +68,7 @@
   acquired.listed_ids = std::move(loaded->listed_ids);
   acquired.partials = std::move(loaded->partials);
   acquired.owner_version = owner_version;
+  acquired.allowed_regions = orphan.allowed_regions;
   if (rules) {
     acquired.route = policy::FindRouteByName(*rules, acquired.found.row.route);
   }
--- a/packages/gateway/src/serving/job_takeover.h
+++ b/packages/gateway/src/serving/job_takeover.h
@@ -30,7 +30,7 @@
   /// Loads a job that was taken over and runs its remaining items. On failure
   /// the owner row still names this daemon, and JobOwners::OrphansToAdopt
   /// returns the job again after a grace period.
-  boost::asio::awaitable<base::Status> LoadAndOwn(JobKey key,
+  boost::asio::awaitable<base::Status> LoadAndOwn(policy::OwnerRow orphan,
                                                   std::uint64_t owner_version);
 
   ServingContext& context;
--- a/packages/gateway/src/serving/owned_job.h
+++ b/packages/gateway/src/serving/owned_job.h
@@ -34,6 +34,10 @@
   policy::JobRun run;
   /// Version of the owner row. Transactions fail if the row has another one.
   std::uint64_t owner_version = 0;
+  /// The regions whose daemons may own the job.
+  policy::RegionLimit allowed_regions;
+  /// Where its items may run by the rules in force; set before items start.
+  policy::RegionLimit allowed_endpoints;
   /// Time by which the job should be complete.
   base::Instant due = base::kNever;
   /// Time from which no more items are started.
--- a/packages/gateway/src/serving/relay_service.cc
+++ b/packages/gateway/src/serving/relay_service.cc
@@ -78,6 +78,8 @@
     if (this->access.organisation != nullptr) {
       this->organisation = this->access.organisation->name;
     }
+    this->allowed_regions =
+        policy::AllowedRegions(this->route, this->access.organisation);
   }
 
   asio::awaitable<void> Run() {
@@ -254,7 +256,8 @@
 
   /// Whether endpoints can be reached, directly or through a peer.
   bool HasPath() const {
-    return this->context.FindPath().kind != PathKind::kNone;
+    return this->context.FindPath(this->allowed_regions).kind !=
+           PathKind::kNone;
   }
 
   /// Returns the endpoint with the reserved slot, or waits for one.
@@ -302,6 +305,7 @@
     no_path.status = policy::ChoiceStatus::kNoCapacity;
     if (!this->HasPath()) return no_path;
     query.random_value = this->context.NextRandom();
+    query.allowed_regions = this->CurrentRegions();
     query.tried = tried_endpoints;
     auto choice = this->context.endpoints.ChooseOnline(query, now);
     const bool all_tried = choice.status == policy::ChoiceStatus::kNoEndpoint &&
@@ -313,6 +317,21 @@
     return this->context.endpoints.ChooseOnline(query, now);
   }
 
+  /// The regions that the request was admitted with and the rules in force
+  /// still allow.
+  policy::RegionLimit CurrentRegions() const {
+    const auto rules = this->context.store_view.Current()->rules;
+    if (!rules || rules == this->access.rules) return this->allowed_regions;
+    const auto* current_route =
+        policy::FindRouteByName(*rules, this->route.name);
+    const auto* current_organisation =
+        policy::FindOrganisation(*rules, this->organisation.text);
+    if (current_route == nullptr) return this->allowed_regions;
+    return policy::Intersect(
+        this->allowed_regions,
+        policy::AllowedRegions(*current_route, current_organisation));
+  }
+
   /// Whether the request can be sent again now. If so, reserves the slot for
   /// it: the requests of an endpoint fall silent together, and each needs a
   /// slot of its own. If not, giving up an attempt would end the response,
@@ -357,8 +376,10 @@
   asio::awaitable<void> GiveUpWithoutEndpoint(
       policy::ChoiceStatus choice_status) {
     const bool no_capacity = choice_status == policy::ChoiceStatus::kNoCapacity;
+    const char* none_anywhere =
+        this->allowed_regions ? "no_endpoint_in_regions" : "no_endpoint";
     const char* none_matches =
-        this->origin.must_continue() ? "version_gone" : "no_endpoint";
+        this->origin.must_continue() ? "version_gone" : none_anywhere;
     const char* none_free = this->HasPath() ? "no_room" : kNoPathCode;
     const std::string reason = no_capacity ? none_free : none_matches;
     if (this->response_started) {
@@ -485,9 +506,9 @@
     }
     const bool is_counted = this->reservation.has_value();
     this->reservation.reset();
-    auto result = co_await SendToEndpoint(this->context, choice.endpoint,
-                                          policy::WorkKind::kOnline,
-                                          std::move(call), is_counted);
+    auto result = co_await SendToEndpoint(
+        this->context, choice.endpoint, policy::WorkKind::kOnline,
+        std::move(call), is_counted, this->allowed_regions);
     this->current_endpoint.reset();
     ReportRunEnd(this->context, this->suspects, this->fingerprint.text,
                  choice.endpoint, result, this->attempt_events);
@@ -734,6 +755,8 @@
   const AccessDecision access;
   const policy::RouteRule& route;
   base::Organisation organisation;
+  /// Where the request may be served.
+  policy::RegionLimit allowed_regions;
   const base::Instant arrived;
   const base::Instant deadline;
   const PlannedStop::Registration registration;
--- a/packages/gateway/src/serving/send_to_endpoint.cc
+++ b/packages/gateway/src/serving/send_to_endpoint.cc
@@ -201,7 +201,8 @@
 
 boost::asio::awaitable<EndpointResult> SendToEndpoint(
     ServingContext& context, policy::EndpointEntry endpoint,
-    policy::WorkKind kind, EndpointCall call, bool is_counted) {
+    policy::WorkKind kind, EndpointCall call, bool is_counted,
+    policy::RegionLimit allowed_regions) {
   context.metrics.attempts.Add();
   const auto sent_at = context.clock.now();
   if (!is_counted)
@@ -211,8 +212,17 @@
   call.on_head = [&context, &endpoint, sent_at](const ResponseHead& head) {
     RecordReports(context, endpoint, context.wire.read_response(head), sent_at);
   };
-  const auto path = context.FindPath();
+  const auto path = context.FindPath(allowed_regions);
   const bool is_tunnel = path.kind == PathKind::kTunnel;
+  if (path.kind == PathKind::kNone) {
+    context.endpoints.OnAttemptEnded(endpoint.id, kind,
+                                     policy::AttemptResult::kUnknown, sent_at);
+    EndpointResult not_sent;
+    not_sent.outcome = CallOutcome::kConnect;
+    not_sent.run = policy::RunState::kNotRun;
+    not_sent.tunnel_status = TunnelStatus::kPeerUnreachable;
+    co_return not_sent;
+  }
   if (is_tunnel) {
     context.metrics.tunnelled.Add();
     call.tunnel = path.hop;
--- a/packages/gateway/src/serving/send_to_endpoint.h
+++ b/packages/gateway/src/serving/send_to_endpoint.h
@@ -43,12 +43,13 @@
 /// Makes one attempt to send a request: runs the call and records its start,
 /// the load that the response reports and its result in the endpoint registry.
 /// Must run on the context's thread. Precondition: `call.address` is the
-/// endpoint's, `call.on_head` is empty, there is a path to endpoints, and
-/// `context` outlives the call. If `is_counted`, the registry has recorded the
-/// start already.
+/// endpoint's, `call.on_head` is empty, and `context` outlives the call. If
+/// `is_counted`, the registry has recorded the start already. A request that
+/// may not leave `allowed_regions` isn't sent if the only path leads elsewhere.
 boost::asio::awaitable<EndpointResult> SendToEndpoint(
     ServingContext& context, policy::EndpointEntry endpoint,
-    policy::WorkKind kind, EndpointCall call, bool is_counted = false);
+    policy::WorkKind kind, EndpointCall call, bool is_counted = false,
+    policy::RegionLimit allowed_regions = {});
 
 /// Whether a response may go on with a stream of events that began with that
 /// status. If it names a media type, that is the one of events: an error
--- a/packages/gateway/src/serving/serving_daemon.cc
+++ b/packages/gateway/src/serving/serving_daemon.cc
@@ -229,11 +229,13 @@
     if (view->rules && view->rules != this->rules) {
       this->rules = view->rules;
       this->serving.quota.SetRules(this->rules->organisations, now);
+      this->serving.endpoints.SetColdStartRules(this->rules->cold_starts);
       this->organisations_by_hash.clear();
       for (const auto& each : this->rules->organisations) {
         this->organisations_by_hash[HashName(each.name.text)] = each.name;
       }
     }
+    this->serving.endpoints.SetEvacuatedDomains(view->evacuated_domains);
     if (!view->has_endpoints) return;
     this->serving.endpoints.ReplaceEntries(view->endpoints,
                                            view->store_recovered_at, now);
@@ -478,6 +480,19 @@
     this->registry.AddGauge(
         "gypsumtrack_endpoints", "", "Endpoints known.",
         [this] { return static_cast<double>(this->serving.endpoints.size()); });
+    this->registry.AddGauge(
+        "gypsumtrack_evacuated_domains", "",
+        "Failure domains whose endpoints get no new requests.", [this] {
+          const auto& domains = this->serving.endpoints.evacuated_domains();
+          return static_cast<double>(domains.size());
+        });
+    this->registry.AddGauge(
+        "gypsumtrack_cold_endpoints", "",
+        "Endpoints that get requests at a bounded rate after their start.",
+        [this] {
+          return static_cast<double>(
+              this->serving.endpoints.CountCold(this->clock.now()));
+        });
     this->registry.AddGauge(
         "gypsumtrack_held_answer_bytes", "",
         "Bodies of answers, other than streams, that aren't complete yet.",
--- a/packages/gateway/src/serving/store_layout.cc
+++ b/packages/gateway/src/serving/store_layout.cc
@@ -132,9 +132,16 @@
                 is_in_object};
 }
 
-std::string SerializeOwner(const base::VmId& owner) {
-  return json::serialize(
-      json::object{{"vm", owner.name}, {"incarnation", owner.incarnation}});
+std::string SerializeOwner(const base::VmId& owner,
+                           const policy::RegionLimit& allowed_regions) {
+  json::object object{{"vm", owner.name}, {"incarnation", owner.incarnation}};
+  if (allowed_regions) {
+    json::array regions;
+    for (const auto& region : *allowed_regions)
+      regions.emplace_back(region.text);
+    object["regions"] = std::move(regions);
+  }
+  return json::serialize(object);
 }
 
 base::Outcome<base::VmId> ParseOwner(std::string_view value) {
@@ -145,6 +152,17 @@
   return base::VmId{*name, *incarnation};
 }
 
+policy::RegionLimit ParseOwnerRegions(std::string_view value) {
+  const auto object = ParseObject(value);
+  const auto* regions = object.if_contains("regions");
+  if (regions == nullptr || !regions->is_array()) return std::nullopt;
+  std::set<base::Region> allowed;
+  for (const auto& region : regions->as_array()) {
+    if (region.is_string()) allowed.emplace(std::string(region.as_string()));
+  }
+  return allowed;
+}
+
 std::string SerializeBacklog(const BacklogRow& backlog) {
   return json::serialize(
       json::object{{"route", backlog.route}, {"tokens", backlog.tokens}});
--- a/packages/gateway/src/serving/store_view_service.cc
+++ b/packages/gateway/src/serving/store_view_service.cc
@@ -33,10 +33,16 @@
   return !ip.is_unspecified() && !ip.is_multicast() && !is_broadcast;
 }
 
+/// Whether the endpoint says that it is cold.
+bool IsCold(const policy::EndpointEntry& entry, base::Instant now) {
+  return entry.warm_at && *entry.warm_at > now;
+}
+
 /// Reads the entry of an endpoint. Errors: kInvalid.
-base::Outcome<policy::EndpointEntry> ReadEndpoint(
-    const StoreViewSource& source, const base::VersionedRow& row) {
-  auto entry = source.read_endpoint(row.at.key, row.value);
+base::Outcome<policy::EndpointEntry> ReadEndpoint(const StoreViewSource& source,
+                                                  const base::VersionedRow& row,
+                                                  base::Instant now) {
+  auto entry = source.read_endpoint(row.at.key, row.value, now);
   if (!entry.ok() || IsHostAddress(entry->address)) return entry;
   return base::Error(base::Errc::kInvalid,
                      "the address isn't the IP address and port of a host");
@@ -57,9 +63,13 @@
   options.long_poll_timeout = kRulesPollTimeout;
   TableFollowerHooks rules_hooks;
   rules_hooks.on_snapshot = [this](const std::vector<base::VersionedRow>& rows,
-                                   std::uint64_t) { this->ApplyRules(rows); };
+                                   std::uint64_t) {
+    this->ApplyOperatorRows(rows, true);
+  };
   rules_hooks.on_changes = [this](const std::vector<base::VersionedRow>& rows,
-                                  std::uint64_t) { this->ApplyRules(rows); };
+                                  std::uint64_t) {
+    this->ApplyOperatorRows(rows, false);
+  };
   rules_hooks.on_confirmed = [this](base::Instant at) {
     this->OnRulesConfirmed(at);
   };
@@ -110,28 +120,66 @@
   return base::Instant(base::Duration(this->endpoints_confirmed.load()));
 }
 
-void StoreViewService::ApplyRules(const std::vector<base::VersionedRow>& rows) {
+void StoreViewService::ApplyOperatorRows(
+    const std::vector<base::VersionedRow>& rows, bool is_snapshot) {
   this->OnStoreReachable();
+  bool changed = is_snapshot && this->EndMissingEvacuations(rows);
   for (const auto& row : rows) {
-    if (row.at.key != this->source.rules_key || row.removed) continue;
-    auto rules = this->source.read_rules(row.value);
-    if (!rules.ok()) {
-      base::LogEvent("rules_unreadable", {{"row_version", row.version},
-                                          {"reason", rules.error().message}});
-      continue;
-    }
-    const auto old_version = this->next.rules ? this->next.rules->version : 0;
-    if (rules->version <= old_version) continue;
-    base::LogEvent("rules_in_force",
-                   {{"version", rules->version},
-                    {"before", old_version},
-                    {"routes", rules->routes.size()},
-                    {"organisations", rules->organisations.size()},
-                    {"keys", rules->key_holders.size()}});
-    this->next.rules =
-        std::make_shared<const policy::ServingRules>(std::move(*rules));
-    this->Publish();
+    changed = this->ApplyRules(row) || changed;
+    changed = this->ApplyEvacuation(row) || changed;
+  }
+  if (changed) this->Publish();
+}
+
+bool StoreViewService::ApplyRules(const base::VersionedRow& row) {
+  if (row.at.key != this->source.rules_key || row.removed) return false;
+  auto rules = this->source.read_rules(row.value);
+  if (!rules.ok()) {
+    base::LogEvent("rules_unreadable", {{"row_version", row.version},
+                                        {"reason", rules.error().message}});
+    return false;
   }
+  const auto old_version = this->next.rules ? this->next.rules->version : 0;
+  if (rules->version <= old_version) return false;
+  base::LogEvent("rules_in_force",
+                 {{"version", rules->version},
+                  {"before", old_version},
+                  {"routes", rules->routes.size()},
+                  {"organisations", rules->organisations.size()},
+                  {"keys", rules->key_holders.size()}});
+  this->next.rules =
+      std::make_shared<const policy::ServingRules>(std::move(*rules));
+  return true;
+}
+
+bool StoreViewService::ApplyEvacuation(const base::VersionedRow& row) {
+  if (!this->source.read_evacuation) return false;
+  const auto domain = this->source.read_evacuation(row.at.key);
+  if (!domain) return false;
+  auto& evacuated = this->next.evacuated_domains;
+  const bool changed = row.removed ? evacuated.erase(*domain) > 0
+                                   : evacuated.insert(*domain).second;
+  if (changed) {
+    base::LogEvent("evacuation", {{"domain", domain->text},
+                                  {"begun", row.removed ? 0 : 1},
+                                  {"row_version", row.version}});
+  }
+  return changed;
+}
+
+bool StoreViewService::EndMissingEvacuations(
+    const std::vector<base::VersionedRow>& rows) {
+  if (!this->source.read_evacuation) return false;
+  std::set<base::FailureDomain> listed;
+  for (const auto& row : rows) {
+    if (const auto domain = this->source.read_evacuation(row.at.key))
+      listed.insert(*domain);
+  }
+  const auto ended = std::erase_if(
+      this->next.evacuated_domains,
+      [&](const auto& domain) { return !listed.contains(domain); });
+  if (ended > 0) base::LogEvent("evacuations_ended", {{"count", ended}});
+  return ended > 0;
 }
 
 void StoreViewService::ApplyEndpoints(
@@ -168,7 +216,8 @@
     }
     return was_known;
   }
-  auto entry = ReadEndpoint(this->source, row);
+  const auto now = this->clock.now();
+  auto entry = ReadEndpoint(this->source, row, now);
   if (!entry.ok()) {
     base::LogEvent("endpoint_unreadable", {{"endpoint", key},
                                            {"row_version", row.version},
@@ -182,7 +231,8 @@
                          found->second.draining == entry->draining &&
                          found->second.service == entry->service &&
                          found->second.version == entry->version &&
-                         found->second.slots == entry->slots;
+                         found->second.slots == entry->slots &&
+                         !IsCold(found->second, now) && !IsCold(*entry, now);
   if (unchanged) return false;
   base::LogEvent("endpoint_known", {{"endpoint", key},
                                     {"row_version", row.version},
@@ -190,7 +240,8 @@
                                     {"service", entry->service.text},
                                     {"version", entry->version},
                                     {"slots", entry->slots},
-                                    {"draining", entry->draining ? 1 : 0}});
+                                    {"draining", entry->draining ? 1 : 0},
+                                    {"cold", IsCold(*entry, now) ? 1 : 0}});
   this->entries[key] = std::move(*entry);
   return true;
 }
--- a/packages/policy/include/gypsumtrack/policy/serving/endpoint_registry.h
+++ b/packages/policy/include/gypsumtrack/policy/serving/endpoint_registry.h
@@ -12,7 +12,10 @@
 
 #include "gypsumtrack/base/names.h"
 #include "gypsumtrack/base/time.h"
+#include "gypsumtrack/policy/serving/cold_start_pacer.h"
 #include "gypsumtrack/policy/serving/rate_turns.h"
+#include "gypsumtrack/policy/serving/region_limit.h"
+#include "gypsumtrack/policy/serving/serving_rules.h"
 
 /// Chooses endpoints for requests by their known load, their recent failures,
 /// what they report of themselves and the capacity that is left for batch
@@ -35,6 +38,9 @@
   std::uint32_t slots = 1;
   /// Whether the endpoint is shutting down and accepts no new requests.
   bool draining = false;
+  /// When the endpoint will be warm, in the past if it is; none if the entry
+  /// doesn't say.
+  std::optional<base::Instant> warm_at;
 };
 
 /// Kind of a request: an online request of a caller, or a batch item.
@@ -139,6 +145,10 @@
   /// each failure, up to `max_backoff`.
   base::Duration initial_backoff = std::chrono::milliseconds(500);
   base::Duration max_backoff = std::chrono::seconds(4);
+  /// Number of consecutive failures from which on a bad response causes the
+  /// endpoint to be avoided. A single bad response may be caused by a caller's
+  /// connection or a late packet.
+  std::uint32_t bad_responses_to_avoid = 2;
   /// Time for which an endpoint is avoided after it refused for lack of
   /// capacity.
   base::Duration busy_backoff = std::chrono::milliseconds(60);
@@ -162,6 +172,8 @@
   std::optional<std::string> version;
   /// Location from which the request is sent.
   base::Location origin;
+  /// Where the request may be served.
+  RegionLimit allowed_regions;
   /// Endpoints that this request was already sent to. They aren't chosen.
   std::set<base::EndpointId> tried;
   /// Random number. Spreads requests over endpoints of about the same cost.
@@ -205,6 +217,11 @@
   /// have become too old. Must be called several times a second. Returns the
   /// removed endpoints.
   std::vector<base::EndpointId> RemoveExpired(base::Instant now);
+  /// Replaces the failure domains whose endpoints get no new requests because
+  /// the operators evacuate them.
+  void SetEvacuatedDomains(std::set<base::FailureDomain> domains);
+  /// Replaces the rules of services whose endpoints start cold.
+  void SetColdStartRules(ColdStartRules rules);
   /// Replaces the loads that a peer puts on endpoints by a full list of them.
   void SetPeerLoads(const std::string& peer, EndpointLoads loads,
                     base::Instant now);
@@ -276,7 +293,7 @@
   /// unknown endpoint.
   EndpointLoad Load(const base::EndpointId& id, base::Instant now) const;
   /// Returns whether this incarnation of the endpoint is known and neither
-  /// draining nor leaving.
+  /// draining nor leaving, and its failure domain isn't evacuated.
   bool AcceptsRequests(const base::EndpointId& id,
                        std::uint64_t incarnation) const;
   /// Returns the endpoints of each software version of a service, draining ones
@@ -286,6 +303,12 @@
   /// slots, of which a limited endpoint has as many as it has requests. It is
   /// above 1 if there are more online requests than slots.
   double OnlineShare(const base::Service& service, base::Instant now) const;
+  /// Returns the number of endpoints that are cold, or were a moment ago.
+  std::size_t CountCold(base::Instant now) const;
+  /// Returns the failure domains that are evacuated.
+  const std::set<base::FailureDomain>& evacuated_domains() const {  // NOLINT
+    return this->evacuated;
+  }
   /// Returns the number of known endpoints.
   std::size_t size() const { return this->states.size(); }  // NOLINT
 
@@ -306,6 +329,8 @@
     base::Instant reported_at{};
     /// Total load of this daemon when the report was received.
     std::uint32_t own_at_report = 0;
+    /// Set if the endpoint's service has a rule for cold endpoints.
+    std::optional<ColdStartPacer> cold_start;
   };
   /// What an incarnation of an endpoint has reported that restricts the
   /// requests it gets. Kept while its entry is missing, because it may be
@@ -351,6 +376,16 @@
             EndpointChoice& choice) const;
   /// Sets the state of an endpoint that has just started.
   void Reset(State& state, const base::EndpointId& id) const;
+  /// Applies what the entry of an endpoint says of its cold start. `is_new`: it
+  /// has been listed for the first time. `has_news`: it says something else
+  /// than before.
+  void UpdateColdStart(State& state, bool is_new, bool has_news,
+                       base::Instant now) const;
+  /// Returns the rule for cold endpoints of the endpoint's service, or null.
+  const ColdStartRule* FindColdStartRule(const State& state) const;
+  /// An endpoint that can't be reached may have restarted: it is taken for cold
+  /// when it is back, because its new entry may not have been read by then.
+  void OnUnreachable(State& state, base::Instant now) const;
   /// Adds a peer's loads to the sums of the known endpoints.
   void AddLoads(const EndpointLoads& loads);
   void SubtractLoads(const EndpointLoads& loads);
@@ -387,6 +422,8 @@
 
   EndpointRegistryOptions options;
   FleetPosition fleet_position;
+  std::set<base::FailureDomain> evacuated;
+  ColdStartRules cold_start_rules;
   std::map<base::EndpointId, State> states;
   std::map<base::EndpointId, Restrictions> restrictions;
   /// Keyed by VM name.
--- a/packages/policy/include/gypsumtrack/policy/serving/job_owners.h
+++ b/packages/policy/include/gypsumtrack/policy/serving/job_owners.h
@@ -11,6 +11,7 @@
 #include "gypsumtrack/base/enum_table.h"
 #include "gypsumtrack/base/names.h"
 #include "gypsumtrack/base/time.h"
+#include "gypsumtrack/policy/serving/region_limit.h"
 
 /// Tracks which daemon owns each open batch job, from the store's owner rows.
 namespace gypsumtrack::policy {
@@ -29,6 +30,8 @@
   /// Has an empty VM name if no daemon owns the job.
   base::VmId owner;
   std::uint64_t version = 0;
+  /// The regions whose daemons may own the job.
+  RegionLimit allowed_regions;
 };
 
 /// Why a daemon must stop running a job.
@@ -58,6 +61,9 @@
   /// Returns the lease holders that may adopt a job of that daemon, or of none
   /// if its VM name is empty.
   std::function<std::vector<base::VmId>(const base::VmId&)> adopters;
+  /// Returns the lease holders in the allowed regions, who may adopt a job that
+  /// must not be held elsewhere.
+  std::function<std::vector<base::VmId>(const RegionLimit&)> holders_in;
 };
 
 /// Returns whether the daemon ranks first for `name` among `candidates` by
@@ -116,6 +122,7 @@
   struct CachedRow {
     base::VmId owner;
     std::uint64_t version = 0;
+    RegionLimit allowed_regions;
     /// When the row was first seen; the minimum if it was part of the first
     /// snapshot and may have been there for long.
     base::Instant seen_at{};
--- a/packages/policy/include/gypsumtrack/policy/serving/rate_turns.h
+++ b/packages/policy/include/gypsumtrack/policy/serving/rate_turns.h
@@ -26,15 +26,20 @@
   base::Duration wall_offset{0};
 };
 
+/// Time after the begin of its slot for which a turn may be used, unless stated
+/// otherwise. Turns saved in a lull serve the next peak.
+inline constexpr base::Duration kTurnValidity = std::chrono::milliseconds(1750);
+
 /// One daemon's turns at one endpoint. Not thread-safe.
 class RateTurns {
  public:
   /// The endpoint accepts `per_second` requests, or a few a minute if that is
   /// less: without any, no response could end the limit. `salt` differs between
   /// endpoints, so that a daemon's turns at them come at different times. Only
-  /// slots that begin after `now` count.
+  /// slots that begin after `now` count. A turn may be used for `validity`.
   RateTurns(double per_second, std::uint64_t salt,
-            const FleetPosition& position, base::Instant now);
+            const FleetPosition& position, base::Instant now,
+            base::Duration validity = kTurnValidity);
 
   // Commands.
 
@@ -57,6 +62,7 @@
 
   double rate;
   std::uint64_t salt;
+  base::Duration validity;
   /// All slots before this one are used or dropped.
   std::int64_t next_slot = 0;
 };
--- a/packages/policy/include/gypsumtrack/policy/serving/serving_rules.h
+++ b/packages/policy/include/gypsumtrack/policy/serving/serving_rules.h
@@ -11,6 +11,7 @@
 #include "gypsumtrack/base/enum_table.h"
 #include "gypsumtrack/base/names.h"
 #include "gypsumtrack/base/time.h"
+#include "gypsumtrack/policy/serving/region_limit.h"
 
 /// The operators' rules in force: the routes of requests, the organisations,
 /// their keys and rate limits, and limits of connections.
@@ -74,6 +75,8 @@
   /// Batch: maximum number of waiting tokens of an organisation; 0 for no
   /// limit.
   std::uint64_t max_waiting_tokens = 0;
+  /// Where the route's requests may be served.
+  RegionLimit allowed_regions;
 };
 
 /// Whether a request may be sent to another endpoint after one that may have
@@ -90,8 +93,24 @@
   double burst = 0;
   /// As set by the operators; not used for scheduling.
   std::optional<int> priority;
+  /// Where the organisation's requests may be served.
+  RegionLimit allowed_regions;
 };
 
+/// What the endpoints of a service tolerate while they are cold: an endpoint
+/// that receives requests at a much higher rate then crashes.
+struct ColdStartRule {
+  /// Requests a second, of all daemons together.
+  double max_rate = 0;
+  /// Time for which an endpoint is cold after it has started.
+  base::Duration duration{0};
+
+  auto operator<=>(const ColdStartRule&) const = default;
+};
+
+/// The rules of the services whose endpoints start cold.
+using ColdStartRules = std::map<base::Service, ColdStartRule>;
+
 /// One version of the rules. Immutable once in force.
 struct ServingRules {
   std::uint64_t version = 0;
@@ -107,6 +126,7 @@
   /// Maximum number of connections to one endpoint, over all daemons, by
   /// service.
   std::map<base::Service, std::uint32_t> max_connections;
+  ColdStartRules cold_starts;
 };
 
 /// The route of the host with the longest prefix that matches the path; null if
@@ -128,6 +148,10 @@
 /// A service of the route, chosen by weight; `random` is any number.
 /// Precondition: the route has services. Thread-safe.
 const base::Service& PickService(const RouteRule& route, std::uint64_t random);
+/// The regions in which the organisation's requests on the route may be served;
+/// `organisation` may be null. Thread-safe.
+RegionLimit AllowedRegions(const RouteRule& route,
+                           const OrganisationRule* organisation);
 /// Whether PickService may choose the service. Precondition: the route has
 /// services. Thread-safe.
 bool LeadsTo(const RouteRule& route, const base::Service& service);
--- a/packages/policy/src/serving/endpoint_registry.cc
+++ b/packages/policy/src/serving/endpoint_registry.cc
@@ -8,29 +8,6 @@
 namespace gypsumtrack::policy {
 namespace {
 
-/// Online requests: endpoints whose cost is within this of the lowest are
-/// considered equal.
-constexpr base::Duration kOnlineMaxExtraCost = std::chrono::milliseconds(4);
-/// The same for endpoints that differ only in their load, which other daemons
-/// change before this one learns of it.
-constexpr base::Duration kOnlineMaxExtraLoadCost =
-    std::chrono::milliseconds(16);
-/// Weight of an endpoint without free slots, in slots.
-constexpr double kFullEndpointWeight = 0.1;
-/// Resolution of the random fraction that picks an endpoint.
-constexpr std::uint64_t kRandomSteps = 1'000'000;
-/// Batch items: wider than for online requests, because several daemons may
-/// send items to an endpoint before they receive each other's loads.
-constexpr base::Duration kBatchMaxExtraCost = std::chrono::milliseconds(12);
-/// Number of consecutive failures from which on a bad response causes the
-/// endpoint to be avoided. A single bad response may be caused by a caller's
-/// connection or a late packet.
-constexpr std::uint32_t kBadResponsesToAvoid = 2;
-/// Time after its last report that an incarnation of an endpoint ends in any
-/// case: some serve for many seconds after they were told to drain.
-constexpr base::Duration kRestrictionsRetention = std::chrono::minutes(10);
-/// Time for which a change of a limit is sent to the peers again and again.
-constexpr base::Duration kLimitChangeWindow = std::chrono::seconds(3);
 /// A larger change of the time of day between two updates is a step.
 constexpr base::Duration kMaxClockDrift = std::chrono::milliseconds(200);
 
@@ -49,8 +26,10 @@
     auto& state = at->second;
     const bool restarted = state.entry.incarnation != entry.incarnation;
     if (is_new || restarted) this->Reset(state, entry.id);
+    const bool has_news = state.entry.warm_at != entry.warm_at;
     state.entry = std::move(entry);
     state.expires_at = base::kNever;
+    this->UpdateColdStart(state, is_new || restarted, has_news, now);
   }
   const auto grace_period_end =
       platform_back_at + this->options.missing_entry_grace_period;
@@ -122,6 +101,9 @@
   for (auto& [id, known] : this->restrictions) {
     if (known.turns) known.turns->Restart(position, now);
   }
+  for (auto& [id, state] : this->states) {
+    if (state.cold_start) state.cold_start->Restart(position, now);
+  }
 }
 
 void EndpointRegistry::OnAttemptStarted(const base::EndpointId& id,
@@ -130,6 +112,8 @@
   if (found == this->states.end()) return;
   auto& state = found->second;
   ++(kind == WorkKind::kOnline ? state.own.online : state.own.batch);
+  if (state.cold_start)
+    state.cold_start->OnRequestSent(this->fleet_position, now);
   const auto known = this->restrictions.find(id);
   const bool is_limited =
       known != this->restrictions.end() &&
@@ -154,20 +138,21 @@
       state.busy_until = now + this->options.busy_backoff;
       break;
     case AttemptResult::kBadResponse:
-      if (++state.failures >= kBadResponsesToAvoid) {
+      if (++state.failures >= this->options.bad_responses_to_avoid) {
         this->StartBackoff(state, now);
       }
       break;
     case AttemptResult::kUnreachable:
       ++state.failures;
       this->StartBackoff(state, now);
+      this->OnUnreachable(state, now);
       break;
     case AttemptResult::kUnknown:
       break;
     case AttemptResult::kWrongEndpoint:
       // The entry is outdated and will be removed soon: use the longest
       // backoff.
-      state.failures += kBadResponsesToAvoid;
+      state.failures += this->options.bad_responses_to_avoid;
       state.avoided_until = now + this->options.max_backoff;
       break;
   }
@@ -200,81 +185,6 @@
   state.own_at_report = state.own.total();
 }
 
-bool EndpointRegistry::OnLeaving(const base::EndpointId& id,
-                                 std::uint64_t incarnation, base::Instant now) {
-  auto* known = this->MakeRestrictions(id, incarnation, now);
-  if (known == nullptr) return false;
-  return !std::exchange(known->leaving, true);
-}
-
-bool EndpointRegistry::OnRateLimit(const base::EndpointId& id,
-                                   std::uint64_t incarnation,
-                                   const RateLimitReport& report, bool is_own,
-                                   base::Instant now) {
-  if (!report.per_second && !this->restrictions.contains(id)) return false;
-  auto* known = this->MakeRestrictions(id, incarnation, now);
-  if (known == nullptr || report.as_of < known->limit_as_of) return false;
-  known->limit_as_of = report.as_of;
-  if (known->rate_limit == report.per_second) return false;
-  known->rate_limit = report.per_second;
-  if (is_own) known->own_change_at = now;
-  known->turns.reset();
-  if (report.per_second) {
-    known->turns.emplace(*report.per_second, base::Hash64(id.text),
-                         this->fleet_position, now);
-  }
-  return true;
-}
-
-std::vector<RateLimitChange> EndpointRegistry::OwnRateLimitChanges(
-    base::Instant now) const {
-  std::vector<RateLimitChange> changes;
-  for (const auto& [id, known] : this->restrictions) {
-    if (known.own_change_at < now - kLimitChangeWindow) continue;
-    changes.push_back(
-        {id, known.incarnation, {known.rate_limit, known.limit_as_of}});
-  }
-  return changes;
-}
-
-EndpointRegistry::Restrictions* EndpointRegistry::MakeRestrictions(
-    const base::EndpointId& id, std::uint64_t incarnation, base::Instant now) {
-  const auto listed = this->states.find(id);
-  const bool is_outdated = listed != this->states.end() &&
-                           listed->second.entry.incarnation != incarnation;
-  if (is_outdated) return nullptr;
-  auto& known = this->restrictions[id];
-  if (known.incarnation != incarnation) known = {.incarnation = incarnation};
-  known.forgotten_at = now + kRestrictionsRetention;
-  return &known;
-}
-
-const EndpointRegistry::Restrictions* EndpointRegistry::FindRestrictions(
-    const EndpointEntry& entry) const {
-  const auto found = this->restrictions.find(entry.id);
-  const bool is_known = found != this->restrictions.end() &&
-                        found->second.incarnation == entry.incarnation;
-  return is_known ? &found->second : nullptr;
-}
-
-bool EndpointRegistry::IsLimited(const State& state) const {
-  const auto* known = this->FindRestrictions(state.entry);
-  return known != nullptr && known->turns;
-}
-
-bool EndpointRegistry::LimitAllows(const State& state,
-                                   base::Instant now) const {
-  const auto* known = this->FindRestrictions(state.entry);
-  return known == nullptr || !known->turns ||
-         known->turns->HasTurn(this->fleet_position, now);
-}
-
-bool EndpointRegistry::Accepts(const State& state) const {
-  if (state.entry.draining) return false;
-  const auto* known = this->FindRestrictions(state.entry);
-  return known == nullptr || !known->leaving;
-}
-
 EndpointLoad EndpointRegistry::LoadOf(const State& state,
                                       base::Instant now) const {
   EndpointLoad load = state.own;
@@ -295,182 +205,6 @@
   return load;
 }
 
-bool EndpointRegistry::Matches(const State& state,
-                               const EndpointQuery& query) const {
-  const bool fits = !query.version || *query.version == state.entry.version;
-  return state.entry.service == query.service && fits && this->Accepts(state) &&
-         !query.tried.contains(state.entry.id);
-}
-
-bool EndpointRegistry::Avoided(const State& state, base::Instant now) const {
-  if (now < state.avoided_until) return true;
-  // After its backoff a failing endpoint receives a single request as a probe.
-  return state.failures >= kBadResponsesToAvoid && state.own.total() > 0;
-}
-
-base::Duration EndpointRegistry::DistanceCost(const base::Location& from,
-                                              const base::Location& to) const {
-  if (from.domain == to.domain) return {};
-  return from.region == to.region ? this->options.cross_domain_cost
-                                  : this->options.cross_region_cost;
-}
-
-base::Duration EndpointRegistry::FixedCost(const State& state,
-                                           const EndpointQuery& query) const {
-  const auto cost = this->DistanceCost(query.origin, state.entry.location);
-  const bool connected = !query.has_idle_connection ||
-                         query.has_idle_connection(state.entry.address);
-  return connected ? cost : cost + this->options.new_connection_cost;
-}
-
-base::Duration EndpointRegistry::Cost(const State& state,
-                                      const EndpointQuery& query,
-                                      base::Instant now) const {
-  const auto load = this->LoadOf(state, now).total();
-  auto cost = this->FixedCost(state, query);
-  cost += this->options.cost_per_concurrent_request * load;
-  if (load >= state.entry.slots) {
-    cost +=
-        this->options.cost_per_queued_request * (load - state.entry.slots + 1);
-  }
-  return cost;
-}
-
-std::vector<const EndpointRegistry::State*> EndpointRegistry::UsableEndpoints(
-    const EndpointQuery& query, base::Instant now) const {
-  std::vector<const State*> healthy;
-  std::vector<const State*> all;
-  for (const auto& [id, state] : this->states) {
-    if (!this->Matches(state, query)) continue;
-    all.push_back(&state);
-    if (!this->Avoided(state, now)) healthy.push_back(&state);
-  }
-  // If most endpoints seem to fail, the cause is likely this daemon or the
-  // network.
-  const bool trusts_failures = healthy.size() * 4 >= all.size();
-  return trusts_failures && !healthy.empty() ? healthy : all;
-}
-
-EndpointChoice EndpointRegistry::ChooseOnline(const EndpointQuery& query,
-                                              base::Instant now) const {
-  const auto usable = this->UsableEndpoints(query, now);
-  EndpointChoice choice;
-  if (usable.empty()) return choice;
-  choice.status = ChoiceStatus::kNoCapacity;
-  std::vector<Candidate> candidates;
-  for (const auto* state : usable) {
-    if (now < state->busy_until || !this->LimitAllows(*state, now)) continue;
-    const auto load = this->LoadOf(*state, now).total();
-    const auto capacity =
-        state->entry.slots + this->options.max_queued_requests;
-    if (load >= capacity) continue;
-    auto cost = this->Cost(*state, query, now);
-    if (this->IsLimited(*state)) cost += this->options.limited_turn_cost;
-    candidates.push_back({cost, state});
-  }
-  if (candidates.empty()) return choice;
-  if (this->peers.size() > this->options.large_fleet_peers) {
-    this->PickByFreeSlots(candidates, query, now, choice);
-  } else {
-    this->Pick(candidates, query, kOnlineMaxExtraCost, now, choice);
-  }
-  return choice;
-}
-
-void EndpointRegistry::PickByFreeSlots(std::vector<Candidate>& candidates,
-                                       const EndpointQuery& query,
-                                       base::Instant now,
-                                       EndpointChoice& choice) const {
-  const auto cheapest = *std::min_element(
-      candidates.begin(), candidates.end(),
-      [](const auto& a, const auto& b) { return a.cost < b.cost; });
-  const auto lowest_fixed_cost = this->FixedCost(*cheapest.state, query);
-  std::erase_if(candidates, [&](const auto& each) {
-    const auto fixed_cost = this->FixedCost(*each.state, query);
-    const bool differs_in_load =
-        fixed_cost <= lowest_fixed_cost + kOnlineMaxExtraCost;
-    const auto max_extra_cost =
-        differs_in_load ? kOnlineMaxExtraLoadCost : kOnlineMaxExtraCost;
-    return each.cost > cheapest.cost + max_extra_cost;
-  });
-  // Other daemons choose by the same loads at the same time. If each preferred
-  // the lowest one, all would choose the same endpoints.
-  std::vector<std::pair<double, const State*>> weighted;
-  double total_weight = 0;
-  for (const auto& each : candidates) {
-    const auto load = this->LoadOf(*each.state, now).total();
-    const auto slots = each.state->entry.slots;
-    const auto weight =
-        load < slots ? static_cast<double>(slots - load) : kFullEndpointWeight;
-    weighted.emplace_back(weight, each.state);
-    total_weight += weight;
-  }
-  std::stable_sort(
-      weighted.begin(), weighted.end(),
-      [](const auto& a, const auto& b) { return a.first > b.first; });
-  auto position = total_weight *
-                  static_cast<double>(query.random_value % kRandomSteps) /
-                  static_cast<double>(kRandomSteps);
-  const State* chosen = weighted.back().second;
-  for (const auto& [weight, state] : weighted) {
-    if (position < weight) {
-      chosen = state;
-      break;
-    }
-    position -= weight;
-  }
-  this->Choose(*chosen, now, choice);
-}
-
-void EndpointRegistry::Choose(const State& state, base::Instant now,
-                              EndpointChoice& choice) const {
-  choice.status = ChoiceStatus::kChosen;
-  choice.endpoint = state.entry;
-  choice.known_load = this->LoadOf(state, now).total();
-}
-
-EndpointChoice EndpointRegistry::ChooseBatch(const EndpointQuery& query,
-                                             std::uint32_t reserved_slots,
-                                             base::Instant now) const {
-  EndpointChoice choice;
-  std::vector<Candidate> candidates;
-  for (const auto* state : this->UsableEndpoints(query, now)) {
-    choice.status = ChoiceStatus::kNoCapacity;
-    if (now < state->busy_until || this->Avoided(*state, now)) continue;
-    if (!this->LimitAllows(*state, now)) continue;
-    const auto load = this->LoadOf(*state, now).total();
-    if (load + 1 + reserved_slots > state->entry.slots) continue;
-    auto cost = this->Cost(*state, query, now);
-    if (this->IsLimited(*state)) cost -= this->options.limited_turn_cost;
-    candidates.push_back({cost, state});
-  }
-  if (!candidates.empty()) {
-    this->Pick(candidates, query, kBatchMaxExtraCost, now, choice);
-  }
-  return choice;
-}
-
-void EndpointRegistry::Pick(std::vector<Candidate>& candidates,
-                            const EndpointQuery& query,
-                            base::Duration max_extra_cost, base::Instant now,
-                            EndpointChoice& choice) const {
-  const auto lowest_cost =
-      std::min_element(
-          candidates.begin(), candidates.end(),
-          [](const auto& a, const auto& b) { return a.cost < b.cost; })
-          ->cost;
-  std::erase_if(candidates, [&](const auto& each) {
-    return each.cost > lowest_cost + max_extra_cost;
-  });
-  // Choose the cheaper of two random candidates: that is close to the lowest
-  // cost and differs between daemons.
-  const auto& first = candidates[query.random_value % candidates.size()];
-  const auto& second =
-      candidates[query.random_value / candidates.size() % candidates.size()];
-  const auto* chosen = (second.cost < first.cost ? second : first).state;
-  this->Choose(*chosen, now, choice);
-}
-
 std::uint32_t EndpointRegistry::CountFreeSlots(const base::Service& service,
                                                std::uint32_t reserved_slots,
                                                base::Instant now) const {
--- a/packages/policy/src/serving/job_owners.cc
+++ b/packages/policy/src/serving/job_owners.cc
@@ -41,7 +41,7 @@
     return JobLossReason::kOwnedElsewhere;
   }
   this->owned_versions[key] = version;
-  this->CacheRow({key, this->self, version}, now);
+  this->CacheRow({key, this->self, version, {}}, now);
   return std::nullopt;
 }
 
@@ -64,7 +64,8 @@
 
 void JobOwners::CacheRow(const OwnerRow& row, base::Instant now) {
   auto& cached = this->rows[row.key];
-  if (row.version > cached.version) cached = {row.owner, row.version, now};
+  if (row.version > cached.version)
+    cached = {row.owner, row.version, row.allowed_regions, now};
 }
 
 std::vector<LostJob> JobOwners::ApplySnapshot(
@@ -77,8 +78,9 @@
     const auto found = this->rows.find(row.key);
     const bool is_cached =
         found != this->rows.end() && found->second.version >= row.version;
-    next[row.key] =
-        is_cached ? found->second : CachedRow{row.owner, row.version, seen_at};
+    next[row.key] = is_cached ? found->second
+                              : CachedRow{row.owner, row.version,
+                                          row.allowed_regions, seen_at};
   }
   this->has_snapshot = true;
   // Rows newer than the snapshot aren't part of it and stay.
@@ -128,10 +130,15 @@
     if (!is_unowned && !is_settled) continue;
     bool adopt = cached.owner == this->self;
     if (!adopt && (is_unowned || leases.is_lost(cached.owner))) {
-      adopt =
-          RanksFirst(this->self, key.job.text, leases.adopters(cached.owner));
+      const auto candidates = cached.allowed_regions
+                                  ? leases.holders_in(cached.allowed_regions)
+                                  : leases.adopters(cached.owner);
+      adopt = RanksFirst(this->self, key.job.text, candidates);
+    }
+    if (adopt) {
+      orphans.push_back(
+          {key, cached.owner, cached.version, cached.allowed_regions});
     }
-    if (adopt) orphans.push_back({key, cached.owner, cached.version});
   }
   return orphans;
 }
--- a/packages/policy/src/serving/rate_turns.cc
+++ b/packages/policy/src/serving/rate_turns.cc
@@ -10,15 +10,15 @@
 constexpr double kMinRate = 0.25;
 /// Higher limits don't limit anything; the number of a slot has to fit 64 bits.
 constexpr double kMaxRate = 1e6;
-/// Time after the begin of its slot for which a turn may be used. Turns saved
-/// in a lull serve the next peak.
-constexpr base::Duration kTurnValidity = std::chrono::milliseconds(1750);
 
 }  // namespace
 
 RateTurns::RateTurns(double per_second, std::uint64_t endpoint_salt,
-                     const FleetPosition& position, base::Instant now)
-    : rate(std::clamp(per_second, kMinRate, kMaxRate)), salt(endpoint_salt) {
+                     const FleetPosition& position, base::Instant now,
+                     base::Duration turn_validity)
+    : rate(std::clamp(per_second, kMinRate, kMaxRate)),
+      salt(endpoint_salt),
+      validity(turn_validity) {
   this->Restart(position, now);
 }
 
@@ -35,7 +35,7 @@
 
 std::int64_t RateTurns::FirstOwnSlot(const FleetPosition& position,
                                      base::Instant now) const {
-  const auto oldest = this->SlotAt(position, now - kTurnValidity) + 1;
+  const auto oldest = this->SlotAt(position, now - this->validity) + 1;
   const auto first = std::max(oldest, this->next_slot);
   const auto count = static_cast<std::uint64_t>(position.daemon_count);
   const auto owner = (static_cast<std::uint64_t>(first) + this->salt) % count;
--- a/packages/policy/src/serving/serving_rules.cc
+++ b/packages/policy/src/serving/serving_rules.cc
@@ -58,6 +58,12 @@
   return route.services.back().service;
 }
 
+RegionLimit AllowedRegions(const RouteRule& route,
+                           const OrganisationRule* organisation) {
+  if (organisation == nullptr) return route.allowed_regions;
+  return Intersect(route.allowed_regions, organisation->allowed_regions);
+}
+
 bool LeadsTo(const RouteRule& route, const base::Service& service) {
   assert(!route.services.empty());
   const bool has_weight =
--- a/packages/policy/test/serving/endpoint_restrictions_test.cc
+++ b/packages/policy/test/serving/endpoint_restrictions_test.cc
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "endpoint_registry_fixture.h"
@@ -217,5 +218,128 @@
   }
 }
 
+// Guards against requests that reach a failure domain which the operators
+// evacuate, and against a herd at the rest.
+TEST_CASE("an evacuated failure domain gets no new requests") {
+  EndpointRegistry registry({});
+  registry.ReplaceEntries(
+      {MakeEndpoint("near", kOwnDomain), MakeEndpoint("other", kOtherDomain),
+       MakeEndpoint("far", kOtherRegion)},
+      {}, kStart);
+  StartAttempts(registry, "near", 1);
+  const auto chosen = [&] {
+    return registry.ChooseOnline(MakeQuery(), kStart).endpoint.id;
+  };
+  REQUIRE(chosen() == Id("near"));
+  registry.SetEvacuatedDomains({kOwnDomain.domain});
+  CHECK(chosen() == Id("other"));
+  CHECK(registry.ChooseBatch(MakeQuery(), 0, kStart).endpoint.id != Id("near"));
+  CHECK_FALSE(registry.AcceptsRequests(Id("near"), 1));
+  SECTION("what runs there goes on and counts as load") {
+    CHECK(registry.Load(Id("near"), kStart).total() == 1);
+  }
+  SECTION("two evacuations overlap") {
+    registry.SetEvacuatedDomains({kOwnDomain.domain, kOtherDomain.domain});
+    CHECK(chosen() == Id("far"));
+    SECTION("also of all there is: it is refused at once, not held") {
+      registry.SetEvacuatedDomains(
+          {kOwnDomain.domain, kOtherDomain.domain, kOtherRegion.domain});
+      CHECK(registry.ChooseOnline(MakeQuery(), kStart).status ==
+            ChoiceStatus::kNoEndpoint);
+      CHECK(registry.CountFreeSlots(kService, 0, kStart) == 0);
+    }
+  }
+  SECTION("an unknown domain changes nothing") {
+    registry.SetEvacuatedDomains({base::FailureDomain("nowhere")});
+    CHECK(chosen() == Id("near"));
+  }
+  SECTION("it is used again once the evacuation is taken back") {
+    registry.SetEvacuatedDomains({});
+    CHECK(chosen() == Id("near"));
+  }
+}
+
+// Guards against a request that is served outside its allowed regions while
+// those are full or gone.
+TEST_CASE("a request with allowed regions is served nowhere else") {
+  EndpointRegistry registry({});
+  registry.ReplaceEntries(
+      {MakeEndpoint("near", kOwnDomain), MakeEndpoint("far", kOtherRegion)}, {},
+      kStart);
+  auto query = MakeQuery();
+  query.allowed_regions = std::set{kOtherRegion.region};
+  CHECK(registry.ChooseOnline(query, kStart).endpoint.id == Id("far"));
+  CHECK(registry.ChooseBatch(query, 0, kStart).endpoint.id == Id("far"));
+  SECTION("it waits while its regions are full") {
+    StartAttempts(registry, "far", 10);
+    CHECK(registry.ChooseOnline(query, kStart).status ==
+          ChoiceStatus::kNoCapacity);
+  }
+  SECTION("it is refused at once if they have no endpoint") {
+    registry.ReplaceEntries({MakeEndpoint("near", kOwnDomain)}, {}, kStart);
+    registry.RemoveExpired(kStart + seconds(3));
+    CHECK(registry.ChooseOnline(query, kStart).status ==
+          ChoiceStatus::kNoEndpoint);
+  }
+  SECTION(
+      "no region is allowed if route and organisation have none in common") {
+    query.allowed_regions =
+        Intersect(std::set{kOwnDomain.region}, std::set{kOtherRegion.region});
+    CHECK(registry.ChooseOnline(query, kStart).status ==
+          ChoiceStatus::kNoEndpoint);
+  }
+}
+
+// Guards against all daemons sending to an endpoint that has just started.
+TEST_CASE("a cold endpoint gets this daemon's part of what it tolerates") {
+  EndpointRegistry registry({});
+  registry.SetColdStartRules({{kService, {1, seconds(3)}}});
+  registry.SetFleetPosition({.index = 0, .daemon_count = 2}, kStart);
+  auto cold = MakeEndpoint("cold", kOwnDomain);
+  cold.warm_at = kStart + seconds(30);
+  auto far = MakeEndpoint("far", kOtherRegion);
+  far.warm_at = kStart - seconds(30);
+  registry.ReplaceEntries({cold, far}, {}, kStart);
+  const auto sent_from = [&](base::Instant from) {
+    int sent = 0;
+    for (auto now = from; now < from + seconds(10); now += milliseconds(10)) {
+      if (registry.ChooseOnline(MakeQuery(), now).endpoint.id != Id("cold"))
+        continue;
+      registry.OnAttemptStarted(Id("cold"), WorkKind::kOnline, now);
+      registry.OnAttemptEnded(Id("cold"), WorkKind::kOnline,
+                              AttemptResult::kSuccess, now);
+      ++sent;
+    }
+    return sent;
+  };
+  CHECK(registry.CountCold(kStart) == 1);
+  CHECK(sent_from(kStart) <= 6);
+  SECTION("and all that come once it is warm") {
+    CHECK(sent_from(kStart + seconds(32)) == 1000);
+  }
+  SECTION("an entry that doesn't say so is cold when it is new") {
+    cold.incarnation = 2;
+    cold.warm_at.reset();
+    const auto now = kStart + seconds(40);
+    registry.ReplaceEntries({cold, far}, {}, now);
+    CHECK(registry.CountCold(now) == 1);
+    CHECK(registry.CountCold(now + seconds(5)) == 0);
+  }
+  SECTION("one that was unreachable may have restarted") {
+    const auto now = kStart + seconds(40);
+    CHECK(registry.CountCold(now) == 0);
+    registry.OnAttemptStarted(Id("cold"), WorkKind::kOnline, now);
+    registry.OnAttemptEnded(Id("cold"), WorkKind::kOnline,
+                            AttemptResult::kUnreachable, now);
+    CHECK(registry.CountCold(now + seconds(2)) == 1);
+    registry.ReplaceEntries({cold, far}, {}, now);
+    CHECK(registry.CountCold(now + seconds(2)) == 1);
+  }
+  SECTION("without a rule for its service nothing is paced") {
+    registry.SetColdStartRules({});
+    CHECK(sent_from(kStart) == 1000);
+  }
+}
+
 }  // namespace
 }  // namespace gypsumtrack::policy
