--- a/packages/testing/soak/daemon_process.cc
+++ b/packages/testing/soak/daemon_process.cc
@@ -58,6 +58,7 @@
       this->config.name, this->config.domain, this->config.region,
       this->config.ip, this->caller_address(), this->ready_address(),
       this->config.store_address);
+  out << this->config.further_settings;
 }
 
 void DaemonProcess::Start() {
--- a/packages/testing/soak/daemon_process.h
+++ b/packages/testing/soak/daemon_process.h
@@ -24,6 +24,8 @@
   std::string store_address;
   /// Holds the settings file and the output of the daemon.
   std::string directory;
+  /// Further lines of the settings file.
+  std::string further_settings = {};
 };
 
 /// Starts, signals and reaps one daemon process. Not thread-safe. The
@@ -56,6 +58,8 @@
 
   /// Whether the process was started and not yet reaped.
   bool running() const { return this->pid > 0; }  // NOLINT
+  /// The process id; 0 if it isn't running.
+  pid_t process_id() const { return this->pid; }  // NOLINT
   /// The name of the daemon, as in its settings.
   const std::string& name() const { return this->config.name; }  // NOLINT
   /// `ip:port` that accepts requests of callers.
