--- a/packages/gateway/include/gypsumtrack/gateway/endpoint_client.h
+++ b/packages/gateway/include/gypsumtrack/gateway/endpoint_client.h
@@ -123,6 +123,12 @@
   /// the call waits on and asks again shortly. Null ends the call. Called on
   /// the strand of the call.
   std::function<bool()> may_abandon;
+  /// If shorter than `progress_timeout`: the time without a head of the
+  /// response after which `may_abandon` is asked first.
+  std::optional<base::Duration> late_head_timeout;
+  /// Set by the caller if it ends the call early: that says nothing against the
+  /// endpoint. May be null.
+  std::shared_ptr<bool> is_early_end;
   /// Cancels the call; may be null.
   std::shared_ptr<CallCancellation> cancel;
   /// Opens the connection through this peer, not directly. Only connections
--- a/packages/gateway/include/gypsumtrack/gateway/http_server.h
+++ b/packages/gateway/include/gypsumtrack/gateway/http_server.h
@@ -12,6 +12,7 @@
 
 #include "gypsumtrack/base/outcome.h"
 #include "gypsumtrack/base/time.h"
+#include "gypsumtrack/gateway/client_account.h"
 
 /// HTTP/1.1 server for callers and operators.
 namespace gypsumtrack::gateway {
@@ -75,9 +76,12 @@
   /// disconnected).
   boost::asio::awaitable<base::Outcome<std::string>> ReadPart();
   /// Reads the whole body. Errors: kInvalid if it is larger than `limit_bytes`,
-  /// and those of ReadPart.
+  /// kOverload if the process has no room for it, and those of ReadPart.
   boost::asio::awaitable<base::Outcome<std::string>> ReadBody(
       std::uint64_t limit_bytes);
+  /// Returns whether the process has room for that many bytes more that are
+  /// made of the request. They are charged until the exchange ends.
+  bool TryHold(std::uint64_t bytes);
 
   /// Sends a complete response. Precondition: !response_started(). Errors, also
   /// of the other methods that write: kCancelled (the caller disconnected).
@@ -144,7 +148,11 @@
   /// limits below apply. Called for each request, from any thread.
   std::function<CallerLimits()> limits;
   std::uint64_t max_header_bytes = 16ULL * 1024;
+  /// A connection that waits for a request is closed in favour of a new one
+  /// beyond this number.
   std::uint32_t max_connections = 4096;
+  /// Charged for what connections hold; null if nothing limits that.
+  std::shared_ptr<ClientAccount> client_account;
   /// Maximum idle time between requests and between parts of a request body,
   /// and maximum time of one write.
   base::Duration idle_timeout = std::chrono::seconds(60);
--- a/packages/gateway/include/gypsumtrack/gateway/serving/relay_service.h
+++ b/packages/gateway/include/gypsumtrack/gateway/serving/relay_service.h
@@ -28,6 +28,12 @@
                                          std::string request_id,
                                          Refusal refusal);
 
+/// Refuses a request, which hasn't run, for lack of memory. Must run on the
+/// context's thread.
+boost::asio::awaitable<void> SendNoMemory(ServingContext& context,
+                                          Exchange& exchange,
+                                          std::string request_id);
+
 /// Refuses a request whose body can't be read, for the error of
 /// Exchange::ReadBody; ends the exchange if the caller has disconnected. Must
 /// run on the context's thread.
--- a/packages/gateway/include/gypsumtrack/gateway/serving/serving_context.h
+++ b/packages/gateway/include/gypsumtrack/gateway/serving/serving_context.h
@@ -22,6 +22,7 @@
 #include "gypsumtrack/policy/serving/endpoint_registry.h"
 #include "gypsumtrack/policy/serving/fleet_quota.h"
 #include "gypsumtrack/policy/serving/output_origin.h"
+#include "gypsumtrack/policy/serving/second_tries.h"
 #include "gypsumtrack/telemetry/metrics.h"
 
 /// State that the components of a serving daemon share.
@@ -49,6 +50,7 @@
   telemetry::Counter& jobs_taken_over;
   telemetry::Counter& crashed_runs;
   telemetry::Counter& tunnelled;
+  telemetry::Counter& second_tries;
   telemetry::Counter& quarantined;
   telemetry::Counter& handler_exceptions;
   telemetry::LatencyHistogram& first_byte;
@@ -171,6 +173,7 @@
   StreamVersionHooks stream_versions;
   EndpointPathHooks path_hooks;
   std::minstd_rand random;
+  policy::SecondTries second_tries{policy::SecondTryOptions{}};
   /// Set once the daemon has been asked to stop.
   bool shutting_down = false;
   PlannedStop planned_stop;
--- a/packages/gateway/include/gypsumtrack/gateway/serving/serving_settings.h
+++ b/packages/gateway/include/gypsumtrack/gateway/serving/serving_settings.h
@@ -1,6 +1,8 @@
 #ifndef GYPSUMTRACK_GATEWAY_SERVING_SERVING_SETTINGS_H_
 #define GYPSUMTRACK_GATEWAY_SERVING_SERVING_SETTINGS_H_
 
+#include <cstdint>
+#include <optional>
 #include <string>
 
 #include "gypsumtrack/base/names.h"
@@ -25,6 +27,9 @@
   /// TCP listen address for tunnels of other daemons to endpoints, `ip:port`.
   std::string tunnel_listen;
   std::string store_address;
+  /// Memory and open descriptors that this VM may use; none if unknown.
+  std::optional<std::uint64_t> memory_bytes;
+  std::optional<std::uint32_t> max_descriptors;
   /// Processor cores that this VM may use; may be a fraction.
   double cpu_cores = 1;
   policy::FreshnessLimits freshness;
@@ -32,6 +37,9 @@
   /// time window: a fraction of what they allow plus a number of requests.
   double quota_excess_fraction = 0.1;
   double quota_excess_requests = 20;
+  /// Largest share of a route's requests that are sent to a second endpoint
+  /// because the first one is late; 0 for none.
+  double second_try_share = 0;
   /// Time from the signal to stop until the process is killed.
   base::Duration stop_grace_period = std::chrono::seconds(8);
   /// Time after the end of a batch job within which its owner must stop sending
--- a/packages/gateway/src/endpoint_client.cc
+++ b/packages/gateway/src/endpoint_client.cc
@@ -452,6 +452,11 @@
       this->parser->body_limit(boost::none);
       if (this->call.method == "HEAD") this->parser->skip(true);
       this->OnProgress();
+      if (this->call.late_head_timeout && this->call.may_abandon) {
+        this->stalled_at =
+            std::min(this->stalled_at,
+                     this->clock.now() + *this->call.late_head_timeout);
+      }
       this->SetReadTimeout();
       this->reading = true;
       const auto [error, size] = co_await http::async_read_header(
--- a/packages/gateway/src/http_connection.cc
+++ b/packages/gateway/src/http_connection.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <array>
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
@@ -22,7 +24,19 @@
 
 constexpr base::Logger kLog{"http"};
 constexpr auto kAwaitTuple = asio::as_tuple(asio::use_awaitable);
-constexpr std::size_t kBodyPartBytes = std::size_t{64} * 1024;
+constexpr std::size_t kBodyPartBytes = std::size_t{16} * 1024;
+/// Read ahead of a caller that sends more than one request.
+constexpr std::size_t kPipelinedBytes = std::size_t{16} * 1024;
+/// Memory of a field of a head beside its bytes, in the parser and in
+/// RequestHead.
+constexpr std::uint64_t kFieldOverheadBytes = 224;
+/// Capacity of an empty read buffer that isn't given back.
+constexpr std::size_t kKeptBufferBytes = 2048;
+/// Maximum time that a body waits for room, and the interval of looking for it.
+constexpr base::Duration kRoomWait = std::chrono::milliseconds(500);
+constexpr base::Duration kRoomPollInterval = std::chrono::milliseconds(10);
+/// Retry delay in seconds for callers whose request finds no room.
+constexpr std::uint32_t kNoRoomRetrySeconds = 1;
 constexpr std::size_t kReadAheadBytes = std::size_t{64} * 1024;
 /// The connection is closed if more of the request body than this is unread
 /// after the response.
@@ -84,6 +98,20 @@
                                               [this] { this->OnTimeout(); });
 }
 
+std::shared_ptr<Connection> Connection::Make(
+    asio::ip::tcp::socket accepted, std::shared_ptr<ServerContext> shared) {
+  auto connection =
+      std::make_shared<Connection>(std::move(accepted), std::move(shared));
+  const std::weak_ptr<Connection> weak = connection;
+  connection->held.emplace(connection->context->options.client_account,
+                           [weak, executor = connection->strand()] {
+                             asio::post(executor, [weak] {
+                               if (const auto self = weak.lock()) self->Close();
+                             });
+                           });
+  return connection;
+}
+
 Connection::~Connection() { this->watchdog->Stop(); }
 
 asio::any_io_executor Connection::strand() {
@@ -100,6 +128,11 @@
   if (is_idle && !this->HasUnreadInput()) this->Close();
 }
 
+void Connection::CloseIfAwaitsHead() {
+  const bool reads_head = this->awaited == Awaited::kInput && !this->has_head;
+  if (this->awaited == Awaited::kRequest || reads_head) this->Close();
+}
+
 void Connection::OnTimeout() {
   const auto now = this->context->clock.now();
   // After a standstill of the process, the timer may fire before the socket is
@@ -178,7 +211,10 @@
 }
 
 asio::awaitable<bool> Connection::WaitForRequest() {
+  this->ReleaseRequest();
+  this->SetAwaitsHead(this->context->clock.now());
   if (this->buffer.size() > 0) co_return true;
+  if (this->buffer.capacity() > kKeptBufferBytes) this->buffer.shrink_to_fit();
   const bool takes_no_more = this->context->drain_grace_over.load();
   if (takes_no_more && !this->HasUnreadInput()) co_return false;
   this->idle_since = this->context->clock.now();
@@ -200,6 +236,7 @@
   this->body_bytes = 0;
   this->exchange_number++;
   this->head = {};
+  this->has_head = false;
   this->id = this->context->id_prefix +
              std::to_string(this->context->next_id.fetch_add(1));
   this->parser.emplace();
@@ -210,17 +247,60 @@
   const auto [error, size] = co_await http::async_read_header(
       this->socket, this->buffer, *this->parser, kAwaitTuple);
   this->awaited = Awaited::kOther;
+  this->has_head = true;
+  this->SetAwaitsHead(base::kNever);
   if (error == http::error::end_of_stream) co_return false;
   if (error) {
     co_await this->RefuseHead(error);
     co_return false;
   }
   this->body_started_at = this->context->clock.now();
-  if (this->ParseHead()) co_return true;
-  co_await this->RefuseHead(http::error::bad_target);
+  if (!this->ParseHead()) {
+    co_await this->RefuseHead(http::error::bad_target);
+    co_return false;
+  }
+  if (this->HoldHead()) co_return true;
+  co_await this->RefuseForMemory();
   co_return false;
 }
 
+void Connection::ReleaseRequest() {
+  this->parser.reset();
+  this->head = {};
+  if (!this->held) return;
+  this->held->OnClientDone();
+  this->held->Release();
+}
+
+bool Connection::HoldHead() {
+  std::uint64_t bytes = 0;
+  for (const auto& field : this->head.headers) {
+    bytes += 2 * (field.name.size() + field.value.size()) + kFieldOverheadBytes;
+  }
+  return this->TryHold(bytes);
+}
+
+bool Connection::TryHold(std::uint64_t bytes) {
+  return !this->held || this->held->TryGrow(bytes, this->context->clock.now());
+}
+
+asio::awaitable<bool> Connection::HoldBody(std::uint64_t bytes) {
+  const auto wait_until = this->context->clock.now() + kRoomWait;
+  bool has_room = this->TryHold(bytes);
+  while (!has_room && this->context->clock.now() < wait_until) {
+    asio::steady_timer timer(this->strand(), kRoomPollInterval);
+    co_await timer.async_wait(kAwaitTuple);
+    has_room = this->TryHold(bytes);
+  }
+  co_return has_room;
+}
+
+std::optional<std::uint64_t> Connection::DeclaredBodyBytes() const {
+  const auto length = this->parser->content_length();
+  if (!length) return std::nullopt;
+  return *length;
+}
+
 void Connection::BeginRead() {
   this->awaited = Awaited::kInput;
   this->input_timed_out = false;
@@ -248,10 +328,21 @@
 }
 
 asio::awaitable<void> Connection::RefuseHead(error_code error) {
+  co_await this->RefuseAndClose(HeadError(error, this->input_timed_out));
+}
+
+asio::awaitable<void> Connection::RefuseForMemory() {
+  this->ReleaseRequest();
+  co_await this->RefuseAndClose(
+      {503, "no_memory", "This VM has no room for the request.",
+       policy::RunState::kNotRun, kNoRoomRetrySeconds});
+}
+
+asio::awaitable<void> Connection::RefuseAndClose(ErrorReply error) {
   if (!this->socket.is_open()) co_return;
   const auto now = this->context->clock.now();
   this->watchdog->Set(now + kLingerTimeout);
-  auto reply = RenderError(HeadError(error, this->input_timed_out));
+  auto reply = RenderError(error);
   this->must_close = true;
   std::ignore =
       co_await this->Send(std::move(reply.head), std::move(reply.body));
@@ -345,24 +436,41 @@
   return std::min(idle_deadline, slow_deadline);
 }
 
+asio::awaitable<error_code> Connection::WaitForInput() {
+  this->BeginRead();
+  if (this->held) this->held->OnClientAwaited(this->context->clock.now());
+  const auto [error] = co_await this->socket.async_wait(
+      asio::socket_base::wait_read, kAwaitTuple);
+  if (this->held) this->held->OnClientDone();
+  this->awaited = Awaited::kOther;
+  co_return error;
+}
+
 asio::awaitable<base::Outcome<std::string>> Connection::ReadPart() {
   if (this->continue_pending) co_await this->WriteContinue();
-  std::string part(kBodyPartBytes, '\0');
+  std::string part;
   while (!this->parser->is_done()) {
     if (!this->MayReadBody()) {
       this->watchdog->Set(base::kNever);
       this->must_close = true;
       co_return base::Error(base::Errc::kTimeout, kSlowBodyMessage);
     }
-    auto& body = this->parser->get().body();
-    body.data = part.data();
-    body.size = part.size();
-    body.more = true;
     this->SetInputDeadline(this->BodyDeadline());
-    this->BeginRead();
-    auto [error, size] = co_await http::async_read_some(
-        this->socket, this->buffer, *this->parser, kAwaitTuple);
-    this->awaited = Awaited::kOther;
+    error_code error;
+    // No space is held for a caller that sends nothing.
+    if (this->buffer.size() == 0) error = co_await this->WaitForInput();
+    if (!error) {
+      part.resize(kBodyPartBytes);
+      auto& body = this->parser->get().body();
+      body.data = part.data();
+      body.size = part.size();
+      body.more = true;
+      this->BeginRead();
+      std::tie(error, std::ignore) = co_await http::async_read_some(
+          this->socket, this->buffer, *this->parser, kAwaitTuple);
+      this->awaited = Awaited::kOther;
+    }
+    const auto unfilled = this->parser->get().body().size;
     if (error == http::error::need_buffer) error = {};
     if (error) {
       this->watchdog->Set(base::kNever);
@@ -378,8 +486,11 @@
           ? base::Error(base::Errc::kInvalid, "The body is malformed.")
           : base::Error(base::Errc::kCancelled, "The caller disconnected.");
     }
-    const auto size_read = part.size() - body.size;
-    if (size_read == 0) continue;
+    const auto size_read = part.size() - unfilled;
+    if (size_read == 0) {
+      part = {};
+      continue;
+    }
     this->body_bytes += size_read;
     this->watchdog->Set(base::kNever);
     part.resize(size_read);
@@ -394,8 +505,17 @@
   if (!name.empty() && !this->id.empty()) fields.set(name, this->id);
 }
 
+void Connection::BeginWrite(std::uint64_t bytes) {
+  const auto now = this->context->clock.now();
+  this->watchdog->Set(now + this->context->options.idle_timeout);
+  if (!this->held) return;
+  this->held->Grow(bytes, now);
+  this->held->OnClientAwaited(now);
+}
+
 base::Status Connection::HandleWriteResult(error_code error) {
   this->watchdog->Set(base::kNever);
+  if (this->held) this->held->OnClientDone();
   if (!error) return base::Done{};
   this->must_close = true;
   this->HandleCallerDisconnect();
@@ -421,8 +541,7 @@
   this->keeps_alive = this->MayKeepAlive() && !body_not_requested;
   message.keep_alive(this->keeps_alive);
   http::response_serializer<http::string_body> serializer(message);
-  this->watchdog->Set(this->context->clock.now() +
-                      this->context->options.idle_timeout);
+  this->BeginWrite(message.body().size());
   error_code error;
   std::size_t size = 0;
   if (headers_only) {
@@ -462,8 +581,7 @@
 
 asio::awaitable<base::Status> Connection::WritePart(std::string bytes) {
   if (bytes.empty()) co_return base::Done{};
-  this->watchdog->Set(this->context->clock.now() +
-                      this->context->options.idle_timeout);
+  this->BeginWrite(0);
   const auto payload = asio::buffer(std::as_const(bytes));
   error_code error;
   std::size_t size = 0;
@@ -521,11 +639,10 @@
     return;
   // Input is a pipelined request, which is buffered, or the end of the stream,
   // which means that the caller disconnected.
-  if (this->buffer.size() + kBodyPartBytes / 4 > this->buffer.max_size())
-    return;
+  if (this->buffer.size() + kPipelinedBytes > this->buffer.max_size()) return;
   error_code error;
   this->socket.non_blocking(true, error);
-  const auto space = this->buffer.prepare(kBodyPartBytes / 4);
+  const auto space = this->buffer.prepare(kPipelinedBytes);
   const auto size = this->socket.read_some(space, error);
   if (error == asio::error::would_block) error = {};
   if (error) {
--- a/packages/gateway/src/http_connection.h
+++ b/packages/gateway/src/http_connection.h
@@ -48,6 +48,11 @@
              std::shared_ptr<ServerContext> context);
   ~Connection();
 
+  /// Makes a connection that is charged to the account of the options.
+  static std::shared_ptr<Connection> Make(
+      boost::asio::ip::tcp::socket socket,
+      std::shared_ptr<ServerContext> context);
+
   /// Serves exchanges until either side ends the connection.
   boost::asio::awaitable<void> Run();
   /// Responds that there are too many connections, and closes.
@@ -55,6 +60,16 @@
   /// Closes the connection if it waits for a request and none has arrived. Must
   /// be called on the strand.
   void CloseIfIdle();
+  /// Closes the connection if it still waits for the rest of a head. Must be
+  /// called on the strand.
+  void CloseIfAwaitsHead();
+  /// Since when it has waited for a whole head, or kNever if it serves a
+  /// request or was chosen to be closed. Thread-safe.
+  base::Instant awaits_head_since() const {  // NOLINT
+    return base::Instant(base::Duration(this->head_awaited_since.load()));
+  }
+  /// Excludes the connection from further choices. Thread-safe.
+  void OnChosenToClose() { this->SetAwaitsHead(base::kNever); }
   /// Closes the connection. Must be called on the strand.
   void Close();
   /// The strand on which the connection runs.
@@ -67,6 +82,12 @@
   bool response_started() const { return this->started; }             // NOLINT
   base::Instant deadline() const { return this->exchange_deadline; }  // NOLINT
   boost::asio::awaitable<base::Outcome<std::string>> ReadPart();
+  bool TryHold(std::uint64_t bytes);
+  /// Waits a moment for room for a part of the body. Returns whether there is.
+  boost::asio::awaitable<bool> HoldBody(std::uint64_t bytes);
+  /// The length of the body by the head of the request; none if it is in
+  /// chunks.
+  std::optional<std::uint64_t> DeclaredBodyBytes() const;
   boost::asio::awaitable<base::Status> Send(ResponseHead response_head,
                                             std::string body);
   boost::asio::awaitable<base::Status> BeginStream(ResponseHead response_head);
@@ -107,6 +128,21 @@
   boost::asio::awaitable<void> LingeringClose();
   boost::asio::awaitable<boost::system::error_code> WriteContinue();
   void AddRequestId(boost::beast::http::fields& fields) const;
+  void SetAwaitsHead(base::Instant since) {
+    this->head_awaited_since.store(since.time_since_epoch().count());
+  }
+  /// Frees what was held for the last request.
+  void ReleaseRequest();
+  /// Returns whether there is room for the head and charges it if so.
+  bool HoldHead();
+  /// Waits until the caller has sent something.
+  boost::asio::awaitable<boost::system::error_code> WaitForInput();
+  /// Sends a refusal to a request whose head finds no room.
+  boost::asio::awaitable<void> RefuseForMemory();
+  /// Sends a refusal and closes.
+  boost::asio::awaitable<void> RefuseAndClose(ErrorReply error);
+  /// Prepares to write that many bytes that the caller may not read.
+  void BeginWrite(std::uint64_t bytes);
   /// Disables the watchdog and converts the result of a write.
   base::Status HandleWriteResult(boost::system::error_code error);
   /// Fills in `head`; returns false if the target is invalid.
@@ -126,6 +162,9 @@
   std::shared_ptr<ServerContext> context;
   std::shared_ptr<Watchdog> watchdog;
   boost::beast::flat_buffer buffer;
+  std::optional<ClientAccount::Holder> held;
+  std::atomic<base::Duration::rep> head_awaited_since{
+      base::kNever.time_since_epoch().count()};
   std::optional<Parser> parser;
   RequestHead head;
   std::string id;
@@ -143,6 +182,8 @@
   /// Whether the caller expects `100 Continue` before it sends the body.
   bool continue_pending = false;
   Awaited awaited = Awaited::kOther;
+  /// Whether the head of the current request was read, or its reading failed.
+  bool has_head = false;
   /// Whether input that the connection read for came too slowly.
   bool input_timed_out = false;
   /// Whether sending of the response has begun.
--- a/packages/gateway/src/http_server.cc
+++ b/packages/gateway/src/http_server.cc
@@ -30,6 +30,9 @@
 /// Delay after a failed accept, for example when descriptors run out.
 constexpr base::Duration kAcceptRetryDelay = std::chrono::milliseconds(50);
 constexpr std::size_t kIdPrefixBytes = 6;
+constexpr const char* kLargeBodyMessage = "The body is too large.";
+/// Connections beyond the limit that may be told so; further ones are closed.
+constexpr std::size_t kMaxRefusedConnections = 16;
 
 }  // namespace
 
@@ -65,17 +68,28 @@
 asio::awaitable<base::Outcome<std::string>> Exchange::ReadBody(
     std::uint64_t limit_bytes) {
   std::string body;
+  const auto length = this->connection->DeclaredBodyBytes();
+  if (length > limit_bytes)
+    co_return base::Error(base::Errc::kInvalid, kLargeBodyMessage);
+  // Without copies of a body that grows.
+  if (length) body.reserve(*length);
   for (;;) {
     auto part = co_await this->connection->ReadPart();
     if (!part.ok()) co_return part.error();
     if (part->empty()) co_return body;
-    if (body.size() + part->size() > limit_bytes) {
-      co_return base::Error(base::Errc::kInvalid, "The body is too large.");
-    }
+    if (body.size() + part->size() > limit_bytes)
+      co_return base::Error(base::Errc::kInvalid, kLargeBodyMessage);
+    const bool has_room = co_await this->connection->HoldBody(part->size());
+    if (!has_room)
+      co_return base::Error(base::Errc::kOverload, "No room for the body.");
     body += *part;
   }
 }
 
+bool Exchange::TryHold(std::uint64_t bytes) {
+  return this->connection->TryHold(bytes);
+}
+
 asio::awaitable<base::Status> Exchange::Send(ResponseHead head,
                                              std::string body) {
   return this->connection->Send(std::move(head), std::move(body));
@@ -194,10 +208,13 @@
   }
 
   void AddConnection(tcp::socket socket) {
+    const auto max_connections = this->context->options.max_connections;
+    if (this->connections.size() >= max_connections + kMaxRefusedConnections)
+      return;
+    const bool is_full = this->connections.size() >= max_connections;
+    const bool at_limit = is_full && !this->CloseLongestIdle();
     auto connection =
-        std::make_shared<detail::Connection>(std::move(socket), this->context);
-    const bool at_limit =
-        this->connections.size() >= this->context->options.max_connections;
+        detail::Connection::Make(std::move(socket), this->context);
     this->connections.insert(connection);
     auto serve = [self = this->shared_from_this(), connection, at_limit] {
       return self->Serve(connection, at_limit);
@@ -227,6 +244,23 @@
     this->FinishDrain();
   }
 
+  /// Closes the connection that has waited longest for a whole head. Returns
+  /// whether there is one.
+  bool CloseLongestIdle() {
+    std::shared_ptr<detail::Connection> longest;
+    auto waiting_since = base::kNever;
+    for (const auto& connection : this->connections) {
+      const auto since = connection->awaits_head_since();
+      if (since >= waiting_since) continue;
+      waiting_since = since;
+      longest = connection;
+    }
+    if (!longest) return false;
+    longest->OnChosenToClose();
+    asio::post(longest->strand(), [longest] { longest->CloseIfAwaitsHead(); });
+    return true;
+  }
+
   /// Stops accepting and closes idle connections.
   void EndDrainGrace() {
     this->AcceptPending();
--- a/packages/gateway/src/serving/access_decision.cc
+++ b/packages/gateway/src/serving/access_decision.cc
@@ -16,6 +16,10 @@
 /// because another daemon may have newer rules now.
 constexpr base::Duration kStaleRulesRetryAfter = std::chrono::milliseconds(200);
 
+/// Retry delay for callers when this daemon has no room for a request. Another
+/// daemon may have.
+constexpr base::Duration kNoMemoryRetryAfter = std::chrono::milliseconds(200);
+
 AccessDecision Refuse(unsigned status, std::string code,
                       base::Duration retry_after = {}) {
   AccessDecision decision;
@@ -124,6 +128,14 @@
   std::ignore = co_await exchange.Send(std::move(head), std::move(body));
 }
 
+boost::asio::awaitable<void> SendNoMemory(ServingContext& context,
+                                          Exchange& exchange,
+                                          std::string request_id) {
+  Refusal refusal{status::kUnavailable, "no_memory", kNoMemoryRetryAfter};
+  co_await SendRefusal(context, exchange, std::move(request_id),
+                       std::move(refusal));
+}
+
 boost::asio::awaitable<void> RefuseUnreadBody(ServingContext& context,
                                               Exchange& exchange,
                                               std::string request_id,
@@ -132,6 +144,10 @@
     exchange.Abort();
     co_return;
   }
+  if (error.Is(base::Errc::kOverload)) {
+    co_await SendNoMemory(context, exchange, std::move(request_id));
+    co_return;
+  }
   const bool timed_out = error.Is(base::Errc::kTimeout);
   Refusal refusal{
       timed_out ? status::kRequestTimeout : status::kPayloadTooLarge,
--- a/packages/gateway/src/serving/job_submissions.cc
+++ b/packages/gateway/src/serving/job_submissions.cc
@@ -5,6 +5,7 @@
 
 #include "gypsumtrack/base/event_log.h"
 #include "gypsumtrack/gateway/http_status.h"
+#include "gypsumtrack/policy/client_memory.h"
 #include "job_exchange.h"
 
 namespace gypsumtrack::gateway {
@@ -53,6 +54,12 @@
                               body.error());
     co_return;
   }
+  // The items are a copy of what was parsed.
+  const auto needed = policy::EstimateParsedBytes(*body) + body->size();
+  if (!exchange.TryHold(needed)) {
+    co_await SendNoMemory(this->context, exchange, metadata.request_id);
+    co_return;
+  }
   auto items = this->context.wire.read_submission(*body);
   const bool readable = items.ok() && !items->empty() &&
                         items->size() <= kMaxItemsPerJob &&
--- a/packages/gateway/src/serving/relay_service.cc
+++ b/packages/gateway/src/serving/relay_service.cc
@@ -84,6 +84,7 @@
 
   asio::awaitable<void> Run() {
     this->context.metrics.requests.Add();
+    this->context.second_tries.OnRequest(this->route.name);
     auto read =
         co_await this->exchange.ReadBody(this->access.rules->max_body_bytes);
     if (!read.ok()) {
@@ -92,6 +93,13 @@
       co_return;
     }
     this->body = std::move(*read);
+    // Each attempt sends a copy.
+    if (!this->exchange.TryHold(this->body.size())) {
+      this->body = {};
+      co_await SendNoMemory(this->context, this->exchange,
+                            this->facts.request_id);
+      co_return;
+    }
     const auto& request = this->exchange.request();
     const auto fingerprint = policy::FingerprintOf(
         this->organisation, request.method, request.path, this->body);
@@ -179,10 +187,15 @@
 
   asio::awaitable<void> RefuseOverQuota() {
     const auto now = this->Now();
+    const auto state = this->context.quota.State(this->organisation, now);
     base::LogEvent("over_rate",
                    {{"request", this->facts.request_id},
                     {"organisation", this->organisation.text},
-                    {"tokens", this->context.quota.Tokens(this->organisation)},
+                    {"tokens", state.tokens},
+                    {"unconfirmed", state.unconfirmed},
+                    {"own_share", state.own_share},
+                    {"reserved_share", state.reserved_share},
+                    {"round_age_ms", state.round_age.count() / 1000},
                     {"rate", this->access.organisation->rate},
                     {"burst", this->access.organisation->burst},
                     {"continues", this->facts.continued_request},
@@ -332,6 +345,64 @@
         policy::AllowedRegions(*current_route, current_organisation));
   }
 
+  /// Whether to end the attempt, which has made no progress for a while, in
+  /// favour of another one.
+  bool MayAbandon() {
+    const auto now = this->Now();
+    const auto started_at = this->attempt_started_at;
+    const bool is_silent =
+        now >= started_at + this->ProgressTimeout(started_at);
+    if (this->attempt_events > 0 || is_silent)
+      return this->ReserveNextAttempt();
+    return this->ReserveSecondTry();
+  }
+
+  /// Whether the request may be taken from an endpoint that is late with its
+  /// first event. The events of a stream that goes on aren't known to be late.
+  bool MayTrySecond() const {
+    return this->route.kind == policy::RequestKind::kStream &&
+           policy::MayRunAgain(this->route) && !this->after_event &&
+           !this->tried_second;
+  }
+
+  /// Whether the request is sent to another endpoint because its first event is
+  /// late. If so, reserves a slot for it, of those that nobody waits for.
+  bool ReserveSecondTry() {
+    if (!this->MayTrySecond()) return false;
+    const auto now = this->Now();
+    const auto waited = now - this->attempt_started_at;
+    const auto late_after =
+        this->context.second_tries.LateAfter(this->route.name);
+    if (!late_after || waited < *late_after) return false;
+    if (!this->ReserveNextAttempt()) return false;
+    const auto& choice = *this->reservation;
+    const bool has_free_slot = choice.known_load < choice.endpoint.slots;
+    auto decision = policy::SecondTry::kOverBudget;
+    if (has_free_slot && !choice.is_paced)
+      decision = this->context.second_tries.Take(this->route.name, waited);
+    const bool is_granted =
+        decision == policy::SecondTry::kGranted &&
+        this->context.quota.TryAdmit(this->organisation, now);
+    base::LogEvent(
+        "second_try",
+        {{"request", this->facts.request_id},
+         {"late", this->current_endpoint ? this->current_endpoint->text : ""},
+         {"endpoint", choice.endpoint.id.text},
+         {"waited_ms", waited.count() / 1000},
+         {"late_after_ms", late_after->count() / 1000},
+         {"free_slot", has_free_slot ? 1 : 0},
+         {"granted", is_granted ? 1 : 0},
+         {"decision", policy::kSecondTryNames.Name(decision)}});
+    this->tried_second = true;
+    if (!is_granted) {
+      this->ReleaseReservation();
+      return false;
+    }
+    this->context.metrics.second_tries.Add();
+    *this->is_early_end = true;
+    return true;
+  }
+
   /// Whether the request can be sent again now. If so, reserves the slot for
   /// it: the requests of an endpoint fall silent together, and each needs a
   /// slot of its own. If not, giving up an attempt would end the response,
@@ -491,7 +562,14 @@
     call.idempotent = policy::MayRunAgain(this->route);
     call.deadline = this->deadline;
     call.progress_timeout = this->ProgressTimeout(now);
-    call.may_abandon = [this] { return this->ReserveNextAttempt(); };
+    call.may_abandon = [this] { return this->MayAbandon(); };
+    call.is_early_end = std::make_shared<bool>(false);
+    this->is_early_end = call.is_early_end;
+    this->attempt_started_at = now;
+    if (this->MayTrySecond()) {
+      call.late_head_timeout =
+          this->context.second_tries.LateAfter(this->route.name);
+    }
     call.cancel = this->cancel;
     if (this->route.kind == policy::RequestKind::kStream) {
       call.on_part = [this](const ResponseHead& head, std::string_view part) {
@@ -592,8 +670,11 @@
 
   void CountEvent(const policy::StreamEvent& event) {
     if (!policy::IsContent(event)) return;
-    if (this->attempt_events++ == 0)
-      ReportFirstEvent(this->context, this->suspects);
+    if (this->attempt_events++ > 0) return;
+    ReportFirstEvent(this->context, this->suspects);
+    if (this->facts.after_event || this->response_started) return;
+    this->context.second_tries.OnFirstEvent(
+        this->route.name, this->Now() - this->attempt_started_at);
   }
 
   /// Whether the stream of the current attempt may end here. One without a
@@ -645,7 +726,7 @@
     if (abandoned) {
       this->attempts.OnAttemptAbandoned();
       // It is avoided for a while, and may go on by then.
-      this->tried.erase(choice.endpoint.id);
+      if (!*this->is_early_end) this->tried.erase(choice.endpoint.id);
     }
     if (FailedAtPeer(result)) this->tried.erase(choice.endpoint.id);
     auto step = this->attempts.OnAttemptEnd(
@@ -771,6 +852,11 @@
   std::vector<policy::CrashSuspect> suspects;
   policy::AttemptTracker attempts;
   std::set<base::EndpointId> tried;
+  base::Instant attempt_started_at{};
+  /// Whether a second try was asked for; each request gets one decision.
+  bool tried_second = false;
+  /// Of the attempt in progress: whether it ends in favour of a second try.
+  std::shared_ptr<bool> is_early_end = std::make_shared<bool>(false);
   /// Endpoint of the attempt in progress.
   std::optional<base::EndpointId> current_endpoint;
   policy::EventSplitter splitter;
--- a/packages/gateway/src/serving/send_to_endpoint.cc
+++ b/packages/gateway/src/serving/send_to_endpoint.cc
@@ -212,6 +212,7 @@
   call.on_head = [&context, &endpoint, sent_at](const ResponseHead& head) {
     RecordReports(context, endpoint, context.wire.read_response(head), sent_at);
   };
+  const auto is_early_end = call.is_early_end;
   const auto path = context.FindPath(allowed_regions);
   const bool is_tunnel = path.kind == PathKind::kTunnel;
   if (path.kind == PathKind::kNone) {
@@ -233,17 +234,20 @@
   auto result = co_await context.client.Call(std::move(call));
   if (reports_path)
     context.path_hooks.on_call_ended(result.outcome == CallOutcome::kClosed);
-  if (is_tunnel) ReportTunnel(context, path.hop, endpoint, result);
+  const bool ended_early = is_early_end && *is_early_end;
+  if (is_tunnel && !ended_early)
+    ReportTunnel(context, path.hop, endpoint, result);
   const auto now = context.clock.now();
   const bool responded = result.outcome == CallOutcome::kComplete ||
                          result.outcome == CallOutcome::kRefused;
   ResponseMetadata response;
   if (responded) response = context.wire.read_response(result.head);
-  context.endpoints.OnAttemptEnded(endpoint.id, kind,
-                                   IsPathFailure(context, is_tunnel, result)
-                                       ? policy::AttemptResult::kUnknown
-                                       : ToAttemptResult(result, response),
-                                   now);
+  context.endpoints.OnAttemptEnded(
+      endpoint.id, kind,
+      ended_early || IsPathFailure(context, is_tunnel, result)
+          ? policy::AttemptResult::kUnknown
+          : ToAttemptResult(result, response),
+      now);
   co_return result;
 }
 
--- a/packages/gateway/src/serving/serving_context.cc
+++ b/packages/gateway/src/serving/serving_context.cc
@@ -38,6 +38,9 @@
       tunnelled(registry.GetCounter(
           "gypsumtrack_tunnelled_sends_total", "",
           "Requests and items sent to endpoints through a peer.")),
+      second_tries(registry.GetCounter(
+          "gypsumtrack_second_tries_total", "",
+          "Requests taken from an endpoint that was late, to another one.")),
       quarantined(registry.GetCounter("gypsumtrack_quarantined_total", "",
                                       "Requests refused because they or a part "
                                       "of their prompt crash endpoints.")),
--- a/packages/gateway/src/serving/serving_daemon.cc
+++ b/packages/gateway/src/serving/serving_daemon.cc
@@ -19,6 +19,7 @@
 #include "../run_handlers.h"
 #include "gypsumtrack/base/event_log.h"
 #include "gypsumtrack/gateway/http_status.h"
+#include "gypsumtrack/gateway/serving/client_limits.h"
 #include "gypsumtrack/gateway/serving/crash_service.h"
 #include "gypsumtrack/gateway/serving/endpoint_path_service.h"
 #include "gypsumtrack/gateway/serving/gossip_service.h"
@@ -27,6 +28,7 @@
 #include "gypsumtrack/gateway/serving/row_store_await.h"
 #include "gypsumtrack/gateway/serving/serving_context.h"
 #include "gypsumtrack/gateway/serving/stream_version_service.h"
+#include "gypsumtrack/policy/serving/attempts.h"
 
 namespace gypsumtrack::gateway {
 namespace {
@@ -58,21 +60,23 @@
 /// Maximum size of a response that isn't a stream. As much as a deployment lets
 /// callers send; a VM may have 140 MB in all.
 constexpr std::uint64_t kMaxResponseBytes = std::uint64_t{4} * 1024 * 1024;
-/// Maximum size of all such responses at a time, apart from small ones.
-constexpr std::uint64_t kMaxHeldResponseBytes = std::uint64_t{24} * 1024 * 1024;
 /// Longest usual time from making a gossip message to its receipt through two
 /// other daemons.
 constexpr base::Duration kMaxGossipDelay = std::chrono::milliseconds(600);
 /// Interval at which the settings are reloaded, since their file may change
 /// without a SIGHUP.
 constexpr base::Duration kReloadInterval = std::chrono::seconds(5);
+/// Interval at which requests that wait for the start of the daemon look for
+/// it.
+constexpr base::Duration kStartPollInterval = std::chrono::milliseconds(5);
 
-EndpointClientOptions ClientOptions(const Wire& wire) {
+EndpointClientOptions ClientOptions(const Wire& wire,
+                                    const ClientLimits& limits) {
   EndpointClientOptions options;
   options.connect_timeout = kConnectTimeout;
   options.max_idle_per_endpoint = kMaxIdleConnectionsPerEndpoint;
   options.max_body_bytes = kMaxResponseBytes;
-  options.max_held_bytes = kMaxHeldResponseBytes;
+  options.max_held_bytes = limits.answer_bytes;
   options.protocol.request_id_header = wire.request_id_header;
   options.protocol.set_host_to_address = false;
   options.protocol.accepts_close_delimited_body = true;
@@ -101,6 +105,12 @@
   return options;
 }
 
+policy::SecondTryOptions TryOptions(const ServingSettings& settings) {
+  policy::SecondTryOptions options;
+  options.max_share = settings.second_try_share;
+  return options;
+}
+
 /// Returns the wall-clock time, which differs for each start on a VM.
 std::uint64_t NewIncarnation(const base::Clock& clock) {
   return static_cast<std::uint64_t>(clock.wall().time_since_epoch().count());
@@ -114,6 +124,7 @@
  public:
   State(const ServingSettings& settings, ServingAdapter serving_adapter)
       : adapter(std::move(serving_adapter)),
+        client_limits(MakeClientLimits(settings)),
         clock(base::SystemClock()),
         context(1),
         view_context(1),
@@ -130,7 +141,7 @@
                                 [this] { this->ApplyStoreView(); });
                    }),
         client(this->context.get_executor(), this->clock,
-               ClientOptions(this->adapter.wire)),
+               ClientOptions(this->adapter.wire, this->client_limits)),
         serving{.settings = settings,
                 .self = {},
                 .wire = this->adapter.wire,
@@ -144,8 +155,13 @@
                 .endpoints = policy::EndpointRegistry({}),
                 .quota = policy::FleetQuota(QuotaOptions(settings)),
                 .batch_starts = policy::BatchStartLimiter({}),
-                .random = std::minstd_rand(std::random_device{}())},
+                .random = std::minstd_rand(std::random_device{}()),
+                .second_tries = policy::SecondTries(TryOptions(settings))},
         signals(this->context, SIGTERM, SIGINT, SIGHUP) {
+    if (this->client_limits.memory.limit_bytes > 0) {
+      this->client_account =
+          std::make_shared<ClientAccount>(this->client_limits.memory);
+    }
     this->serving.self = {this->serving.settings.vm_name,
                           NewIncarnation(this->clock)};
     this->fleet = std::make_unique<FleetService>(
@@ -173,6 +189,7 @@
   }
 
   base::Status Start() {
+    this->started_at = this->clock.now();
     this->MakeServers();
     for (auto* server :
          {this->caller_server.get(), this->readiness_server.get(),
@@ -378,29 +395,34 @@
 
   void MakeServers() {
     const auto& settings = this->serving.settings;
+    const auto callers = this->client_limits.caller_connections;
+    const auto others = this->client_limits.other_connections;
     Router caller_routes;
     caller_routes.Add("*", "/", [this](Exchange& exchange) {
       return this->ServeCaller(exchange);
     });
-    this->caller_server =
-        this->MakeServer(settings.callers_listen, std::move(caller_routes));
+    this->caller_server = this->MakeServer(settings.callers_listen, callers,
+                                           std::move(caller_routes));
     Router readiness_routes;
     readiness_routes.Add(
         "GET", this->serving.wire.ready_path,
         [this](Exchange& exchange) { return this->ServeReadiness(exchange); });
-    this->readiness_server =
-        this->MakeServer(settings.ready_listen, std::move(readiness_routes));
+    this->readiness_server = this->MakeServer(settings.ready_listen, others,
+                                              std::move(readiness_routes));
     Router metrics_routes;
     metrics_routes.Add("GET", "/metrics", [this](Exchange& exchange) {
       return this->ServeMetrics(exchange);
     });
-    this->metrics_server =
-        this->MakeServer(settings.metrics_listen, std::move(metrics_routes));
+    this->metrics_server = this->MakeServer(settings.metrics_listen, others,
+                                            std::move(metrics_routes));
   }
 
   std::unique_ptr<HttpServer> MakeServer(const std::string& address,
+                                         std::uint32_t max_connections,
                                          Router router) {
     HttpServerOptions options;
+    options.max_connections = max_connections;
+    options.client_account = this->client_account;
     options.address = address;
     options.request_id_header.clear();
     options.drain_grace = kDrainGracePeriod;
@@ -427,6 +449,7 @@
                                             std::move(job_request));
       co_return;
     }
+    co_await this->WaitForStart(metadata.requested_timeout);
     auto access = DecideAccess(this->serving, exchange.request(), metadata);
     if (access.refusal.code.empty()) {
       if (access.route->kind == policy::RequestKind::kBatch) {
@@ -443,6 +466,21 @@
                          std::move(access.refusal));
   }
 
+  /// Waits a moment while the daemon has just started and knows no rules or
+  /// endpoints yet.
+  asio::awaitable<void> WaitForStart(std::optional<base::Duration> timeout) {
+    const auto wait_until =
+        policy::StartWaitDeadline(this->started_at, this->clock.now(), timeout);
+    while (!this->HasStarted() && !this->serving.shutting_down &&
+           this->clock.now() < wait_until) {
+      co_await Pause(kStartPollInterval);
+    }
+  }
+
+  bool HasStarted() const {
+    return this->store_view.Current()->rules && this->endpoints_applied;
+  }
+
   asio::awaitable<void> ServeReadiness(Exchange& exchange) {
     const bool is_ready = this->IsReady();
     if (is_ready != this->last_ready) {
@@ -497,6 +535,21 @@
         "gypsumtrack_held_answer_bytes", "",
         "Bodies of answers, other than streams, that aren't complete yet.",
         [this] { return static_cast<double>(this->client.held_bytes()); });
+    this->registry.AddGauge(
+        "gypsumtrack_client_bytes", "",
+        "Memory that callers' requests and answers hold.", [this] {
+          return this->client_account
+                     ? static_cast<double>(this->client_account->held_bytes())
+                     : 0.0;
+        });
+    this->registry.AddGauge(
+        "gypsumtrack_clients_cut_off", "",
+        "Stalled connections that were closed for lack of memory.", [this] {
+          return this->client_account
+                     ? static_cast<double>(
+                           this->client_account->cut_off_count())
+                     : 0.0;
+        });
     this->registry.AddGauge("gypsumtrack_cut_from_endpoints", "",
                             "1 while this VM is cut from all endpoints.",
                             [this] {
@@ -604,6 +657,9 @@
   }
 
   ServingAdapter adapter;
+  const ClientLimits client_limits;
+  /// Null if the VM's memory isn't known.
+  std::shared_ptr<ClientAccount> client_account;
   base::Clock clock;
   asio::io_context context;
   asio::io_context view_context;
@@ -636,6 +692,7 @@
   /// thread, which publishes them a moment before.
   bool endpoints_applied = false;
   bool callers_drained = false;
+  base::Instant started_at{};
   bool last_ready = false;
 };
 
--- a/packages/gypsumtrackd/src/main.cc
+++ b/packages/gypsumtrackd/src/main.cc
@@ -1,8 +1,13 @@
 #include <fmt/format.h>
+#ifdef __GLIBC__
+#include <malloc.h>
+#endif
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <charconv>
 #include <csignal>
+#include <optional>
 #include <string>
 #include <thread>
 #include <utility>
@@ -22,14 +27,38 @@
 constexpr int kExitUsage = 2;
 constexpr base::Logger kLog{"main"};
 
+/// Sets ServingSettings::second_try_share.
+constexpr const char* kSecondTryVariable = "GYPSUMTRACK_SECOND_TRY_SHARE";
+constexpr double kMaxSecondTryShare = 0.2;
+
+/// Returns nullopt unless the text is a share that is allowed.
+std::optional<double> ParseShare(const std::string& text) {
+  double share = 0;
+  const auto* end = text.data() + text.size();
+  const auto [parsed_end, error] = std::from_chars(text.data(), end, share);
+  const bool is_share = error == std::errc() && parsed_end == end &&
+                        share >= 0 && share <= kMaxSecondTryShare;
+  return is_share ? std::optional(share) : std::nullopt;
+}
+
 /// Runs the daemon of a platform deployment with the settings file of the
 /// platform. Returns the exit code.
-int RunOnPlatform(const std::string& settings_file) {
-  const auto settings = site::ReadSettingsFile(settings_file);
+int RunOnPlatform(const std::string& settings_file,
+                  const gateway::Environment& environment) {
+  auto settings = site::ReadSettingsFile(settings_file);
   if (!settings.ok()) {
     kLog.Error("Can't start: {}.", settings.error().message);
     return kExitUsage;
   }
+  if (const auto share = environment(kSecondTryVariable)) {
+    const auto value = ParseShare(*share);
+    if (!value) {
+      kLog.Error("Can't start: {} is \"{}\", allowed: a number from 0 to {}.",
+                 kSecondTryVariable, *share, kMaxSecondTryShare);
+      return kExitUsage;
+    }
+    settings->second_try_share = *value;
+  }
   auto adapter = site::MakeAdapter(settings_file, *settings);
   gateway::ServingDaemon daemon(*settings, std::move(adapter));
   const auto started = daemon.Start();
@@ -62,10 +91,26 @@
   return 0;
 }
 
+/// Returns memory of large blocks to the system when they are freed. By default
+/// glibc keeps blocks of up to 32 MB, once it has freed one of that size, and
+/// what a crowd of clients held stays in the process.
+void ConfigureAllocator() {
+#ifdef __GLIBC__
+  constexpr int kLargeBlockBytes = 64 * 1024;
+  constexpr int kMaxFreeBytes = 1024 * 1024;
+  constexpr int kMaxArenas = 2;
+  mallopt(M_MMAP_THRESHOLD, kLargeBlockBytes);
+  mallopt(M_TRIM_THRESHOLD, kMaxFreeBytes);
+  mallopt(M_ARENA_MAX, kMaxArenas);
+#endif
+}
+
 int Main(int argc, char** argv) {
+  ConfigureAllocator();
   const auto environment = gateway::ProcessEnvironment();
   const auto settings_file = site::FindSettingsFile(environment);
-  if (settings_file && argc == 1) return RunOnPlatform(*settings_file);
+  if (settings_file && argc == 1)
+    return RunOnPlatform(*settings_file, environment);
   const auto request = gateway::ParseSettings(argc, argv, environment);
   if (!request.ok()) {
     fmt::print(stderr, "gypsumtrackd: {}\n", request.error().message);
--- a/packages/policy/include/gypsumtrack/policy/serving/attempts.h
+++ b/packages/policy/include/gypsumtrack/policy/serving/attempts.h
@@ -2,6 +2,7 @@
 #define GYPSUMTRACK_POLICY_SERVING_ATTEMPTS_H_
 
 #include <cstdint>
+#include <optional>
 
 #include "gypsumtrack/base/enum_table.h"
 #include "gypsumtrack/base/time.h"
@@ -95,6 +96,15 @@
 base::Instant CapacityWaitDeadline(base::Instant arrived,
                                    const RouteRule& route);
 
+/// Until when a request that arrives at a daemon that was started at
+/// `started_at` waits for the daemon to read the rules and the endpoints. After
+/// a restart of all daemons no other one could serve it sooner, and callers
+/// retry only a few times. Not later than `arrived` if the daemon has had time
+/// enough: then the store is away, and another daemon may have read it.
+/// Thread-safe.
+base::Instant StartWaitDeadline(base::Instant started_at, base::Instant arrived,
+                                std::optional<base::Duration> timeout);
+
 /// Time after which a caller that was refused for lack of capacity should
 /// retry. Requests that run now have freed their slots by then; `random`, any
 /// number, spreads the retries so that callers don't return at the same time.
--- a/packages/policy/include/gypsumtrack/policy/serving/cold_start_pacer.h
+++ b/packages/policy/include/gypsumtrack/policy/serving/cold_start_pacer.h
@@ -21,8 +21,9 @@
 
   // Commands.
 
-  /// Records when the endpoint will be warm, by the newest evidence.
-  void SetColdUntil(base::Instant at) { this->cold_until = at; }
+  /// Records when the endpoint will be warm, by the newest evidence: in the
+  /// past if it is warm now. One that wasn't cold before isn't paced then.
+  void SetColdUntil(base::Instant at, base::Instant now);
   /// Records that the endpoint is cold at least until then.
   void ExtendColdUntil(base::Instant at);
   /// Uses up the turn that allowed a request.
--- a/packages/policy/include/gypsumtrack/policy/serving/endpoint_registry.h
+++ b/packages/policy/include/gypsumtrack/policy/serving/endpoint_registry.h
@@ -16,6 +16,7 @@
 #include "gypsumtrack/policy/serving/rate_turns.h"
 #include "gypsumtrack/policy/serving/region_limit.h"
 #include "gypsumtrack/policy/serving/serving_rules.h"
+#include "gypsumtrack/policy/serving/slowdown_estimate.h"
 
 /// Chooses endpoints for requests by their known load, their recent failures,
 /// what they report of themselves and the capacity that is left for batch
@@ -86,6 +87,9 @@
 struct EndpointReport {
   std::uint32_t running = 0;
   std::uint32_t waiting = 0;
+  /// How long work takes at the endpoint at the moment, as a multiple of the
+  /// usual time; none if it doesn't say.
+  std::optional<double> slowdown;
 };
 
 /// What a response shows about the limit of its endpoint.
@@ -129,6 +133,9 @@
   /// Expected slowdown of a request for each request in progress at the same
   /// endpoint.
   base::Duration cost_per_concurrent_request = std::chrono::milliseconds(3);
+  /// Cost of an endpoint that works half as fast as usual, by its own reports:
+  /// the time that its first event takes longer.
+  base::Duration slowdown_cost = std::chrono::milliseconds(40);
   /// Cost of an endpoint in another failure domain of the region.
   base::Duration cross_domain_cost = std::chrono::milliseconds(8);
   /// Cost of an endpoint in another region.
@@ -197,6 +204,9 @@
   EndpointEntry endpoint;
   /// Load of the endpoint at the time of the choice.
   std::uint32_t known_load = 0;
+  /// Whether the endpoint gets requests at a bounded rate only, because it has
+  /// named a limit or has just started.
+  bool is_paced = false;
 };
 
 /// The endpoints known to a daemon, with the load that it and its peers put on
@@ -329,6 +339,8 @@
     base::Instant reported_at{};
     /// Total load of this daemon when the report was received.
     std::uint32_t own_at_report = 0;
+    /// By the reports that say how fast the endpoint works.
+    SlowdownEstimate slowdown;
     /// Set if the endpoint's service has a rule for cold endpoints.
     std::optional<ColdStartPacer> cold_start;
   };
--- a/packages/policy/include/gypsumtrack/policy/serving/fleet_quota.h
+++ b/packages/policy/include/gypsumtrack/policy/serving/fleet_quota.h
@@ -39,6 +39,9 @@
   /// A round of gossip is overdue after this time: 200 ms between messages to
   /// other failure domains, 100 ms for forwarding there, and the network delay.
   base::Duration round_timeout = std::chrono::milliseconds(400);
+  /// A round of a bucket that holds enough for all may end without late peers
+  /// after this time.
+  base::Duration partial_round_timeout = std::chrono::milliseconds(300);
   /// A daemon may spend this many times its share in a round.
   double max_shares_per_round = 2.2;
   /// Time constant of the exponential average of demand.
@@ -63,7 +66,7 @@
   /// With more peers than this, gossip is collected before it is sent on, and
   /// all intervals above but those of demand, of unlisted peers and of deltas
   /// are longer by the factor.
-  std::size_t large_fleet_peers = 100;
+  std::size_t large_fleet_peers = 160;
   int large_fleet_factor = 2;
   /// Interval between full messages in such a fleet, unless a peer wants one.
   base::Duration large_fleet_full_message_period = std::chrono::seconds(4);
@@ -96,6 +99,18 @@
   bool wants_full = false;
 };
 
+/// One daemon's copy of a limit at a moment.
+struct QuotaState {
+  double tokens = 0;
+  /// Requests admitted here since the last round of gossip ended.
+  double unconfirmed = 0;
+  /// Fractions of the bucket: this daemon's, and those of unresponsive peers.
+  double own_share = 0;
+  double reserved_share = 0;
+  /// Time since the last round of gossip ended.
+  base::Duration round_age{0};
+};
+
 /// One daemon's copy of all limits. Not thread-safe.
 class FleetQuota {
  public:
@@ -140,6 +155,9 @@
   /// Returns the tokens left in this daemon's copy of the organisation's
   /// bucket, negative after too many admissions by peers; 0 without a limit.
   double Tokens(const base::Organisation& organisation) const;
+  /// Returns what decides about the organisation's next request, for the log.
+  QuotaState State(const base::Organisation& organisation,
+                   base::Instant now) const;
   /// Returns the VM names of the peers that may admit requests: those listed,
   /// and others that have sent a message lately. Not sorted.
   std::vector<std::string> PeerNames() const;
@@ -170,6 +188,11 @@
     base::Instant refilled_at{};
     /// Requests admitted here since the last round of gossip ended.
     double unconfirmed = 0;
+    /// Share of the peers that a round ended without, which they may have used;
+    /// 0 after a whole round.
+    double late_share = 0;
+    /// When a round last ended without some peers.
+    base::Instant partly_confirmed_at = base::Instant::min();
     Demand own_demand;
     /// Shares are fractions of the bucket. They are frozen while a peer is
     /// unresponsive, so that both sides of a partition use the same ones.
@@ -234,6 +257,12 @@
   /// Resets the unconfirmed admissions once a message was received from every
   /// responsive peer.
   void ConfirmIfAllReceived(base::Instant now);
+  /// Ends an overdue round of the buckets that hold enough for all without the
+  /// peers that are late, whose share is held back: one silent daemon would
+  /// otherwise make all others refuse requests far below a limit.
+  void ConfirmWithoutLatePeers(base::Instant now);
+  /// Returns the part of the tokens that late peers can't have used.
+  static double TokensWithoutLate(const Bucket& bucket);
   /// Returns the fraction of the bucket that isn't reserved.
   static double UnreservedShare(const Bucket& bucket);
   static double ShareOfPeer(const Bucket& bucket, const std::string& peer);
@@ -273,6 +302,8 @@
   bool peers_known = false;
   /// When the last round of gossip ended.
   base::Instant confirmed_at{};
+  /// The same of a round that ended without some peers.
+  base::Instant partly_confirmed_at{};
 };
 
 }  // namespace gypsumtrack::policy
--- a/packages/policy/include/gypsumtrack/policy/serving/gossip_plan.h
+++ b/packages/policy/include/gypsumtrack/policy/serving/gossip_plan.h
@@ -32,7 +32,7 @@
   /// Interval, in ticks, between messages to other failure domains.
   std::uint32_t remote_period_ticks = 2;
   /// Domains with more daemons than this use collectors.
-  std::size_t max_direct_daemons = 20;
+  std::size_t max_direct_daemons = 24;
   /// With collectors: interval, in time slots, between messages to other
   /// domains, and between messages that are sent although nothing has changed.
   /// All daemons send them in the same slot, so that few collectors pass on
--- a/packages/policy/src/serving/attempts.cc
+++ b/packages/policy/src/serving/attempts.cc
@@ -1,11 +1,18 @@
 #include "gypsumtrack/policy/serving/attempts.h"
 
+#include <algorithm>
+
 namespace gypsumtrack::policy {
 namespace {
 
 /// The maximum wait for capacity is the latency objective divided by this. A
 /// fifth leaves time to send the refusal within a quarter of the objective.
 constexpr int kCapacityWaitDivisor = 5;
+/// A daemon that starts has read the store within this time, unless the store
+/// is away.
+constexpr base::Duration kUsualStartTime = std::chrono::milliseconds(1500);
+/// Maximum time that a request waits for it.
+constexpr base::Duration kMaxStartWait = std::chrono::milliseconds(500);
 constexpr base::Duration kMinRetryAfter = std::chrono::milliseconds(500);
 constexpr base::Duration kRetryAfterSpread = std::chrono::milliseconds(700);
 
@@ -42,6 +49,14 @@
   return arrived + route.latency_objective / kCapacityWaitDivisor;
 }
 
+base::Instant StartWaitDeadline(base::Instant started_at, base::Instant arrived,
+                                std::optional<base::Duration> timeout) {
+  auto wait = kMaxStartWait;
+  if (timeout) wait = std::min(wait, *timeout / kCapacityWaitDivisor);
+  const auto deadline = std::min(started_at + kUsualStartTime, arrived + wait);
+  return std::max(arrived, deadline);
+}
+
 base::Duration RefusalRetryAfter(std::uint64_t random) {
   const auto spread = static_cast<std::uint64_t>(kRetryAfterSpread.count());
   return kMinRetryAfter +
--- a/packages/policy/src/serving/cold_start_pacer.cc
+++ b/packages/policy/src/serving/cold_start_pacer.cc
@@ -21,6 +21,10 @@
       warm_up_turns(rule.max_rate * kWarmUpRateFactor, salt, position, now,
                     kColdTurnValidity) {}
 
+void ColdStartPacer::SetColdUntil(base::Instant at, base::Instant now) {
+  this->cold_until = at > now ? at : std::min(this->cold_until, now);
+}
+
 void ColdStartPacer::ExtendColdUntil(base::Instant at) {
   this->cold_until = std::max(this->cold_until, at);
 }
--- a/packages/policy/src/serving/endpoint_choice.cc
+++ b/packages/policy/src/serving/endpoint_choice.cc
@@ -60,6 +60,9 @@
   const auto load = this->LoadOf(state, now).total();
   auto cost = this->FixedCost(state, query);
   cost += this->options.cost_per_concurrent_request * load;
+  const auto slowdown = state.slowdown.Expected(now) - 1;
+  cost += std::chrono::duration_cast<base::Duration>(
+      slowdown * this->options.slowdown_cost);
   if (load >= state.entry.slots) {
     cost +=
         this->options.cost_per_queued_request * (load - state.entry.slots + 1);
@@ -158,6 +161,8 @@
   choice.status = ChoiceStatus::kChosen;
   choice.endpoint = state.entry;
   choice.known_load = this->LoadOf(state, now).total();
+  choice.is_paced = this->IsLimited(state) ||
+                    (state.cold_start && state.cold_start->IsPacing(now));
 }
 
 EndpointChoice EndpointRegistry::ChooseBatch(const EndpointQuery& query,
--- a/packages/policy/src/serving/endpoint_registry.cc
+++ b/packages/policy/src/serving/endpoint_registry.cc
@@ -182,6 +182,7 @@
   auto& state = found->second;
   state.report = report;
   state.reported_at = now;
+  if (report.slowdown) state.slowdown.OnReport(*report.slowdown, now);
   state.own_at_report = state.own.total();
 }
 
--- a/packages/policy/src/serving/endpoint_restrictions.cc
+++ b/packages/policy/src/serving/endpoint_restrictions.cc
@@ -47,7 +47,7 @@
   }
   if (state.entry.warm_at) {
     if (is_first || has_news)
-      state.cold_start->SetColdUntil(*state.entry.warm_at);
+      state.cold_start->SetColdUntil(*state.entry.warm_at, now);
   } else if (is_new) {
     state.cold_start->ExtendColdUntil(now + rule->duration);
   }
--- a/packages/policy/src/serving/fleet_quota.cc
+++ b/packages/policy/src/serving/fleet_quota.cc
@@ -30,6 +30,10 @@
 /// share is less than a request admits one at random, in proportion to its
 /// share.
 constexpr double kScarceFraction = 0.5;
+/// A round ends without late peers only if they have at most this part of the
+/// bucket, and if the own share of the rest is this number of requests.
+constexpr double kMaxLateFraction = 0.3;
+constexpr double kMinTokensPerShare = 1;
 /// Demand below which a peer counts as idle, in requests a second.
 constexpr double kMinDemand = 0.005;
 /// Interval between checks for unresponsive peers.
@@ -265,7 +269,40 @@
     peer.received_since_confirmation = false;
   }
   this->CountPeers();
-  for (auto& [organisation, bucket] : this->buckets) bucket.unconfirmed = 0;
+  for (auto& [organisation, bucket] : this->buckets) {
+    bucket.unconfirmed = 0;
+    bucket.late_share = 0;
+  }
+}
+
+double FleetQuota::TokensWithoutLate(const Bucket& bucket) {
+  const auto unreserved = UnreservedShare(bucket);
+  if (unreserved <= 0) return bucket.tokens;
+  const auto late_part = std::min(1.0, bucket.late_share / unreserved);
+  return bucket.tokens * (1 - late_part);
+}
+
+void FleetQuota::ConfirmWithoutLatePeers(base::Instant now) {
+  const auto last = std::max(this->confirmed_at, this->partly_confirmed_at);
+  const auto timeout = this->Scaled(this->options.partial_round_timeout);
+  if (this->awaited_count == 0 || now - last <= timeout) return;
+  std::vector<std::string> late;
+  for (const auto& [name, peer] : this->peers) {
+    if (!peer.unresponsive && peer.received_at <= last) late.push_back(name);
+  }
+  this->partly_confirmed_at = now;
+  for (auto& [organisation, bucket] : this->buckets) {
+    double late_share = 0;
+    for (const auto& name : late) late_share += ShareOfPeer(bucket, name);
+    if (late_share > kMaxLateFraction * UnreservedShare(bucket)) continue;
+    const bool holds_enough =
+        bucket.own_share * (bucket.tokens - bucket.unconfirmed) >=
+        kMinTokensPerShare;
+    if (!holds_enough) continue;
+    bucket.late_share = late_share;
+    bucket.unconfirmed = 0;
+    bucket.partly_confirmed_at = now;
+  }
 }
 
 bool FleetQuota::TryAdmit(const base::Organisation& organisation,
@@ -284,11 +321,13 @@
   // Peers spend from the same bucket until they receive this daemon's counts.
   const auto unreserved = UnreservedShare(bucket);
   const auto own_part = unreserved > 0 ? bucket.own_share / unreserved : 1.0;
+  const auto confirmed =
+      std::max(this->confirmed_at, bucket.partly_confirmed_at);
   const bool overdue =
-      now - this->confirmed_at > this->Scaled(this->options.round_timeout);
+      now - confirmed > this->Scaled(this->options.round_timeout);
   const auto max_shares = overdue ? 1.0 : this->options.max_shares_per_round;
   const auto fair_limit =
-      max_shares * own_part * (bucket.tokens + bucket.unconfirmed);
+      max_shares * own_part * (TokensWithoutLate(bucket) + bucket.unconfirmed);
   const auto fill = bucket.tokens / (bucket.capacity * unreserved);
   auto min_limit = fill >= kFullFraction ? kMinPerRoundWhenFull : kMinPerRound;
   if (this->IsLargeFleet() && fill < kScarceFraction) {
@@ -328,6 +367,15 @@
   return found == this->buckets.end() ? 0 : found->second.tokens;
 }
 
+QuotaState FleetQuota::State(const base::Organisation& organisation,
+                             base::Instant now) const {
+  const auto found = this->buckets.find(organisation);
+  if (found == this->buckets.end()) return {};
+  const auto& bucket = found->second;
+  return {bucket.tokens, bucket.unconfirmed, bucket.own_share,
+          bucket.reserved_share, now - this->confirmed_at};
+}
+
 std::vector<std::string> FleetQuota::PeerNames() const {
   std::vector<std::string> names;
   for (const auto& [name, peer] : this->peers) names.push_back(name);
@@ -360,6 +408,7 @@
 void FleetQuota::DetectUnresponsivePeers(base::Instant now) {
   if (now < this->next_detection_at) return;
   this->next_detection_at = now + kDetectionPeriod;
+  this->ConfirmWithoutLatePeers(now);
   const auto timeout = this->Scaled(this->options.peer_timeout);
   std::vector<std::string> lost;
   for (auto& [name, peer] : this->peers) {
--- a/packages/policy/test/serving/attempts_test.cc
+++ b/packages/policy/test/serving/attempts_test.cc
@@ -115,5 +115,23 @@
   }
 }
 
+// Guards against requests that are refused for good after a restart of all
+// daemons, whose clients retry once, at another daemon that knows as little.
+TEST_CASE("a request waits for a daemon that has just started") {
+  const base::Instant started(std::chrono::seconds(100));
+  const auto arrived = started + milliseconds(100);
+  CHECK(StartWaitDeadline(started, arrived, {}) == arrived + milliseconds(500));
+  SECTION("for a part of its timeout at most") {
+    CHECK(StartWaitDeadline(started, arrived, milliseconds(1000)) ==
+          arrived + milliseconds(200));
+  }
+  SECTION("not at one that can't reach the store") {
+    CHECK(StartWaitDeadline(started, started + milliseconds(1400), {}) ==
+          started + milliseconds(1500));
+    const auto late = started + milliseconds(1600);
+    CHECK(StartWaitDeadline(started, late, {}) == late);
+  }
+}
+
 }  // namespace
 }  // namespace gypsumtrack::policy
--- a/packages/policy/test/serving/cold_start_pacer_test.cc
+++ b/packages/policy/test/serving/cold_start_pacer_test.cc
@@ -29,7 +29,7 @@
       Daemon daemon{{i, daemon_count, kWallOffset}, {kRule, 17, {}, kStart}};
       daemon.pacer =
           ColdStartPacer(kRule, 17, daemon.position, kStart - seconds(2));
-      daemon.pacer.SetColdUntil(kStart + seconds(60));
+      daemon.pacer.SetColdUntil(kStart + seconds(60), kStart);
       this->daemons.push_back(daemon);
     }
   }
@@ -47,7 +47,7 @@
   void RestartLast() {
     auto& last = this->daemons.back();
     last.pacer = ColdStartPacer(kRule, 17, last.position, this->now);
-    last.pacer.SetColdUntil(kStart + seconds(60));
+    last.pacer.SetColdUntil(kStart + seconds(60), this->now);
   }
 
   /// Returns the most requests that arrive within a second.
@@ -105,7 +105,7 @@
 TEST_CASE("an endpoint that becomes warm is paced for a moment longer") {
   const FleetPosition position{0, 10, kWallOffset};
   ColdStartPacer pacer(kRule, 17, position, kStart);
-  pacer.SetColdUntil(kStart + seconds(3));
+  pacer.SetColdUntil(kStart + seconds(3), kStart);
   const auto count_from = [&](base::Instant from) {
     int allowed = 0;
     for (auto now = from; now < from + milliseconds(900); now += kStep) {
@@ -122,9 +122,15 @@
   }
   SECTION("it can become cold again at any moment") {
     CHECK(pacer.Allows(position, kStart + seconds(10)));
-    pacer.SetColdUntil(kStart + seconds(13));
+    pacer.SetColdUntil(kStart + seconds(13), kStart + seconds(10));
     CHECK(count_from(kStart + seconds(10)) <= 2);
   }
+  SECTION("it may be warm sooner than it said") {
+    const auto now = kStart + seconds(1);
+    pacer.SetColdUntil(now - milliseconds(200), now);
+    CHECK(pacer.IsPacing(now));
+    CHECK_FALSE(pacer.IsPacing(now + seconds(1)));
+  }
   SECTION("a daemon that doesn't know the others sends nothing") {
     for (auto now = kStart; now < kStart + seconds(3); now += kStep)
       CHECK_FALSE(pacer.Allows({}, now));
--- a/packages/policy/test/serving/endpoint_registry_test.cc
+++ b/packages/policy/test/serving/endpoint_registry_test.cc
@@ -440,5 +440,27 @@
   CHECK(chosen_of_20() > 0);
 }
 
+// Load: endpoints whose machines are shared, one of which stays slow.
+TEST_CASE("an endpoint that reports that it works slowly gets less") {
+  EndpointRegistry registry({});
+  registry.ReplaceEntries(
+      {MakeEndpoint("slow", kOwnDomain), MakeEndpoint("usual", kOwnDomain)}, {},
+      kStart);
+  for (int i = 0; i < 10; ++i) {
+    registry.OnReport(Id("slow"), {0, 0, 3.0}, kStart);
+    registry.OnReport(Id("usual"), {0, 0, 1.0}, kStart);
+  }
+  CHECK(registry.ChooseOnline(MakeQuery(), kStart).endpoint.id == Id("usual"));
+  SECTION("it is used while the others are full") {
+    StartAttempts(registry, "usual", 9);
+    CHECK(registry.ChooseOnline(MakeQuery(), kStart).endpoint.id == Id("slow"));
+  }
+  SECTION("it isn't worse than others once its reports are old") {
+    StartAttempts(registry, "usual", 3);
+    const auto now = kStart + std::chrono::seconds(4);
+    CHECK(registry.ChooseOnline(MakeQuery(), now).endpoint.id == Id("slow"));
+  }
+}
+
 }  // namespace
 }  // namespace gypsumtrack::policy
--- a/packages/policy/test/serving/endpoint_restrictions_test.cc
+++ b/packages/policy/test/serving/endpoint_restrictions_test.cc
@@ -335,6 +335,14 @@
     registry.ReplaceEntries({cold, far}, {}, now);
     CHECK(registry.CountCold(now + seconds(2)) == 1);
   }
+  SECTION("a daemon that starts beside warm endpoints uses them at once") {
+    EndpointRegistry started({});
+    started.SetColdStartRules({{kService, {1, seconds(3)}}});
+    cold.warm_at = kStart;
+    started.ReplaceEntries({cold}, {}, kStart);
+    CHECK(started.ChooseOnline(MakeQuery(), kStart).status ==
+          ChoiceStatus::kChosen);
+  }
   SECTION("without a rule for its service nothing is paced") {
     registry.SetColdStartRules({});
     CHECK(sent_from(kStart) == 1000);
--- a/packages/policy/test/serving/fleet_quota_test.cc
+++ b/packages/policy/test/serving/fleet_quota_test.cc
@@ -546,5 +546,46 @@
   CHECK(gone_on + admitted_new <= 10);
 }
 
+// Guards against requests that are refused far below a limit because gossip
+// rounds, which need a message of every daemon, last longer than usual.
+TEST_CASE("a daemon that is late by moments doesn't make the others refuse") {
+  FleetSimulation fleet(75, 301, 301);
+  fleet.Run(seconds(3), 125, 75);
+  const auto refused_before = fleet.refused;
+  const auto requests_before = fleet.requests;
+  // A hot organisation that sends nearly three times as much, far within its
+  // burst.
+  // The daemons that are late serve no callers.
+  for (std::size_t silent = 71; silent < 75; ++silent) {
+    fleet.SetIsolated(silent, true);
+    fleet.Run(milliseconds(700), 340, 71);
+    fleet.SetIsolated(silent, false);
+  }
+  const auto requests = fleet.requests - requests_before;
+  CHECK(fleet.refused - refused_before <= requests / 100);
+  CHECK(fleet.MaxAdmittedInWindow() <= (301 * 5 + 301) * 1.1 + 20);
+  SECTION("beyond the limit it gets what the limit allows, and no more") {
+    for (std::size_t silent = 4; silent < 16; ++silent) {
+      fleet.SetIsolated(silent, true);
+      fleet.Run(milliseconds(700), 1200, 75);
+      fleet.SetIsolated(silent, false);
+    }
+    CHECK(fleet.MaxAdmittedInWindow() <= (301 * 5 + 301) * 1.1 + 20);
+  }
+}
+
+// The same faults at organisations that send few requests.
+TEST_CASE("rounds without late daemons don't exceed small limits") {
+  const auto rate = GENERATE(9, 25, 58);
+  CAPTURE(rate);
+  FleetSimulation fleet(75, rate, rate);
+  for (std::size_t silent = 0; silent < 20; ++silent) {
+    fleet.SetIsolated(silent, true);
+    fleet.Run(milliseconds(700), 4 * rate, 75);
+    fleet.SetIsolated(silent, false);
+  }
+  CHECK(fleet.MaxAdmittedInWindow() <= rate * 6 * 1.1 + 20);
+}
+
 }  // namespace
 }  // namespace gypsumtrack::policy
--- a/packages/testing/crowd/crowd_main.cc
+++ b/packages/testing/crowd/crowd_main.cc
@@ -397,7 +397,8 @@
 }  // namespace gypsumtrack::testing
 
 int main(int argc, char** argv) {
-  using namespace gypsumtrack::testing;
+  using gypsumtrack::testing::CrowdPlay;
+  using gypsumtrack::testing::ParseOptions;
   try {
     CrowdPlay play(ParseOptions(argc, argv));
     const auto faults = play.Run();
