--- a/packages/policy/test/serving/cold_start_pacer_test.cc
+++ b/packages/policy/test/serving/cold_start_pacer_test.cc
@@ -42,8 +42,7 @@
       daemon.position.wall_offset += base::Duration(skew(this->random));
   }
 
-  /// The last daemon comes up anew: it drops its turns, and is one of fewer by
-  /// its own account until it knows the others.
+  /// The last daemon comes up anew, without its turns.
   void RestartLast() {
     auto& last = this->daemons.back();
     last.pacer = ColdStartPacer(kRule, 17, last.position, this->now);
