Keep a play of a batch job whose id has another one's id before a slash

Found beside the cases: the results of a job are read by a range of keys that also holds those of jobs whose id goes on after a slash. The list of the first job then has the other's results, and a new owner takes them for its own, closes the job, and the rest of its items are never run.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -20,3 +20,9 @@
   g++ "${flags[@]}" "review/$number/play.cc" "${objects[@]}" \
     "${libraries[@]}" -o "$out/play-$number"
 done
+# What was found beside the five cases.
+for source in review/lib-2/findings/*.cc; do
+  name=$(basename "$source" .cc)
+  g++ "${flags[@]}" "$source" "${objects[@]}" "${libraries[@]}" \
+    -o "$out/${name//_/-}"
+done
