--- a/review/lib-2/play.cc
+++ b/review/lib-2/play.cc
@@ -18,6 +18,8 @@
 constexpr milliseconds kTimeBeforeTraffic(3000);
 constexpr milliseconds kSubmitTimeout(5500);
 constexpr int kCannotRun = 2;
+/// A play that takes longer couldn't run.
+constexpr std::chrono::seconds kMaxPlayTime(112);
 
 }  // namespace
 
@@ -88,6 +90,11 @@
   }
   const char* trouble = std::getenv("TROUBLE");
   const bool has_trouble = trouble == nullptr || std::string(trouble) != "0";
+  std::thread([name = std::string(argv[0])] {
+    std::this_thread::sleep_for(kMaxPlayTime);
+    fmt::print(stderr, "{}: takes too long\n", name);
+    std::_Exit(kCannotRun);
+  }).detach();
   try {
     const bool holds = play(argv[1], argv[2], has_trouble);
     // Connections of the stand-ins may still be open.
