--- a/review/9/play.cc
+++ b/review/9/play.cc
@@ -5,9 +5,9 @@
 #include <array>
 #include <atomic>
 
-/// Three workers of five answer an item of a batch job, now and then and in
-/// turn, with bytes that are no answer and don't end until the caller closes.
-/// The processes must stay within the memory of their machines.
+/// Three workers of five answer an item of a batch job, now and then, with
+/// bytes that are no answer and don't end until the caller closes. The
+/// processes must stay within the memory of their machines.
 namespace {
 
 constexpr std::size_t kWorkers = 5;
@@ -16,13 +16,25 @@
 constexpr std::size_t kItems = 10;
 /// The pace of the site's batch jobs.
 constexpr std::chrono::milliseconds kJobPeriod(1000);
-constexpr int kJobs = 80;
-constexpr std::chrono::seconds kBetweenFaults(3);
+constexpr int kJobs = 92;
+/// The length of `garble` in the site file, again and again.
+constexpr std::size_t kTroubleSeconds = 5;
+constexpr std::size_t kPeriodSeconds = 10;
+/// Its x is 0.03 of the answers.
+constexpr std::uint64_t kRunsBetweenFaults = 34;
 /// A tenth of the link of a machine.
 constexpr std::size_t kPieceBytes = 64 * 1024;
 constexpr std::chrono::milliseconds kPiecePause(5);
 constexpr std::chrono::seconds kLastItems(5);
 
+/// The state of a faulty worker.
+struct Trouble {
+  /// Whether it has yet to answer without end in these seconds.
+  std::atomic<bool> is_due = false;
+  /// The first run that may be answered so.
+  std::atomic<std::uint64_t> next_run = kRunsBetweenFaults;
+};
+
 std::string JobBody(std::uint64_t number) {
   std::string items;
   for (std::size_t i = 0; i < kItems; ++i) {
@@ -63,22 +75,22 @@
   review::Play::Options options;
   options.workers = kWorkers;
   review::Play play(options, directory, record_file);
-  std::array<std::atomic<bool>, kFaultyWorkers> due{};
+  std::array<Trouble, kFaultyWorkers> troubles;
   for (std::size_t i = 0; i < kFaultyWorkers; ++i) {
-    play.worker(i).SetFault(
-        [&play, &is_due = due[i], i](const review::Request& request,
-                                     review::Socket& socket, std::uint64_t run,
-                                     const review::Headers& headers) {
-          const bool is_item = request.path.starts_with("/sheet/");
-          if (!is_item || !is_due.exchange(false)) return false;
-          play.record().Line(
-              fmt::format("run {} of worker {} has no end", run, i + 1));
-          return AnswerWithoutEnd(play, socket, headers);
-        });
+    play.worker(i).SetFault([&play, &own = troubles[i], i](
+                                const review::Request& request,
+                                review::Socket& socket, std::uint64_t run,
+                                const review::Headers& headers) {
+      const bool is_item = request.path.starts_with("/sheet/");
+      if (!is_item || run < own.next_run || !own.is_due.exchange(false))
+        return false;
+      own.next_run = run + kRunsBetweenFaults;
+      play.record().Line(
+          fmt::format("run {} of worker {} has no end", run, i + 1));
+      return AnswerWithoutEnd(play, socket, headers);
+    });
   }
   review::Callers callers(play.entry(), play.fleet(), play.record());
-  auto next_fault = review::Clock::now() + kBetweenFaults;
-  std::size_t fault = 0;
   std::vector<std::thread> clients;
   for (int job = 0; job < kJobs; ++job) {
     clients.emplace_back([&play, job] {
@@ -92,9 +104,11 @@
       }
     });
     std::this_thread::sleep_for(kJobPeriod);
-    if (!trouble || review::Clock::now() < next_fault) continue;
-    next_fault += kBetweenFaults;
-    due[fault++ % kFaultyWorkers] = true;
+    // One after the other, so that they meet items of different daemons.
+    const auto second = static_cast<std::size_t>(job + 1) % kPeriodSeconds;
+    if (trouble && second < kFaultyWorkers) troubles[second].is_due = true;
+    if (second == kTroubleSeconds)
+      for (auto& each : troubles) each.is_due = false;
   }
   for (auto& client : clients) client.join();
   std::this_thread::sleep_for(kLastItems);
