--- a/packages/gateway/include/gypsumtrack/gateway/serving/client_limits.h
+++ b/packages/gateway/include/gypsumtrack/gateway/serving/client_limits.h
@@ -6,7 +6,7 @@
 #include "gypsumtrack/gateway/serving/serving_settings.h"
 #include "gypsumtrack/policy/client_memory.h"
 
-/// What callers that nobody controls may use of a VM.
+/// What callers and endpoints that nobody controls may use of a VM.
 namespace gypsumtrack::gateway {
 
 /// Limits of a daemon, derived from its VM's.
@@ -15,6 +15,8 @@
   policy::ClientMemoryOptions memory;
   /// Memory for answers of endpoints that aren't complete yet.
   std::uint64_t answer_bytes = 0;
+  /// Memory for the outputs of items of batch jobs.
+  std::uint64_t output_bytes = 0;
   /// Connections to the callers' address, and to each of the others.
   std::uint32_t caller_connections = 0;
   std::uint32_t other_connections = 0;
--- a/packages/gateway/include/gypsumtrack/gateway/serving/serving_context.h
+++ b/packages/gateway/include/gypsumtrack/gateway/serving/serving_context.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "gypsumtrack/base/memory_budget.h"
 #include "gypsumtrack/base/row_store.h"
 #include "gypsumtrack/gateway/endpoint_client.h"
 #include "gypsumtrack/gateway/serving/planned_stop.h"
@@ -47,6 +48,7 @@
   telemetry::Counter& jobs_refused;
   telemetry::Counter& items_listed;
   telemetry::Counter& items_yielded;
+  telemetry::Counter& outputs_discarded;
   telemetry::Counter& jobs_taken_over;
   telemetry::Counter& crashed_runs;
   telemetry::Counter& tunnelled;
@@ -174,6 +176,9 @@
   EndpointPathHooks path_hooks;
   std::minstd_rand random;
   policy::SecondTries second_tries{policy::SecondTryOptions{}};
+  /// The outputs of items that aren't committed yet.
+  std::shared_ptr<base::MemoryBudget> output_memory =
+      std::make_shared<base::MemoryBudget>();
   /// Set once the daemon has been asked to stop.
   bool shutting_down = false;
   PlannedStop planned_stop;
--- a/packages/gateway/src/serving/client_limits.cc
+++ b/packages/gateway/src/serving/client_limits.cc
@@ -9,9 +9,12 @@
 /// tables and what copies and fragments take beside what is charged.
 constexpr double kClientMemoryFraction = 0.25;
 constexpr double kAnswerMemoryFraction = 0.15;
+constexpr double kOutputMemoryFraction = 0.1;
 /// Enough for answers of any size that a deployment allows callers to send; a
 /// VM may have 140 MB in all.
 constexpr std::uint64_t kMaxAnswerBytes = std::uint64_t{24} * 1024 * 1024;
+/// The same for outputs, of which a large VM runs more.
+constexpr std::uint64_t kDefaultOutputBytes = std::uint64_t{64} * 1024 * 1024;
 /// Parts of a VM's descriptors. The rest is for endpoints, peers and the store,
 /// so that a crowd of callers can't take it.
 constexpr double kCallerDescriptorsFraction = 0.4;
@@ -28,6 +31,7 @@
 ClientLimits MakeClientLimits(const ServingSettings& settings) {
   ClientLimits limits;
   limits.answer_bytes = kMaxAnswerBytes;
+  limits.output_bytes = kDefaultOutputBytes;
   if (settings.memory_bytes) {
     const auto bytes = static_cast<double>(*settings.memory_bytes);
     limits.memory.limit_bytes =
@@ -35,6 +39,8 @@
     limits.answer_bytes =
         std::min(kMaxAnswerBytes,
                  static_cast<std::uint64_t>(bytes * kAnswerMemoryFraction));
+    limits.output_bytes =
+        static_cast<std::uint64_t>(bytes * kOutputMemoryFraction);
   }
   limits.caller_connections = kMaxConnections;
   limits.other_connections = kMaxConnections;
--- a/packages/gateway/src/serving/job_ownership.cc
+++ b/packages/gateway/src/serving/job_ownership.cc
@@ -32,10 +32,12 @@
 
 }  // namespace
 
-OwnedJobPtr MakeOwnedJob(AcquiredJob acquired, base::Instant now) {
+OwnedJobPtr MakeOwnedJob(AcquiredJob acquired, base::Instant now,
+                         std::shared_ptr<base::MemoryBudget> output_memory) {
   const auto* route = acquired.route;
   policy::JobRunOptions options;
   if (route != nullptr) options.max_failures = route->max_runs;
+  options.memory = std::move(output_memory);
   auto job_items = ToJobItems(acquired.items);
   auto job = std::make_shared<OwnedJob>(OwnedJob{
       acquired.key, acquired.found.row, std::move(acquired.items),
@@ -110,7 +112,8 @@
     return false;
   }
   this->rows.Insert(acquired.key, acquired.found.row);
-  this->runner.Add(MakeOwnedJob(std::move(acquired), now));
+  this->runner.Add(
+      MakeOwnedJob(std::move(acquired), now, this->context.output_memory));
   return true;
 }
 
--- a/packages/gateway/src/serving/job_ownership.h
+++ b/packages/gateway/src/serving/job_ownership.h
@@ -35,8 +35,9 @@
 };
 
 /// Returns the job with the deadlines of its route, counted from its
-/// acceptance. Thread-safe.
-OwnedJobPtr MakeOwnedJob(AcquiredJob acquired, base::Instant now);
+/// acceptance. Its outputs are charged to `output_memory`. Thread-safe.
+OwnedJobPtr MakeOwnedJob(AcquiredJob acquired, base::Instant now,
+                         std::shared_ptr<base::MemoryBudget> output_memory);
 
 /// Follows the store's owner rows, runs the jobs that this daemon acquires and
 /// stops those that it loses. Not thread-safe; used on the context's thread.
--- a/packages/gateway/src/serving/job_runner.cc
+++ b/packages/gateway/src/serving/job_runner.cc
@@ -31,6 +31,9 @@
 /// Each result needs a put and an expectation; this number of them stays well
 /// below the store's limits on transactions.
 constexpr std::size_t kMaxResultsPerCommit = 16;
+/// Bounds the copies of outputs that a commit makes. One of the largest size
+/// fits.
+constexpr std::size_t kMaxResultBytesPerCommit = std::size_t{1} * 1024 * 1024;
 /// Bounds the time that one tick takes.
 constexpr std::size_t kMaxStartsPerTick = 16;
 
@@ -382,7 +385,10 @@
                             policy::Urgency urgency,
                             policy::ItemStartFilter filter) {
   const auto now = this->context.clock.now();
+  // An item with an output goes on, or gives its memory back.
+  const bool may_begin = !this->context.output_memory->is_exceeded();
   filter.may_start = [&](std::size_t index) {
+    if (!may_begin && job->run.event_count(index) == 0) return false;
     const auto& parts = job->items[index].shared_parts;
     return !FindQuarantined(this->context, policy::ToSuspects(parts));
   };
@@ -460,8 +466,9 @@
     const auto count_before = job->run.event_count(start.index);
     for (const auto& event : events) {
       if (job->run.OnEvent(start.index, event)) continue;
-      status = base::Error(base::Errc::kInvalid,
-                           "the stream has an event out of order");
+      status = base::Error(
+          base::Errc::kInvalid,
+          "an event is out of order or exceeds a limit of the output");
       break;
     }
     const bool has_first = count_before == events_before &&
@@ -500,16 +507,21 @@
       cancel->cancelled()
           ? policy::ItemRunOutcome::kInterrupted
           : ClassifyRunOutcome(this->context, result, events > 0);
-  base::LogEvent("item_ended",
-                 {{"job", job->key.job.text},
-                  {"item", item.id},
-                  {"endpoint", endpoint.id.text},
-                  {"call", kCallOutcomeNames.Name(result.outcome)},
-                  {"status", result.head.status},
-                  {"events", events - events_before},
-                  {"end", policy::kItemRunOutcomeNames.Name(outcome)}});
+  const auto exceeded = job->run.exceeded_limit(start.index);
+  if (exceeded) this->context.metrics.outputs_discarded.Add();
+  base::LogEvent(
+      "item_ended",
+      {{"job", job->key.job.text},
+       {"item", item.id},
+       {"endpoint", endpoint.id.text},
+       {"call", kCallOutcomeNames.Name(result.outcome)},
+       {"status", result.head.status},
+       {"events", events - events_before},
+       {"end", policy::kItemRunOutcomeNames.Name(outcome)},
+       {"exceeded", exceeded ? policy::kOutputLimitNames.Name(*exceeded) : ""},
+       {"outputs_held", this->context.output_memory->held_bytes()}});
   job->running.erase(start.index);
-  if (events > events_before) {
+  if (events > events_before && !exceeded) {
     this->durations.OnRunEnd(events - events_before,
                              this->context.clock.now() - started_at);
   }
@@ -538,7 +550,8 @@
 }
 
 asio::awaitable<bool> JobRunner::CommitOnce(OwnedJobPtr job) {
-  auto results = job->run.UnlistedResults(kMaxResultsPerCommit);
+  auto results =
+      job->run.UnlistedResults(kMaxResultsPerCommit, kMaxResultBytesPerCommit);
   if (results.empty() && !job->run.all_listed()) co_return false;
   ResultsCommit commit;
   if (results.empty()) {
--- a/packages/gateway/src/serving/serving_context.cc
+++ b/packages/gateway/src/serving/serving_context.cc
@@ -31,6 +31,9 @@
       items_yielded(
           registry.GetCounter("gypsumtrack_items_yielded_total", "",
                               "Items broken off to make room for online.")),
+      outputs_discarded(registry.GetCounter(
+          "gypsumtrack_outputs_discarded_total", "",
+          "Outputs of items that exceeded a limit and were run again.")),
       jobs_taken_over(registry.GetCounter("gypsumtrack_jobs_taken_over_total",
                                           "", "Jobs taken from lost daemons.")),
       crashed_runs(registry.GetCounter("gypsumtrack_crashed_runs_total", "",
--- a/packages/gateway/src/serving/serving_daemon.cc
+++ b/packages/gateway/src/serving/serving_daemon.cc
@@ -156,7 +156,9 @@
                 .quota = policy::FleetQuota(QuotaOptions(settings)),
                 .batch_starts = policy::BatchStartLimiter({}),
                 .random = std::minstd_rand(std::random_device{}()),
-                .second_tries = policy::SecondTries(TryOptions(settings))},
+                .second_tries = policy::SecondTries(TryOptions(settings)),
+                .output_memory = std::make_shared<base::MemoryBudget>(
+                    this->client_limits.output_bytes)},
         signals(this->context, SIGTERM, SIGINT, SIGHUP) {
     if (this->client_limits.memory.limit_bytes > 0) {
       this->client_account =
@@ -535,6 +537,11 @@
         "gypsumtrack_held_answer_bytes", "",
         "Bodies of answers, other than streams, that aren't complete yet.",
         [this] { return static_cast<double>(this->client.held_bytes()); });
+    this->registry.AddGauge(
+        "gypsumtrack_item_output_bytes", "",
+        "Outputs of items of batch jobs that aren't committed yet.", [this] {
+          return static_cast<double>(this->serving.output_memory->held_bytes());
+        });
     this->registry.AddGauge(
         "gypsumtrack_client_bytes", "",
         "Memory that callers' requests and answers hold.", [this] {
--- a/packages/gateway/test/serving/job_ownership_test.cc
+++ b/packages/gateway/test/serving/job_ownership_test.cc
@@ -34,11 +34,12 @@
 
 TEST_CASE("the deadlines of an acquired job count from its acceptance") {
   const auto route = MakeRoute();
-  const auto job = MakeOwnedJob(MakeAcquiredJob(&route), kNow);
+  const auto job = MakeOwnedJob(MakeAcquiredJob(&route), kNow, nullptr);
   CHECK(job->due == kNow + seconds(40));
   CHECK(job->give_up_at == kNow + seconds(280));
   SECTION("a job whose route was removed has none") {
-    const auto without_route = MakeOwnedJob(MakeAcquiredJob(nullptr), kNow);
+    const auto without_route =
+        MakeOwnedJob(MakeAcquiredJob(nullptr), kNow, nullptr);
     CHECK(without_route->due == base::kNever);
     CHECK(without_route->give_up_at == base::kNever);
   }
@@ -48,27 +49,27 @@
   const auto route = MakeRoute();
   auto acquired = MakeAcquiredJob(&route);
   SECTION("all if it was just accepted") {
-    const auto job = MakeOwnedJob(acquired, kNow);
+    const auto job = MakeOwnedJob(acquired, kNow, nullptr);
     CHECK(job->items.size() == 2);
     CHECK(job->owner_version == 7);
     CHECK(job->run.waiting_count() == 2);
   }
   SECTION("none whose result is committed") {
     acquired.listed_ids = {"a"};
-    const auto job = MakeOwnedJob(acquired, kNow);
+    const auto job = MakeOwnedJob(acquired, kNow, nullptr);
     REQUIRE(job->run.waiting_count() == 1);
     CHECK(job->run.StartNextItem(kOrigin, kNow)->index == 1);
   }
   SECTION("from the output that the previous owner saved") {
     acquired.partials = {{"b", 5, 5, "half", kOrigin}};
-    const auto job = MakeOwnedJob(acquired, kNow);
+    const auto job = MakeOwnedJob(acquired, kNow, nullptr);
     const auto start = job->run.StartNextItem(kOrigin, kNow);
     REQUIRE(start);
     CHECK(start->index == 1);
     CHECK(start->after_event == 5);
   }
   SECTION("as often as its route allows") {
-    const auto job = MakeOwnedJob(acquired, kNow);
+    const auto job = MakeOwnedJob(acquired, kNow, nullptr);
     const auto start = job->run.StartNextItem(kOrigin, kNow);
     job->run.OnRunEnd(start->index, policy::ItemRunOutcome::kFailed, kNow);
     CHECK(job->run.waiting_count() == 1);
--- a/packages/policy/include/gypsumtrack/policy/serving/job_run.h
+++ b/packages/policy/include/gypsumtrack/policy/serving/job_run.h
@@ -3,14 +3,18 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "gypsumtrack/base/enum_table.h"
+#include "gypsumtrack/base/memory_budget.h"
 #include "gypsumtrack/base/names.h"
 #include "gypsumtrack/base/time.h"
+#include "gypsumtrack/policy/output_limit.h"
 #include "gypsumtrack/policy/serving/event_splitter.h"
 #include "gypsumtrack/policy/serving/output_origin.h"
 
@@ -69,7 +73,7 @@
         {ItemRunOutcome::kImpossible, "impossible"},
     });
 
-/// Retry settings of a job.
+/// Retry settings and limits of a job.
 struct JobRunOptions {
   /// Runs with outcome kFailed after which an item is given up.
   std::uint32_t max_failures = 3;
@@ -81,6 +85,10 @@
   /// that can't be in time any more is kept while the endpoints that could
   /// continue it are full. About as long as a temporary rise in online load.
   base::Duration max_late_output_wait = std::chrono::milliseconds(2500);
+  /// Limits on the output of each item.
+  OutputLimits output;
+  /// Shared by the outputs of all jobs of a daemon; if null, unlimited.
+  std::shared_ptr<base::MemoryBudget> memory;
 };
 
 /// Output received so far of an item that isn't complete.
@@ -139,11 +147,13 @@
                                             base::Instant now,
                                             const ItemStartFilter& filter = {});
   /// Appends an event to a running item. Returns false if the item isn't
-  /// running or the event doesn't follow the one before it; the run must then
-  /// be aborted. Data with and without ids doesn't follow each other; events
-  /// with neither are ignored.
+  /// running, the event doesn't follow the one before it or the output exceeds
+  /// a limit; the run must then be aborted. Data with and without ids doesn't
+  /// follow each other; events with neither are ignored.
   bool OnEvent(std::size_t index, const StreamEvent& event);
-  /// Records the end of a run. Precondition: the item is running.
+  /// Records the end of a run. If the output exceeded a limit, it is discarded
+  /// and the item tried again from the beginning, whatever the outcome.
+  /// Precondition: the item is running.
   void OnRunEnd(std::size_t index, ItemRunOutcome outcome, base::Instant now);
   /// Restores the partial output that a previous owner of the job saved.
   /// Precondition: no item has run here.
@@ -157,9 +167,12 @@
 
   // Queries.
 
-  /// Up to `limit` results to add to the list next, in order. Returns the same
+  /// Up to `limit` results to add to the list next, in order: the first one,
+  /// and more while their outputs fit into `max_bytes`. Returns the same
   /// results until OnResultsListed, so that a commit can be retried.
-  std::vector<JobItemResult> UnlistedResults(std::size_t limit) const;
+  std::vector<JobItemResult> UnlistedResults(
+      std::size_t limit,
+      std::size_t max_bytes = std::numeric_limits<std::size_t>::max()) const;
   /// Position in the list of the first unlisted result.
   std::size_t next_position() const { return this->listed_count; }  // NOLINT
   /// Whether the results of all items are in the list.
@@ -172,6 +185,8 @@
   const JobItem& item(std::size_t index) const;  // NOLINT
   /// Number of events received of the item.
   std::uint64_t event_count(std::size_t index) const;  // NOLINT
+  /// The limit that the output of the present run exceeded, if any.
+  std::optional<OutputLimit> exceeded_limit(std::size_t index) const;  // NOLINT
   /// Origins of the outputs of items that could start now, longest output
   /// first.
   std::vector<OutputOrigin> WaitingOrigins(base::Instant now) const;
@@ -207,6 +222,8 @@
     std::uint32_t failures = 0;
     /// End of the retry delay: the item doesn't start before this time.
     base::Instant not_before{};
+    /// Set by the event that the output had no room for.
+    std::optional<OutputLimit> exceeded_limit;
   };
 
   /// Whether the item waits and its retry delay is over.
@@ -216,7 +233,11 @@
   std::optional<std::uint64_t> RankFor(const OutputOrigin& origin,
                                        std::size_t index, base::Instant now,
                                        const ItemStartFilter& filter) const;
-  static void DiscardOutput(Progress& each);
+  /// The limit that the output exceeds with one more event of that size, if
+  /// any.
+  std::optional<OutputLimit> FindLimitFor(std::size_t index,
+                                          std::size_t event_bytes) const;
+  void DiscardOutput(Progress& each);
   void Finish(std::size_t index, JobItemStatus status);
 
   std::vector<JobItem> items;
@@ -228,6 +249,8 @@
   /// Number of results in the list.
   std::size_t listed_count = 0;
   JobRunOptions options;
+  /// The outputs in `progress` and `unlisted_results`.
+  base::MemoryCharge output_memory;
 };
 
 }  // namespace gypsumtrack::policy
--- a/packages/policy/src/serving/job_run.cc
+++ b/packages/policy/src/serving/job_run.cc
@@ -9,11 +9,14 @@
 
 JobRun::JobRun(std::vector<JobItem> job_items,
                const std::vector<std::string>& listed_ids,
-               JobRunOptions options)
+               JobRunOptions run_options)
     : items(std::move(job_items)),
       progress(this->items.size()),
       listed_count(listed_ids.size()),
-      options(options) {
+      options(std::move(run_options)),
+      output_memory(this->options.memory
+                        ? this->options.memory
+                        : std::make_shared<base::MemoryBudget>()) {
   const std::set<std::string> listed_set(listed_ids.begin(), listed_ids.end());
   for (std::size_t i = 0; i < this->items.size(); ++i) {
     const auto& item = this->items[i];
@@ -47,6 +50,7 @@
   start.after_event = each.last_event;
   each.events_before_run = each.events;
   each.origin = origin;
+  each.exceeded_limit.reset();
   each.state = State::kRunning;
   return start;
 }
@@ -72,8 +76,19 @@
   return kRestart;
 }
 
+std::optional<OutputLimit> JobRun::FindLimitFor(std::size_t index,
+                                                std::size_t event_bytes) const {
+  const auto& each = this->progress[index];
+  const OutputSize size{each.text.size() + event_bytes, each.events + 1};
+  return FindExceededLimit(this->options.output, size,
+                           this->items[index].tokens,
+                           this->output_memory.budget());
+}
+
 void JobRun::DiscardOutput(Progress& each) {
-  each.text.clear();
+  this->output_memory.Remove(each.text.size());
+  // Gives back the memory, too.
+  each.text = {};
   each.has_text = false;
   each.last_event.reset();
   each.events = 0;
@@ -82,16 +97,21 @@
 
 bool JobRun::OnEvent(std::size_t index, const StreamEvent& event) {
   auto& each = this->progress[index];
-  if (each.state != State::kRunning) return false;
+  if (each.state != State::kRunning || each.exceeded_limit) return false;
   if (!IsContent(event)) return true;
   if (event.id) {
     const bool follows =
         each.last_event ? *event.id == *each.last_event + 1 : each.text.empty();
     if (!follows) return false;
-    each.last_event = event.id;
   } else if (each.last_event) {
     return false;
   }
+  const auto separator_bytes = each.has_text ? 1U : 0U;
+  const auto added_bytes = separator_bytes + event.data.size();
+  each.exceeded_limit = this->FindLimitFor(index, added_bytes);
+  if (each.exceeded_limit) return false;
+  this->output_memory.Add(added_bytes);
+  each.last_event = event.id;
   if (each.has_text) each.text += '\n';
   each.text += event.data;
   each.has_text = true;
@@ -104,6 +124,11 @@
   auto& each = this->progress[index];
   assert(each.state == State::kRunning);
   each.state = State::kWaiting;
+  if (each.exceeded_limit) {
+    DiscardOutput(each);
+    each.not_before = now + this->options.failure_retry_delay;
+    return;
+  }
   // A run that added nothing mustn't prolong the wait.
   if (each.events > each.events_before_run)
     each.output_kept_until = now + this->options.max_late_output_wait;
@@ -137,6 +162,7 @@
       auto& each = this->progress[i];
       if (this->items[i].id != partial.item) continue;
       if (each.state != State::kWaiting || partial.events == 0) continue;
+      this->output_memory.Add(partial.text.size());
       each.text = partial.text;
       each.has_text = true;
       each.last_event = partial.last_event;
@@ -158,7 +184,9 @@
 void JobRun::OnResultsListed(std::size_t count) {
   assert(count <= this->unlisted_results.size());
   for (std::size_t i = 0; i < count; ++i) {
-    this->unlisted_tokens -= this->TokensOf(this->unlisted_results[i].item);
+    const auto& result = this->unlisted_results[i];
+    this->unlisted_tokens -= this->TokensOf(result.item);
+    this->output_memory.Remove(result.output.size());
   }
   this->unlisted_results.erase(
       this->unlisted_results.begin(),
@@ -166,10 +194,17 @@
   this->listed_count += count;
 }
 
-std::vector<JobItemResult> JobRun::UnlistedResults(std::size_t limit) const {
-  const auto count = std::min(limit, this->unlisted_results.size());
-  return {this->unlisted_results.begin(),
-          this->unlisted_results.begin() + static_cast<std::ptrdiff_t>(count)};
+std::vector<JobItemResult> JobRun::UnlistedResults(
+    std::size_t limit, std::size_t max_bytes) const {
+  std::vector<JobItemResult> results;
+  std::size_t bytes = 0;
+  for (const auto& result : this->unlisted_results) {
+    bytes += result.output.size();
+    const bool fits = results.empty() || bytes <= max_bytes;
+    if (results.size() >= limit || !fits) break;
+    results.push_back(result);
+  }
+  return results;
 }
 
 bool JobRun::all_listed() const {
@@ -212,6 +247,10 @@
   return origins;
 }
 
+std::optional<OutputLimit> JobRun::exceeded_limit(std::size_t index) const {
+  return this->progress[index].exceeded_limit;
+}
+
 base::Instant JobRun::output_kept_until(std::size_t index) const {
   return this->progress[index].output_kept_until;
 }
@@ -225,23 +264,25 @@
 }
 
 std::vector<PartialItem> JobRun::PartialItems(std::size_t max_bytes) const {
-  std::vector<PartialItem> partials;
+  std::vector<std::size_t> indexes;
   for (std::size_t i = 0; i < this->progress.size(); ++i) {
     const auto& each = this->progress[i];
-    if (each.state == State::kFinished || !each.last_event) continue;
-    partials.push_back({this->items[i].id, *each.last_event, each.events,
-                        each.text, *each.origin});
+    if (each.state != State::kFinished && each.last_event) indexes.push_back(i);
   }
-  std::sort(partials.begin(), partials.end(), [](const auto& a, const auto& b) {
-    return a.text.size() > b.text.size();
+  std::sort(indexes.begin(), indexes.end(), [this](auto a, auto b) {
+    return this->progress[a].text.size() > this->progress[b].text.size();
   });
+  std::vector<PartialItem> partials;
   std::size_t bytes = 0;
-  std::erase_if(partials, [&](const PartialItem& each) {
-    const auto total = bytes + each.text.size() + each.item.size();
-    if (total > max_bytes) return true;
+  for (const auto i : indexes) {
+    const auto& each = this->progress[i];
+    const auto& id = this->items[i].id;
+    const auto total = bytes + each.text.size() + id.size();
+    if (total > max_bytes) continue;
     bytes = total;
-    return false;
-  });
+    partials.push_back(
+        {id, *each.last_event, each.events, each.text, *each.origin});
+  }
   return partials;
 }
 
@@ -256,8 +297,12 @@
   auto& each = this->progress[index];
   each.state = State::kFinished;
   JobItemResult result{this->items[index].id, status, {}};
-  if (status == JobItemStatus::kDone) result.output = std::move(each.text);
-  each.text.clear();
+  if (status == JobItemStatus::kDone) {
+    result.output = std::move(each.text);
+  } else {
+    this->output_memory.Remove(each.text.size());
+  }
+  each.text = {};
   this->unlisted_results.push_back(std::move(result));
 }
 
--- a/packages/policy/test/serving/job_run_test.cc
+++ b/packages/policy/test/serving/job_run_test.cc
@@ -284,6 +284,49 @@
         std::vector{kNewVersion, kOrigin});
 }
 
+// Guards against a daemon that runs out of memory because an endpoint writes
+// without end (review/9).
+TEST_CASE("an output without end is discarded") {
+  constexpr std::uint64_t kTokens = 100;
+  /// The last event of a stream may hold no token.
+  constexpr std::size_t kSpareEvents = 16;
+  constexpr std::size_t kMaxEvents = 100'000;
+  JobRun job({{"a", kTokens}, {"no-tokens", 0}}, {}, {});
+  const auto run_until_refused = [&](std::size_t index, auto make_event) {
+    std::size_t accepted = 0;
+    while (accepted < kMaxEvents && job.OnEvent(index, make_event(accepted)))
+      ++accepted;
+    return accepted;
+  };
+  const auto without_id = [](std::size_t size) {
+    return [size](std::size_t) -> StreamEvent {
+      return {"", std::nullopt, std::string(size, 'w')};
+    };
+  };
+  REQUIRE(job.StartNextItem(kOrigin, kStart));
+  REQUIRE(job.StartNextItem(kOrigin, kStart));
+  SECTION("that has more events than the item has tokens") {
+    CHECK(run_until_refused(0, without_id(1)) == kTokens + kSpareEvents);
+  }
+  SECTION("that has ids, too") {
+    CHECK(run_until_refused(0, [](std::size_t accepted) {
+            return MakeEvent(accepted + 1, "");
+          }) == kTokens + kSpareEvents);
+  }
+  SECTION("that has more bytes than a page of results") {
+    constexpr std::size_t kPageBytes = 1'000'000;
+    const auto [index, event_bytes] =
+        GENERATE(std::pair<std::size_t, std::size_t>{0, 50'000},
+                 std::pair<std::size_t, std::size_t>{1, 1000});
+    const auto accepted = run_until_refused(index, without_id(event_bytes));
+    CHECK(accepted >= 19);
+    CHECK(accepted * event_bytes <= kPageBytes);
+    SECTION("of which it takes no more then") {
+      CHECK_FALSE(job.OnEvent(index, {"", std::nullopt, "w"}));
+    }
+  }
+}
+
 TEST_CASE("each item is listed once, whatever the outcomes of its runs") {
   rc::prop("no event is lost or duplicated or of another version", [] {
     const auto count = *rc::gen::inRange<std::size_t>(1, 8);
