Bound the texts that endpoints generate on the project's own interface

Cause: Generation kept all text of an attempt and of those before it, until the request's deadline (120 s by default).

Fix: the limits of policy::FindExceededLimit, with max_tokens of the request, 4 MiB a text and 64 MiB for all. A text that exceeds one is discarded at the next attempt, unless its caller has received it as a stream.

Evidence: "an endpoint generates text without end" passes; on the code before there is no bound that could refuse an event (its interface differs, so the test wasn't run there).

--- a/packages/gateway/include/gypsumtrack/gateway/runtime.h
+++ b/packages/gateway/include/gypsumtrack/gateway/runtime.h
@@ -2,7 +2,9 @@
 #define GYPSUMTRACK_GATEWAY_RUNTIME_H_
 
 #include <boost/asio/any_io_executor.hpp>
+#include <memory>
 
+#include "gypsumtrack/base/memory_budget.h"
 #include "gypsumtrack/base/names.h"
 #include "gypsumtrack/base/time.h"
 #include "gypsumtrack/gateway/settings.h"
@@ -12,6 +14,10 @@
 /// Objects that the services of a daemon share.
 namespace gypsumtrack::gateway {
 
+/// Memory for texts that endpoints generate, until they are complete.
+inline constexpr std::uint64_t kMaxGeneratedBytes =
+    std::uint64_t{64} * 1024 * 1024;
+
 /// Passed to each service by reference; outlives them. Immutable after start.
 struct Runtime {
   Settings settings;
@@ -24,6 +30,9 @@
   boost::asio::any_io_executor pool;
   platform::Platform platform;
   peer::PeerLink peers;
+  /// Charged for generated texts. Thread-safe.
+  std::shared_ptr<base::MemoryBudget> generated_text =
+      std::make_shared<base::MemoryBudget>(kMaxGeneratedBytes);
 };
 
 }  // namespace gypsumtrack::gateway
--- a/packages/gateway/src/generation.cc
+++ b/packages/gateway/src/generation.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <boost/json.hpp>
 #include <charconv>
 #include <utility>
@@ -22,6 +23,18 @@
   return json::serialize(*value);
 }
 
+/// Returns the maximum number of tokens that a request's body names; 0 if it
+/// names none.
+std::uint64_t ReadMaxTokens(const json::object& body) {
+  for (const char* name : {"max_tokens", "max_completion_tokens"}) {
+    const auto* value = body.if_contains(name);
+    if (value == nullptr || !value->is_int64()) continue;
+    return static_cast<std::uint64_t>(
+        std::max<std::int64_t>(value->as_int64(), 0));
+  }
+  return 0;
+}
+
 base::Error Invalid(std::string message) {
   return {base::Errc::kInvalid, std::move(message)};
 }
@@ -63,6 +76,7 @@
                        : "`prompt` must be a string.");
   }
   out.prompt = ToText(prompt);
+  out.max_tokens = ReadMaxTokens(out.body);
   if (const auto* stream = out.body.if_contains("stream")) {
     if (!stream->is_bool()) return Invalid("`stream` must be true or false.");
     out.stream = stream->as_bool();
@@ -75,12 +89,24 @@
   return out;
 }
 
-Generation::Generation(GenerationRequest request, std::string request_id)
-    : source(std::move(request)), id(std::move(request_id)) {}
+Generation::Generation(GenerationRequest request, std::string request_id,
+                       std::shared_ptr<base::MemoryBudget> memory)
+    : source(std::move(request)),
+      id(std::move(request_id)),
+      text_memory(std::move(memory)) {}
 
 void Generation::BeginAttempt() {
   this->unparsed.clear();
   this->done_received = false;
+  if (this->exceeded_limit && !this->source.stream) this->DiscardText();
+}
+
+void Generation::DiscardText() {
+  this->text_memory.Remove(this->generated_text.size());
+  this->generated_text = {};
+  this->token_count = 0;
+  this->finish_reason.clear();
+  this->exceeded_limit.reset();
 }
 
 std::string Generation::Checkpoint() const {
@@ -96,6 +122,7 @@
     return Invalid("A checkpoint is malformed.");
   }
   this->generated_text = std::string(parse_end + 1, end);
+  this->text_memory.Add(this->generated_text.size());
   return base::Done{};
 }
 
@@ -143,13 +170,15 @@
   const auto* choices = event->if_contains("choices");
   if (choices != nullptr && choices->is_array()) {
     for (const auto& choice : choices->as_array()) {
-      if (choice.is_object()) this->ConsumeChoice(choice.as_object());
+      if (!choice.is_object()) continue;
+      auto status = this->ConsumeChoice(choice.as_object());
+      if (!status.ok()) return status.error();
     }
   }
   return std::optional<std::string>(std::string(data));
 }
 
-void Generation::ConsumeChoice(const json::object& choice) {
+base::Status Generation::ConsumeChoice(const json::object& choice) {
   const json::object* content = &choice;
   const bool chat = this->source.kind == GenerationKind::kChat;
   if (chat) {
@@ -159,14 +188,33 @@
   const auto* fragment = content->if_contains(chat ? "content" : "text");
   if (fragment != nullptr && fragment->is_string() &&
       !fragment->as_string().empty()) {
-    const auto& fragment_text = fragment->as_string();
-    this->generated_text.append(fragment_text.data(), fragment_text.size());
-    this->token_count++;
+    auto status = this->AppendText(fragment->as_string());
+    if (!status.ok()) return status;
   }
   const auto* reason = choice.if_contains("finish_reason");
   if (reason != nullptr && reason->is_string()) {
     this->finish_reason = std::string(reason->as_string());
   }
+  return base::Done{};
+}
+
+base::Status Generation::AppendText(std::string_view fragment) {
+  const policy::OutputSize size{this->generated_text.size() + fragment.size(),
+                                this->token_count + 1};
+  if (!this->exceeded_limit) {
+    this->exceeded_limit = policy::FindExceededLimit(
+        kGenerationLimits, size, this->source.max_tokens,
+        this->text_memory.budget());
+  }
+  if (this->exceeded_limit) {
+    return Invalid(
+        fmt::format("The text exceeds the limit on {}.",
+                    policy::kOutputLimitNames.Name(*this->exceeded_limit)));
+  }
+  this->text_memory.Add(fragment.size());
+  this->generated_text += fragment;
+  this->token_count++;
+  return base::Done{};
 }
 
 std::string Generation::AttemptBody() const {
--- a/packages/gateway/src/item_sender.cc
+++ b/packages/gateway/src/item_sender.cc
@@ -34,8 +34,9 @@
 
 /// Creates the response accumulator of an item, with its earlier attempts'
 /// checkpoint. Empty for services without a model and for malformed bodies.
-std::optional<Generation> MakeGeneration(const policy::StartItem& item,
-                                         const std::string& request_id) {
+std::optional<Generation> MakeGeneration(
+    const policy::StartItem& item, const std::string& request_id,
+    const std::shared_ptr<base::MemoryBudget>& memory) {
   if (item.model.empty()) return std::nullopt;
   const auto kind = item.path.ends_with("chat/completions")
                         ? GenerationKind::kChat
@@ -43,7 +44,7 @@
   auto request = ParseGenerationRequest(kind, item.body);
   if (!request.ok()) return std::nullopt;
   std::optional<Generation> generation;
-  generation.emplace(std::move(*request), request_id);
+  generation.emplace(std::move(*request), request_id, memory);
   // A malformed checkpoint is ignored: only the tokens in it are lost.
   if (!item.streamed.empty()) (void)generation->Resume(item.streamed);
   return generation;
@@ -138,7 +139,8 @@
   }
   const auto request_id =
       fmt::format("{}-{}-{}-{}", item.job_uid, item.chunk, item.item, item.run);
-  auto generation = MakeGeneration(item, request_id);
+  auto generation =
+      MakeGeneration(item, request_id, this->runtime.generated_text);
   auto call = MakeCall(item, request_id);
   call.address = endpoint->address;
   call.progress_timeout = this->runtime.settings.progress_timeout;
--- a/packages/gateway/src/online_service.cc
+++ b/packages/gateway/src/online_service.cc
@@ -178,7 +178,8 @@
   if (!grant) co_return;
   const auto admitted_at = this->runtime.clock.now();
   auto first_byte_at = base::kNever;
-  Generation generation(std::move(*parsed), exchange.request_id());
+  Generation generation(std::move(*parsed), exchange.request_id(),
+                        this->runtime.generated_text);
   auto request = this->MakeDispatch(exchange, *grant);
   request.affinity_key =
       model + '\n' + generation.request().prompt.substr(0, kAffinityBytes);
