Count bodies of endpoints by base::MemoryBudget

The client's own atomic count and the subtraction at the end of a call stood beside the budget that outputs have. No change of behaviour: "an endpoint sends bytes without end to many calls" and the other tests of the client pass unchanged.

--- a/packages/gateway/src/endpoint_client.cc
+++ b/packages/gateway/src/endpoint_client.cc
@@ -1,7 +1,6 @@
 #include "gypsumtrack/gateway/endpoint_client.h"
 
 #include <algorithm>
-#include <atomic>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -11,6 +10,7 @@
 
 #include "connection_pool.h"
 #include "gypsumtrack/base/hash.h"
+#include "gypsumtrack/base/memory_budget.h"
 #include "gypsumtrack/gateway/header_syntax.h"
 #include "gypsumtrack/gateway/http_status.h"
 #include "gypsumtrack/platform/bounded_parser.h"
@@ -40,10 +40,6 @@
 /// Time to read input that has arrived by the time at which a timeout expires.
 constexpr base::Duration kUnreadInputTimeout = std::chrono::seconds(1);
 
-/// Size of the bodies that the calls of a client hold. A call that the end of
-/// the event loop cuts off may outlive its client.
-using HeldBytes = std::shared_ptr<std::atomic<std::uint64_t>>;
-
 /// What had arrived when the deadline of a call passed.
 struct LateInput {
   /// Number of bytes that aren't read yet.
@@ -116,14 +112,15 @@
 /// strand.
 class ConnectionCall {
  public:
-  /// `held_bytes` counts the bodies that all calls of the client hold.
+  /// `body_memory` is charged for the bodies that all calls of the client hold.
+  /// A call that the end of the event loop cuts off may outlive its client.
   ConnectionCall(EndpointCall& call, const EndpointClientOptions& options,
                  const base::Clock& clock, const asio::any_io_executor& strand,
-                 HeldBytes held_bytes)
+                 std::shared_ptr<base::MemoryBudget> body_memory)
       : call(call),
         options(options),
         clock(clock),
-        held_bytes(std::move(held_bytes)) {
+        body_memory(std::move(body_memory)) {
     this->watchdog = std::make_shared<Watchdog>(strand, clock,
                                                 [this] { this->OnTimeout(); });
     if (call.cancel) call.cancel->SetHandler([this] { this->Close(); });
@@ -132,7 +129,6 @@
   ~ConnectionCall() {
     this->watchdog->Stop();
     if (this->call.cancel) this->call.cancel->SetHandler(nullptr);
-    *this->held_bytes -= this->own_held_bytes;
   }
 
   ConnectionCall(const ConnectionCall&) = delete;
@@ -580,11 +576,11 @@
   /// Counts bytes that were added to the body of the result. Returns whether it
   /// may be held.
   bool MayHold(std::size_t added) {
-    this->own_held_bytes += added;
-    const auto held_by_all = *this->held_bytes += added;
-    if (this->own_held_bytes > this->options.max_body_bytes) return false;
-    return this->own_held_bytes <= this->options.small_body_bytes ||
-           held_by_all <= this->options.max_held_bytes;
+    this->body_memory.Add(added);
+    const auto bytes = this->body_memory.bytes();
+    if (bytes > this->options.max_body_bytes) return false;
+    return bytes <= this->options.small_body_bytes ||
+           !this->body_memory.budget().is_exceeded();
   }
 
   /// Sets the outcome and run state after the whole response was read.
@@ -613,9 +609,8 @@
   EndpointCall& call;
   const EndpointClientOptions& options;
   const base::Clock& clock;
-  const HeldBytes held_bytes;
-  /// Size of the body of the result, which is moved away at the end.
-  std::uint64_t own_held_bytes = 0;
+  /// For the body of the result, which is moved away at the end.
+  base::MemoryCharge body_memory;
   std::shared_ptr<Watchdog> watchdog;
   EndpointConnectionPtr connection;
   std::optional<Parser> parser;
@@ -675,7 +670,9 @@
       : executor(std::move(executor)),
         clock(std::move(clock)),
         options(options),
-        idle(options) {}
+        idle(options),
+        body_memory(
+            std::make_shared<base::MemoryBudget>(options.max_held_bytes)) {}
 
   /// Runs the call on a pooled or new connection.
   asio::awaitable<void> Run(ConnectionCall& connection_call,
@@ -700,8 +697,8 @@
   const base::Clock clock;
   const EndpointClientOptions options;
   ConnectionPool idle;
-  /// Size of the bodies that the calls in flight hold.
-  const HeldBytes held_bytes = std::make_shared<std::atomic<std::uint64_t>>(0);
+  /// Charged for the bodies that the calls in flight hold.
+  const std::shared_ptr<base::MemoryBudget> body_memory;
 
  private:
   /// Returns the connection to the pool if another call may use it.
@@ -728,7 +725,7 @@
   const auto strand = co_await asio::this_coro::executor;
   const auto connection_call = std::make_unique<ConnectionCall>(
       call, this->pool->options, this->pool->clock, strand,
-      this->pool->held_bytes);
+      this->pool->body_memory);
   co_await this->pool->Run(*connection_call, call);
   co_return std::move(connection_call->result);
 }
@@ -744,7 +741,7 @@
 void EndpointClient::CloseIdle() { this->pool->idle.DropAll(); }
 
 std::uint64_t EndpointClient::held_bytes() const {
-  return *this->pool->held_bytes;
+  return this->pool->body_memory->held_bytes();
 }
 
 std::size_t EndpointClient::idle_count(const std::string& address) const {
