Take no answer with a status that HTTP doesn't have

Statuses 600 and above went to callers unchanged.

Cause: Beast reads any three digits as a status, and the client looked only at whether it is below 200.

Fix: a status is from 100 to 599, and never 101. All else is no response: the run is unknown, the endpoint faulty, the connection closed. The store's answers likewise.

--- a/packages/gateway/include/gypsumtrack/gateway/http_status.h
+++ b/packages/gateway/include/gypsumtrack/gateway/http_status.h
@@ -4,6 +4,7 @@
 /// HTTP status codes that the gateway sends or checks.
 namespace gypsumtrack::gateway::status {
 
+inline constexpr unsigned kSwitchingProtocols = 101;
 inline constexpr unsigned kOk = 200;
 inline constexpr unsigned kCreated = 201;
 inline constexpr unsigned kAccepted = 202;
--- a/packages/gateway/src/endpoint_client.cc
+++ b/packages/gateway/src/endpoint_client.cc
@@ -84,6 +84,13 @@
   return false;
 }
 
+/// Whether a response may have the status. A request never asks to switch to
+/// another protocol.
+bool IsResponseStatus(unsigned status) {
+  return platform::IsHttpStatus(status) &&
+         status != status::kSwitchingProtocols;
+}
+
 /// Whether there is a status line in the reason phrase or in a header: the head
 /// of a response that was cut off, continued by the next response.
 bool HasInnerStatusLine(const Parser& parser) {
@@ -464,7 +471,10 @@
         co_return false;
       }
       this->OnBytesRead(size);
-      if (HasInnerStatusLine(*this->parser)) {
+      const bool is_response =
+          IsResponseStatus(this->parser->get().result_int()) &&
+          !HasInnerStatusLine(*this->parser);
+      if (!is_response) {
         this->result.outcome = CallOutcome::kInvalid;
         co_return false;
       }
--- a/packages/gateway/src/tunnel.cc
+++ b/packages/gateway/src/tunnel.cc
@@ -21,7 +21,6 @@
 namespace http = boost::beast::http;
 
 constexpr unsigned kHttp11 = 11;
-constexpr unsigned kSwitchingProtocols = 101;
 constexpr std::string_view kProtocol = "gypsumtrack-tunnel";
 constexpr std::string_view kPathPrefix = "/tunnels/";
 constexpr std::string_view kBearerPrefix = "Bearer ";
@@ -62,7 +61,7 @@
 unsigned StatusCode(TunnelStatus status) {
   switch (status) {
     case TunnelStatus::kOpen:
-      return kSwitchingProtocols;
+      return status::kSwitchingProtocols;
     case TunnelStatus::kDenied:
       return status::kUnauthorized;
     case TunnelStatus::kUnknownEndpoint:
@@ -150,7 +149,7 @@
     if (boost::beast::iequals(header.name, "Upgrade"))
       has_protocol = boost::beast::iequals(header.value, kProtocol);
   }
-  if (head.status == kSwitchingProtocols && has_protocol && !refusal)
+  if (head.status == status::kSwitchingProtocols && has_protocol && !refusal)
     return TunnelStatus::kOpen;
   const bool is_refusal = head.status >= status::kBadRequest && refusal &&
                           *refusal != TunnelStatus::kOpen;
--- a/packages/gateway/test/endpoint_client_test.cc
+++ b/packages/gateway/test/endpoint_client_test.cc
@@ -131,6 +131,33 @@
   }
 }
 
+// Guards against bytes that are no answer, or what follows their head, that
+// pass for one.
+TEST_CASE("an endpoint answers with a status that is none") {
+  ClientFixture fixture;
+  const std::string status = GENERATE("000", "001", "099", "101", "600", "999");
+  const std::string inner = kHead + "Content-Length: 4\r\n\r\ntext";
+  const std::string rest = GENERATE_COPY(
+      std::string("\r\n"), "Content-Length: 0\r\n\r\n",
+      "Content-Length: 4\r\n\r\ntext",
+      "Content-Length: " + std::to_string(inner.size()) + "\r\n\r\n" + inner);
+  const auto reason = GENERATE("", " ", " OK");
+  CAPTURE(status, rest, reason);
+  const auto end = GENERATE(RawEnd::kClose, RawEnd::kKeepOpen);
+  fixture.endpoint.SetResponses(
+      {{"HTTP/1.1 " + status + reason + "\r\nX-Request-Id: c-1\r\n" + rest,
+        end}});
+  auto call = fixture.MakeCall();
+  call.deadline = base::SystemClock().now() + std::chrono::seconds(2);
+  const auto begin = base::SystemClock().now();
+  const auto result = fixture.Send(std::move(call));
+  CHECK(result.outcome != CallOutcome::kComplete);
+  CHECK(result.outcome != CallOutcome::kRefused);
+  CHECK(result.run == policy::RunState::kUnknown);
+  // It is known at once.
+  CHECK(base::SystemClock().now() - begin < std::chrono::seconds(1));
+}
+
 // Guards against calls that are given up though their responses have arrived:
 // after a standstill all timers are due, and the system reports 128 sockets at
 // a time.
--- a/packages/platform/include/gypsumtrack/platform/bounded_parser.h
+++ b/packages/platform/include/gypsumtrack/platform/bounded_parser.h
@@ -44,6 +44,14 @@
   std::size_t trailer_bytes = 0;
 };
 
+/// Whether HTTP has the status. Beast reads any three digits as one. What has
+/// another status is no response. Thread-safe.
+constexpr bool IsHttpStatus(unsigned status) {
+  constexpr unsigned kFirstStatus = 100;
+  constexpr unsigned kLastStatus = 599;
+  return status >= kFirstStatus && status <= kLastStatus;
+}
+
 template <typename Body>
 using BoundedRequestParser = BoundedParser<true, Body>;
 template <typename Body>
--- a/packages/platform/src/http_pool.cc
+++ b/packages/platform/src/http_pool.cc
@@ -269,7 +269,12 @@
       if (read_error) co_return this->NoResponse(read_error.message());
       this->ExtendDeadline(*connection, call, deadline);
     }
-    HttpReply reply{parser.get().result_int(), std::move(parser.get().body())};
+    const auto status = parser.get().result_int();
+    if (!IsHttpStatus(status)) {
+      co_return this->NoResponse("a reply has the status " +
+                                 std::to_string(status));
+    }
+    HttpReply reply{status, std::move(parser.get().body())};
     if (parser.keep_alive()) this->KeepIdle(std::move(connection));
     co_return reply;
   }
