Tell the end of a body from the end of a connection

Cause: Linux reports a reset once. If the write of the upload has reported it, a read shows a plain close; the tunnel handled the read's result before the write's at times. And a close counted as the end of the body though the endpoint hadn't received the whole request.

Fix: a close ends a body only if the connection wasn't reset and the endpoint has acknowledged the whole request. A tunnel passes on a close as a close under the same condition, if it has passed on all that it was sent, and else as a reset, after time for an early answer that has a length.

The project's own interface accepts no such body: "endpoints send bytes that only look like an answer".

--- a/packages/gateway/src/endpoint_client.cc
+++ b/packages/gateway/src/endpoint_client.cc
@@ -508,9 +508,9 @@
   }
 
   bool CheckBodyFraming() {
-    const bool close_delimited =
+    this->close_delimited =
         !this->parser->is_done() && this->parser->need_eof();
-    if (close_delimited &&
+    if (this->close_delimited &&
         !this->options.protocol.accepts_close_delimited_body) {
       // The end of such a body can't be distinguished from a lost connection.
       this->result.outcome = CallOutcome::kInvalid;
@@ -530,7 +530,16 @@
       const bool accepted = co_await this->ProcessPart(bytes);
       if (!accepted) co_return false;
     }
-    co_return true;
+    if (!this->close_delimited || this->IsRequestDelivered()) co_return true;
+    this->result.outcome = CallOutcome::kClosed;
+    co_return false;
+  }
+
+  /// Whether the endpoint has received the whole request. If not, the end of
+  /// its connection isn't the end of a body.
+  bool IsRequestDelivered() const {
+    const auto state = ReadTcpState(this->connection->socket);
+    return !state.reset && state.unacknowledged_bytes == 0;
   }
 
   /// Reads body bytes into `part` and returns their number; none if the
@@ -638,6 +647,8 @@
   /// Set once the deadline has passed.
   std::optional<LateInput> late_input;
   bool keep_alive = false;
+  /// Whether the body ends with the connection.
+  bool close_delimited = false;
 };
 
 }  // namespace
--- a/packages/gateway/src/tcp_options.cc
+++ b/packages/gateway/src/tcp_options.cc
@@ -75,6 +75,7 @@
   state.remote_closed = info.tcpi_state != TCP_ESTABLISHED &&
                         info.tcpi_state != TCP_FIN_WAIT1 &&
                         info.tcpi_state != TCP_FIN_WAIT2;
+  state.reset = info.tcpi_state == TCP_CLOSE;
   const bool sent_again = info.tcpi_retransmits > 0 &&
                           info.tcpi_last_data_sent < info.tcpi_last_ack_recv;
   state.unanswered = sent_again || info.tcpi_probes >= kUnansweredProbes;
--- a/packages/gateway/src/tunnel_relay.cc
+++ b/packages/gateway/src/tunnel_relay.cc
@@ -165,12 +165,8 @@
     const auto [error, size] = co_await this->endpoint.async_read_some(
         asio::buffer(buffer), kAwaitTuple);
     if (this->is_closed) co_return;
-    if (error == asio::error::eof && !this->endpoint_broken) {
-      this->FinishDaemon();
-      co_return;
-    }
     if (error) {
-      co_await this->ResetDaemon();
+      co_await this->OnEndpointEnd(error);
       co_return;
     }
     const auto [write_error, sent] = co_await asio::async_write(
@@ -180,6 +176,29 @@
   }
 }
 
+asio::awaitable<void> TunnelRelay::OnEndpointEnd(error_code error) {
+  const auto now = this->clock.now();
+  const auto state = ReadTcpState(this->endpoint);
+  // A read may report a close in place of a reset that a write has reported.
+  const bool is_close =
+      error == asio::error::eof && !this->endpoint_broken && !state.reset;
+  if (!is_close) {
+    co_await this->ResetDaemon(now);
+    co_return;
+  }
+  error_code ignored;
+  const bool has_request = !this->sending && state.unacknowledged_bytes == 0 &&
+                           this->daemon.available(ignored) == 0;
+  if (has_request) {
+    this->FinishDaemon();
+    co_return;
+  }
+  // The answer may be complete by its length. The asking daemon reads it once
+  // it has sent its request, of which the rest is dropped.
+  this->endpoint.close(ignored);
+  co_await this->ResetDaemon(now + kResetGrace);
+}
+
 void TunnelRelay::FinishDaemon() {
   this->cause = TunnelEnd::kEndpointClosed;
   this->linger_until = this->clock.now() + kLingerTimeout;
@@ -189,12 +208,17 @@
   this->daemon.shutdown(asio::socket_base::shutdown_send, ignored);
 }
 
-asio::awaitable<void> TunnelRelay::ResetDaemon() {
+asio::awaitable<void> TunnelRelay::ResetDaemon(base::Instant earliest) {
   this->cause = TunnelEnd::kEndpointReset;
   const auto reset_at = this->clock.now() + kResetGrace;
   asio::steady_timer timer(this->daemon.get_executor());
-  while (!this->is_closed && this->clock.now() < reset_at &&
-         ReadTcpState(this->daemon).unacknowledged_bytes > 0) {
+  const auto must_wait = [&] {
+    const auto now = this->clock.now();
+    if (this->is_closed || now >= reset_at) return false;
+    return now < earliest ||
+           ReadTcpState(this->daemon).unacknowledged_bytes > 0;
+  };
+  while (must_wait()) {
     timer.expires_after(kResetCheckInterval);
     co_await timer.async_wait(kAwaitTuple);
   }
--- a/packages/gateway/src/tunnel_relay.h
+++ b/packages/gateway/src/tunnel_relay.h
@@ -84,11 +84,15 @@
  private:
   boost::asio::awaitable<void> CopyFromDaemon();
   boost::asio::awaitable<void> CopyFromEndpoint();
+  /// Passes on the end of the endpoint's bytes, which a read has reported: as a
+  /// close only if the endpoint closed the connection after it had received all
+  /// that the asking daemon sent.
+  boost::asio::awaitable<void> OnEndpointEnd(boost::system::error_code error);
   /// Delivers the end of the endpoint's bytes.
   void FinishDaemon();
   /// Resets the connection of the asking daemon, after what it can receive
-  /// soon.
-  boost::asio::awaitable<void> ResetDaemon();
+  /// soon, and not before `earliest`.
+  boost::asio::awaitable<void> ResetDaemon(base::Instant earliest);
   void WatchDaemonWhileConnecting();
   void OnTimeout();
 
@@ -100,8 +104,7 @@
   bool connecting = false;
   /// Whether a write to the endpoint waits for it to read.
   bool sending = false;
-  /// Whether a write to the endpoint failed. A read may then report a close in
-  /// place of the reset.
+  /// Whether a write to the endpoint failed.
   bool endpoint_broken = false;
   bool is_closed = false;
   std::optional<TunnelEnd> cause;
--- a/packages/gateway/test/endpoint_client_test.cc
+++ b/packages/gateway/test/endpoint_client_test.cc
@@ -131,6 +131,37 @@
   }
 }
 
+// Guards against a part of a body that passes for the whole of it, because the
+// write of the request has used up the error that tells of the reset.
+TEST_CASE("an endpoint answers before it has the whole request") {
+  ClientFixture fixture;
+  fixture.endpoint.AnswerBeforeBody();
+  // The system may take in a small request for an endpoint that doesn't read
+  // it, which can't be told from one that does if it doesn't reset the
+  // connection.
+  const auto [body_bytes, end] = GENERATE(table<std::size_t, RawEnd>({
+      {std::size_t{64} * 1024, RawEnd::kReset},
+      {std::size_t{64} * 1024, RawEnd::kClose},
+      {std::size_t{3} * 1024 * 1024, RawEnd::kReset},
+      {std::size_t{3} * 1024 * 1024, RawEnd::kClose},
+      {std::size_t{3} * 1024 * 1024, RawEnd::kFinish},
+      {kLargeRequestBytes, RawEnd::kReset},
+      {kLargeRequestBytes, RawEnd::kClose},
+      {kLargeRequestBytes, RawEnd::kFinish},
+  }));
+  const auto pause_ms = GENERATE(0, 1, 20, 200);
+  CAPTURE(body_bytes, static_cast<int>(end), pause_ms);
+  fixture.endpoint.SetResponses(
+      {{.bytes = kCloseDelimitedHead + "text",
+        .end = end,
+        .end_pause = std::chrono::milliseconds(pause_ms)}});
+  auto call = fixture.MakeCall();
+  call.body = std::string(body_bytes, 'p');
+  const auto result = fixture.Send(std::move(call));
+  CHECK(result.outcome == CallOutcome::kClosed);
+  CHECK(result.run == policy::RunState::kUnknown);
+}
+
 // Guards against bytes that are no answer, or what follows their head, that
 // pass for one.
 TEST_CASE("an endpoint answers with a status that is none") {
--- a/packages/gateway/test/online_faults_test.cc
+++ b/packages/gateway/test/online_faults_test.cc
@@ -1,8 +1,10 @@
+#include <algorithm>
 #include <boost/json.hpp>
 #include <catch2/catch.hpp>
 #include <sstream>
 #include <string>
 
+#include "gypsumtrack/testing/raw_endpoint.h"
 #include "online_fixture.h"
 #include "test_caller.h"
 
@@ -113,6 +115,44 @@
   }
 }
 
+// Guards against a caller that gets what isn't an answer, or a part of one, as
+// the answer.
+TEST_CASE("endpoints send bytes that only look like an answer") {
+  OnlineFixture fixture;
+  testing::RawEndpoint endpoint(fixture.pool.get_executor());
+  REQUIRE(endpoint.Start().ok());
+  for (auto& listed : fixture.view->endpoints)
+    listed.address = endpoint.address();
+  testing::RawResponse response;
+  std::string upload = "12";
+  SECTION("a status that is none, and an answer behind it") {
+    const std::string inner =
+        "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong";
+    const std::string status = GENERATE("000", "099", "101", "600", "999");
+    response.bytes = "HTTP/1.1 " + status +
+                     " \r\nContent-Length: " + std::to_string(inner.size()) +
+                     "\r\n\r\n" + inner;
+    response.end = testing::RawEnd::kKeepOpen;
+  }
+  SECTION("a part of a body, while the upload is being written") {
+    upload = std::string(std::size_t{7} * 1024 * 1024, 'p');
+    endpoint.AnswerBeforeBody();
+    response.bytes = "HTTP/1.1 200 OK\r\n\r\npart";
+    response.end = GENERATE(testing::RawEnd::kReset, testing::RawEnd::kClose,
+                            testing::RawEnd::kFinish);
+  }
+  endpoint.SetResponses({response});
+  TestCaller caller(fixture.address());
+  const auto received =
+      caller.Call("POST", "/s/clockdesk/confirm", kAuth, upload);
+  CHECK(received.status == 502);
+  CHECK(received.run == "unknown");
+  const auto requests = endpoint.requests();
+  CHECK(std::count_if(requests.begin(), requests.end(), [](const auto& each) {
+          return each.target == "/confirm";
+        }) == 1);
+}
+
 TEST_CASE("open connections become unresponsive") {
   FixtureOptions options;
   options.progress_timeout = std::chrono::milliseconds(300);
--- a/packages/gateway/test/tunnel_server_test.cc
+++ b/packages/gateway/test/tunnel_server_test.cc
@@ -253,6 +253,48 @@
   }
 }
 
+// Guards against a part of a body that passes for the whole of it, because the
+// peer passes on a reset of the endpoint as the end of its bytes.
+TEST_CASE("an endpoint answers a peer before it has the whole request") {
+  TunnelFixture fixture;
+  fixture.endpoint.AnswerBeforeBody();
+  const auto [body_bytes, end] = GENERATE(table<std::size_t, RawEnd>({
+      {std::size_t{64} * 1024, RawEnd::kReset},
+      {std::size_t{64} * 1024, RawEnd::kClose},
+      {std::size_t{3} * 1024 * 1024, RawEnd::kReset},
+      {std::size_t{3} * 1024 * 1024, RawEnd::kClose},
+      {kLargeBytes, RawEnd::kReset},
+      {kLargeBytes, RawEnd::kClose},
+      {kLargeBytes, RawEnd::kFinish},
+  }));
+  const auto pause_ms = GENERATE(0, 1, 20, 200);
+  CAPTURE(body_bytes, static_cast<int>(end), pause_ms);
+  fixture.endpoint.SetResponses({{.bytes = kOkHead + "\r\ntext",
+                                  .end = end,
+                                  .end_pause = milliseconds(pause_ms)}});
+  auto call = fixture.MakeCall();
+  call.body = std::string(body_bytes, 'p');
+  const auto result = fixture.Send(std::move(call));
+  CHECK(result.outcome == CallOutcome::kClosed);
+  CHECK(result.run == policy::RunState::kUnknown);
+}
+
+// Guards against an answer that is lost because the endpoint closed the
+// connection before the daemon had sent the rest of the request.
+TEST_CASE("an early answer with a length arrives through a peer") {
+  TunnelFixture fixture;
+  fixture.endpoint.AnswerBeforeBody();
+  const auto body_bytes =
+      GENERATE(std::size_t{64} * 1024, std::size_t{3} * 1024 * 1024);
+  fixture.endpoint.SetResponses(
+      {{.bytes = Answer("text"), .end = RawEnd::kFinish}});
+  auto call = fixture.MakeCall();
+  call.body = std::string(body_bytes, 'p');
+  const auto result = fixture.Send(std::move(call));
+  CHECK(result.outcome == CallOutcome::kComplete);
+  CHECK(result.body == "text");
+}
+
 TEST_CASE("a peer opens no tunnel to an endpoint") {
   auto options = ServerOptions();
   SECTION("because it isn't to") {
--- a/packages/testing/include/gypsumtrack/testing/raw_endpoint.h
+++ b/packages/testing/include/gypsumtrack/testing/raw_endpoint.h
@@ -18,6 +18,7 @@
 /// What a RawEndpoint does with the connection after a response.
 enum class RawEnd {
   kClose,     ///< closes it (FIN)
+  kFinish,    ///< ends its side (FIN), and keeps what it hasn't read
   kReset,     ///< resets it (RST)
   kKeepOpen,  ///< reads the next request
 };
@@ -33,6 +34,8 @@
   std::string endless;
   /// Pause before each piece of `endless`.
   base::Duration endless_pause{0};
+  /// Pause between `bytes` and `end`.
+  base::Duration end_pause{0};
 };
 
 /// A request that a RawEndpoint received.
@@ -65,6 +68,10 @@
   /// Sets the pause before it reads from a new connection; none by default.
   void SetReadPause(base::Duration pause);
 
+  /// Makes it answer each request once it has the head, without reading the
+  /// body. Such a connection serves one request.
+  void AnswerBeforeBody();
+
   /// The bound `ip:port`. Precondition: Start succeeded.
   std::string address() const;  // NOLINT
   /// The requests received, in order.
--- a/packages/testing/src/raw_endpoint.cc
+++ b/packages/testing/src/raw_endpoint.cc
@@ -27,6 +27,8 @@
 using boost::system::error_code;
 
 constexpr auto kAwaitTuple = asio::as_tuple(asio::use_awaitable);
+/// How long a connection stays open after RawEnd::kFinish.
+constexpr base::Duration kFinishedTime = std::chrono::seconds(2);
 
 }  // namespace
 
@@ -75,6 +77,8 @@
     this->read_pause = pause;
   }
 
+  void AnswerBeforeBody() { this->answers_before_body = true; }
+
   std::string address() const {  // NOLINT
     return "127.0.0.1:" + std::to_string(this->port);
   }
@@ -111,14 +115,21 @@
     while (open) {
       http::request_parser<http::string_body> parser;
       parser.body_limit(boost::none);
-      const auto [error, size] =
-          co_await http::async_read(*socket, buffer, parser, kAwaitTuple);
+      error_code error;
+      if (this->answers_before_body) {
+        std::tie(error, std::ignore) = co_await http::async_read_header(
+            *socket, buffer, parser, kAwaitTuple);
+      } else {
+        std::tie(error, std::ignore) =
+            co_await http::async_read(*socket, buffer, parser, kAwaitTuple);
+      }
       if (error) co_return;
       const auto& request = parser.get();
       const auto response =
           this->NextResponse({connection, std::string(request.target()),
                               std::string(request["Last-Event-Id"])});
       open = co_await this->Respond(*socket, response);
+      open = open && !this->answers_before_body;
     }
   }
 
@@ -147,7 +158,13 @@
       co_await this->SendEndless(socket, response);
       co_return false;
     }
+    if (response.end_pause > base::Duration::zero())
+      co_await gateway::Pause(response.end_pause);
     if (response.end == RawEnd::kKeepOpen) co_return true;
+    if (response.end == RawEnd::kFinish) {
+      socket.shutdown(tcp::socket::shutdown_send, error);
+      co_await gateway::Pause(kFinishedTime);
+    }
     if (response.end == RawEnd::kReset) {
       socket.set_option(asio::socket_base::linger(true, 0), error);
     }
@@ -180,6 +197,7 @@
   tcp::acceptor acceptor;
   std::uint16_t port = 0;
   std::atomic<std::uint64_t> endless_sent = 0;
+  std::atomic<bool> answers_before_body = false;
   mutable std::mutex mutex;
   base::Duration read_pause{0};
   std::vector<RawResponse> responses;
@@ -208,6 +226,8 @@
   this->state->SetResponder(std::move(responder));
 }
 
+void RawEndpoint::AnswerBeforeBody() { this->state->AnswerBeforeBody(); }
+
 std::string RawEndpoint::address() const { return this->state->address(); }
 
 std::vector<RawRequest> RawEndpoint::requests() const {
