--- a/packages/gateway/src/endpoint_client.cc
+++ b/packages/gateway/src/endpoint_client.cc
@@ -484,20 +484,23 @@
     co_return true;
   }
 
-  /// Whether the response echoes the id of this request, or no id at all. A
-  /// refusal without an id counts only if no earlier request on the connection
-  /// can have got it.
-  bool IsOwnResponse() const {
+  /// Whether the response echoes the id of this request. One without an id
+  /// counts only if no earlier request on the connection can have got it, or if
+  /// the endpoint echoes none and the response isn't a refusal.
+  bool IsOwnResponse() {
+    auto& connection = *this->connection;
     bool has_id = false;
     for (const auto& header : this->result.head.headers) {
       if (!boost::beast::iequals(header.name,
                                  this->options.protocol.request_id_header)) {
         continue;
       }
+      connection.echoes_ids = true;
       if (header.value != this->call.request_id) return false;
       has_id = true;
     }
-    return has_id || this->connection->calls == 1 || !this->IsRefusal();
+    if (has_id || connection.calls == 1) return true;
+    return !connection.echoes_ids && !this->IsRefusal();
   }
 
   /// Whether the response states that the endpoint didn't run the request.
--- a/packages/gateway/test/endpoint_client_test.cc
+++ b/packages/gateway/test/endpoint_client_test.cc
@@ -498,6 +498,47 @@
          "\r\nContent-Length: 4\r\n\r\ntext";
 }
 
+// Guards against a caller that gets another caller's answer (review/1): a copy
+// without an id, late on a connection that is in use again.
+TEST_CASE("an endpoint writes an earlier answer once more without its id") {
+  ClientFixture fixture;
+  const std::string status =
+      GENERATE("200 OK", "404 Not Found", "500 Internal Server Error");
+  const auto copy = "HTTP/1.1 " + status + "\r\nContent-Length: 5\r\n\r\nother";
+  const auto send = [&](const std::string& id) {
+    auto call = fixture.MakeCall();
+    call.request_id = id;
+    call.progress_timeout = std::chrono::milliseconds(300);
+    return fixture.Send(std::move(call));
+  };
+  SECTION("before the response to another request") {
+    fixture.endpoint.SetResponses({{Success("c-1"), RawEnd::kKeepOpen},
+                                   {copy + Success("c-2"), RawEnd::kKeepOpen}});
+    CHECK(send("c-1").body == "text");
+    const auto result = send("c-2");
+    CHECK(result.reused_connection);
+    CHECK(result.outcome == CallOutcome::kComplete);
+    CHECK(result.head.status == 200);
+    CHECK(result.body == "text");
+  }
+  SECTION("in place of the response to another request") {
+    fixture.endpoint.SetResponses(
+        {{Success("c-1"), RawEnd::kKeepOpen}, {copy, RawEnd::kClose}});
+    CHECK(send("c-1").body == "text");
+    const auto result = send("c-2");
+    CHECK(result.outcome == CallOutcome::kClosed);
+    CHECK(result.run == policy::RunState::kUnknown);
+  }
+  SECTION("which endpoints that echo no ids do all the time") {
+    fixture.endpoint.SetResponses({{copy, RawEnd::kKeepOpen}});
+    CHECK(send("c-1").body == "other");
+    const auto result = send("c-2");
+    CHECK(result.reused_connection);
+    CHECK(result.outcome == CallOutcome::kComplete);
+    CHECK(result.body == "other");
+  }
+}
+
 // Guards against a request that counts as not run because of a refusal that
 // isn't its own, while the endpoint runs it.
 TEST_CASE("an endpoint writes an earlier refusal once more") {
