--- a/packages/gateway/src/endpoint_client.cc
+++ b/packages/gateway/src/endpoint_client.cc
@@ -14,6 +14,7 @@
 #include "gypsumtrack/gateway/header_syntax.h"
 #include "gypsumtrack/gateway/http_status.h"
 #include "gypsumtrack/platform/bounded_parser.h"
+#include "response_head.h"
 #include "socket_address.h"
 #include "tcp_options.h"
 #include "watchdog.h"
@@ -49,72 +50,6 @@
 /// Fraction of the endpoint's idle timeout for which a connection is reused, so
 /// that the endpoint doesn't close it first.
 constexpr double kIdleTimeoutFraction = 0.7;
-/// Longer idle timeouts of endpoints count as this one. It is longer than any
-/// connection stays idle here.
-constexpr unsigned long kMaxKeepAliveSeconds = 3600;
-
-template <typename ResponseParser>
-ResponseHead CopyHead(const ResponseParser& parser) {
-  ResponseHead head;
-  head.status = parser.get().result_int();
-  for (const auto& field : parser.get()) {
-    head.headers.push_back(
-        {std::string(field.name_string()), std::string(field.value())});
-  }
-  return head;
-}
-
-bool HasHeader(const ResponseHead& head, std::string_view name,
-               std::string_view value) {
-  return std::any_of(head.headers.begin(), head.headers.end(),
-                     [&](const Header& header) {
-                       return boost::beast::iequals(header.name, name) &&
-                              boost::beast::iequals(header.value, value);
-                     });
-}
-
-/// Whether the text contains the begin of a status line.
-bool ContainsStatusLine(std::string_view text) {
-  constexpr std::string_view kVersion = "HTTP/1.1 ";
-  for (auto at = text.find(kVersion); at != std::string_view::npos;
-       at = text.find(kVersion, at + 1)) {
-    const auto code = text.substr(at + kVersion.size(), 1);
-    if (!code.empty() && code[0] >= '1' && code[0] <= '5') return true;
-  }
-  return false;
-}
-
-/// Whether a response may have the status. A request never asks to switch to
-/// another protocol.
-bool IsResponseStatus(unsigned status) {
-  return platform::IsHttpStatus(status) &&
-         status != status::kSwitchingProtocols;
-}
-
-/// Whether there is a status line in the reason phrase or in a header: the head
-/// of a response that was cut off, continued by the next response.
-bool HasInnerStatusLine(const Parser& parser) {
-  const auto& response = parser.get();
-  return ContainsStatusLine(response.reason()) ||
-         std::any_of(response.begin(), response.end(), [](const auto& field) {
-           return ContainsStatusLine(field.value());
-         });
-}
-
-/// Returns the timeout in the `Keep-Alive` header, if any.
-std::optional<base::Duration> KeepAliveTimeout(const ResponseHead& head) {
-  constexpr std::string_view kTimeout = "timeout=";
-  for (const auto& header : head.headers) {
-    if (!boost::beast::iequals(header.name, "Keep-Alive")) continue;
-    const auto position = header.value.find(kTimeout);
-    if (position == std::string::npos) continue;
-    const auto* digits = header.value.c_str() + position + kTimeout.size();
-    return std::chrono::seconds(
-        std::min(std::strtoul(digits, nullptr, 10), kMaxKeepAliveSeconds));
-  }
-  return std::nullopt;
-}
-
 /// Sends one request and receives its response on one connection. Used on one
 /// strand.
 class ConnectionCall {
@@ -261,7 +196,7 @@
     const auto [read_error, received] = co_await http::async_read_header(
         this->connection->socket, this->connection->buffer, reply, kAwaitTuple);
     if (read_error) co_return TunnelStatus::kPeerUnreachable;
-    co_return ParseTunnelReply(CopyHead(reply));
+    co_return ParseTunnelReply(CopyHead(reply.get()));
   }
 
   void Close() {
@@ -471,16 +406,16 @@
         co_return false;
       }
       this->OnBytesRead(size);
-      const bool is_response =
-          IsResponseStatus(this->parser->get().result_int()) &&
-          !HasInnerStatusLine(*this->parser);
+      const auto& response = this->parser->get();
+      const bool is_response = IsResponseStatus(response.result_int()) &&
+                               !HasInnerStatusLine(response);
       if (!is_response) {
         this->result.outcome = CallOutcome::kInvalid;
         co_return false;
       }
     } while (this->parser->get().result_int() < 200);
     this->keep_alive = this->parser->keep_alive();
-    this->result.head = CopyHead(*this->parser);
+    this->result.head = CopyHead(this->parser->get());
     co_return true;
   }
 
--- a/packages/gateway/src/tunnel_probe.cc
+++ b/packages/gateway/src/tunnel_probe.cc
@@ -11,6 +11,7 @@
 #include <string>
 #include <utility>
 
+#include "response_head.h"
 #include "socket_address.h"
 #include "watchdog.h"
 
@@ -34,13 +35,7 @@
   const auto [read_error, size] =
       co_await http::async_read_header(socket, buffer, parser, kAwaitTuple);
   if (read_error) co_return TunnelStatus::kPeerUnreachable;
-  ResponseHead head;
-  head.status = parser.get().result_int();
-  for (const auto& field : parser.get()) {
-    head.headers.push_back(
-        {std::string(field.name_string()), std::string(field.value())});
-  }
-  co_return ParseTunnelReply(head);
+  co_return ParseTunnelReply(CopyHead(parser.get()));
 }
 
 }  // namespace
