Free the memory of outputs that are discarded

std::string keeps its memory when it is assigned an empty one, so that a discarded output stayed in the process until its item ran again; and a partial output that was restored twice was charged twice. Tests of the memory that all outputs share, and of the size of commits.

--- a/packages/gateway/src/generation.cc
+++ b/packages/gateway/src/generation.cc
@@ -103,7 +103,8 @@
 
 void Generation::DiscardText() {
   this->text_memory.Remove(this->generated_text.size());
-  this->generated_text = {};
+  // Unlike an assignment, this frees the memory.
+  std::string().swap(this->generated_text);
   this->token_count = 0;
   this->finish_reason.clear();
   this->exceeded_limit.reset();
--- a/packages/policy/include/gypsumtrack/policy/serving/job_run.h
+++ b/packages/policy/include/gypsumtrack/policy/serving/job_run.h
@@ -185,7 +185,7 @@
   const JobItem& item(std::size_t index) const;  // NOLINT
   /// Number of events received of the item.
   std::uint64_t event_count(std::size_t index) const;  // NOLINT
-  /// The limit that the output of the present run exceeded, if any.
+  /// The limit that the output of the item's last run exceeded, if any.
   std::optional<OutputLimit> exceeded_limit(std::size_t index) const;  // NOLINT
   /// Origins of the outputs of items that could start now, longest output
   /// first.
--- a/packages/policy/src/serving/job_run.cc
+++ b/packages/policy/src/serving/job_run.cc
@@ -87,8 +87,8 @@
 
 void JobRun::DiscardOutput(Progress& each) {
   this->output_memory.Remove(each.text.size());
-  // Gives back the memory, too.
-  each.text = {};
+  // Unlike an assignment, this frees the memory.
+  std::string().swap(each.text);
   each.has_text = false;
   each.last_event.reset();
   each.events = 0;
@@ -162,6 +162,7 @@
       auto& each = this->progress[i];
       if (this->items[i].id != partial.item) continue;
       if (each.state != State::kWaiting || partial.events == 0) continue;
+      DiscardOutput(each);
       this->output_memory.Add(partial.text.size());
       each.text = partial.text;
       each.has_text = true;
@@ -302,7 +303,7 @@
   } else {
     this->output_memory.Remove(each.text.size());
   }
-  each.text = {};
+  std::string().swap(each.text);
   this->unlisted_results.push_back(std::move(result));
 }
 
--- a/packages/policy/test/serving/job_run_test.cc
+++ b/packages/policy/test/serving/job_run_test.cc
@@ -327,6 +327,75 @@
   }
 }
 
+// Guards against an output without end that leaves no memory for others, or is
+// counted twice, or never given back.
+TEST_CASE("the outputs of all jobs share the memory for them") {
+  constexpr std::uint64_t kLimit = 200'000;
+  constexpr std::size_t kEventBytes = 10'000;
+  const auto memory = std::make_shared<base::MemoryBudget>(kLimit);
+  JobRunOptions options;
+  options.memory = memory;
+  auto job = std::make_unique<JobRun>(std::vector<JobItem>{{"a", 0}, {"b", 0}},
+                                      std::vector<std::string>{}, options);
+  const StreamEvent large{"", std::nullopt, std::string(kEventBytes, 'w')};
+  REQUIRE(job->StartNextItem(kOrigin, kStart));
+  REQUIRE(job->StartNextItem(kOrigin, kStart));
+  while (job->OnEvent(0, large)) {
+  }
+  CHECK(memory->is_exceeded());
+  CHECK(job->exceeded_limit(0) == OutputLimit::kMemory);
+  SECTION("of which small ones may use more") {
+    CHECK(job->OnEvent(1, large));
+    CHECK_FALSE(job->exceeded_limit(1));
+    job->OnRunEnd(1, ItemRunOutcome::kComplete, kStart);
+    SECTION("until their results are listed") {
+      const auto before = memory->held_bytes();
+      job->OnResultsListed(1);
+      CHECK(memory->held_bytes() == before - kEventBytes);
+    }
+  }
+  SECTION("which an output that exceeds it gives back at the end of its run") {
+    job->OnRunEnd(0, ItemRunOutcome::kInterrupted, kStart);
+    CHECK(memory->held_bytes() == 0);
+    CHECK(job->event_count(0) == 0);
+    SECTION("to run again from the beginning, not as a failure") {
+      CHECK_FALSE(job->StartNextItem(kOrigin, kStart));
+      const auto again = job->StartNextItem(kNewVersion, kStart + seconds(1));
+      REQUIRE(again);
+      CHECK_FALSE(again->after_event);
+      CHECK(job->OnEvent(again->index, MakeEvent(1, "y")));
+      job->OnRunEnd(again->index, ItemRunOutcome::kComplete, kStart);
+      CHECK(job->UnlistedResults(1)[0] ==
+            JobItemResult{"a", JobItemStatus::kDone, "y"});
+    }
+  }
+  SECTION("which a restored output uses, once") {
+    const PartialItem partial{"b", 2, 2, "x\ny", kOrigin};
+    JobRun restored({{"b", 0}}, {}, options);
+    const auto before = memory->held_bytes();
+    restored.RestorePartialItems({partial, partial}, kStart);
+    CHECK(memory->held_bytes() == before + partial.text.size());
+    restored.GiveUpWaitingItems();
+    CHECK(memory->held_bytes() == before);
+  }
+  job.reset();
+  CHECK(memory->held_bytes() == 0);
+}
+
+// Guards against commits that copy as many outputs as there are, however large.
+TEST_CASE("results are listed in portions of a size") {
+  JobRun job({{"a", 0}, {"b", 0}, {"c", 0}}, {}, {});
+  for (std::size_t i = 0; i < 3; ++i) {
+    REQUIRE(job.StartNextItem(kOrigin, kStart));
+    CHECK(job.OnEvent(i, MakeEvent(1, std::string(100, 'w'))));
+    job.OnRunEnd(i, ItemRunOutcome::kComplete, kStart);
+  }
+  CHECK(job.UnlistedResults(10, 200).size() == 2);
+  CHECK(job.UnlistedResults(10, 199).size() == 1);
+  CHECK(job.UnlistedResults(10, 0).size() == 1);
+  CHECK(job.UnlistedResults(2, 1000).size() == 2);
+}
+
 TEST_CASE("each item is listed once, whatever the outcomes of its runs") {
   rc::prop("no event is lost or duplicated or of another version", [] {
     const auto count = *rc::gen::inRange<std::size_t>(1, 8);
