--- a/packages/gateway/include/gypsumtrack/gateway/http_status.h
+++ b/packages/gateway/include/gypsumtrack/gateway/http_status.h
@@ -19,6 +19,7 @@
 inline constexpr unsigned kMisdirected = 421;
 inline constexpr unsigned kUnprocessable = 422;
 inline constexpr unsigned kTooManyRequests = 429;
+inline constexpr unsigned kHeadTooLarge = 431;
 inline constexpr unsigned kServerError = 500;
 inline constexpr unsigned kBadGateway = 502;
 inline constexpr unsigned kUnavailable = 503;
--- a/packages/gateway/src/caller_headers.cc
+++ b/packages/gateway/src/caller_headers.cc
@@ -89,10 +89,11 @@
 std::vector<Header> EndpointRequestHeaders(const RequestHead& request) {
   std::vector<Header> result;
   const auto key = FindCallerKey(request);
+  const HopByHopHeaders hop_by_hop(request.headers);
   for (const auto& header : request.headers) {
     if (ContainsKey(header.value, key)) continue;
     if (ContainsName(kHeadersHiddenFromEndpoints, header.name)) continue;
-    if (IsHopByHop(request.headers, header.name)) continue;
+    if (hop_by_hop.Contains(header.name)) continue;
     result.push_back(header);
   }
   return result;
@@ -100,9 +101,10 @@
 
 std::vector<Header> CallerResponseHeaders(const std::vector<Header>& headers) {
   std::vector<Header> result;
+  const HopByHopHeaders hop_by_hop(headers);
   for (const auto& header : headers) {
     if (ContainsName(kHeadersHiddenFromCallers, header.name)) continue;
-    if (IsHopByHop(headers, header.name)) continue;
+    if (hop_by_hop.Contains(header.name)) continue;
     result.push_back(header);
   }
   return result;
--- a/packages/gateway/src/hop_headers.cc
+++ b/packages/gateway/src/hop_headers.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 
 namespace gypsumtrack::gateway {
@@ -16,15 +15,19 @@
 
 }  // namespace
 
-bool IsHopByHop(const std::vector<Header>& message, std::string_view name) {
+HopByHopHeaders::HopByHopHeaders(const std::vector<Header>& message) {
+  for (const auto& header : message) {
+    if (!iequals(header.name, "Connection")) continue;
+    for (const auto token : boost::beast::http::token_list(header.value))
+      this->listed.emplace(token);
+  }
+}
+
+bool HopByHopHeaders::Contains(std::string_view name) const {
   const bool is_known =
       std::any_of(kHopByHopHeaders.begin(), kHopByHopHeaders.end(),
                   [&](auto candidate) { return iequals(candidate, name); });
-  if (is_known) return true;
-  return std::any_of(message.begin(), message.end(), [&](const Header& header) {
-    return iequals(header.name, "Connection") &&
-           boost::beast::http::token_list(header.value).exists(name);
-  });
+  return is_known || this->listed.contains(std::string(name));
 }
 
 }  // namespace gypsumtrack::gateway
--- a/packages/gateway/src/serving/job_submissions.cc
+++ b/packages/gateway/src/serving/job_submissions.cc
@@ -37,6 +37,16 @@
   return acquired;
 }
 
+/// Size of the item's own part of the head that is sent to an endpoint.
+std::uint64_t HeadBytes(const SubmittedItem& item) {
+  // ": " and the end of the line.
+  constexpr std::uint64_t kSeparatorBytes = 4;
+  auto bytes = static_cast<std::uint64_t>(item.target.size());
+  for (const auto& header : item.headers)
+    bytes += header.name.size() + header.value.size() + kSeparatorBytes;
+  return bytes;
+}
+
 }  // namespace
 
 JobSubmissions::JobSubmissions(ServingContext& context, const JobStore& store,
@@ -69,6 +79,16 @@
     co_await Refuse(this->context, exchange, metadata, std::move(refusal));
     co_return;
   }
+  // An item is held to what its request could have.
+  const auto max_head_bytes = access.rules->max_header_bytes;
+  const bool is_head_too_large = std::any_of(
+      items->begin(), items->end(),
+      [&](const auto& item) { return HeadBytes(item) > max_head_bytes; });
+  if (is_head_too_large) {
+    Refusal refusal{status::kHeadTooLarge, "item_head_too_large", {}};
+    co_await Refuse(this->context, exchange, metadata, std::move(refusal));
+    co_return;
+  }
   const auto& stop = this->context.planned_stop;
   const auto now = this->context.clock.now();
   if (stop.ComesTooLate(now, kUsualAcceptTime)) {
