--- a/packages/gateway/src/endpoint_client.cc
+++ b/packages/gateway/src/endpoint_client.cc
@@ -421,7 +421,8 @@
 
   /// Whether the response echoes the id of this request. One without an id
   /// counts only if no earlier request on the connection can have got it, or if
-  /// the endpoint echoes none and the response isn't a refusal.
+  /// the endpoint echoes none and the response isn't a refusal. Records on the
+  /// connection whether the endpoint echoes ids.
   bool IsOwnResponse() {
     auto& connection = *this->connection;
     bool has_id = false;
