--- a/review/12/play.cc
+++ b/review/12/play.cc
@@ -238,7 +238,11 @@
     for (const auto& run : this->Runs()) {
       if (run.body.rfind("bad", 0) != 0) continue;
       const auto at = std::chrono::duration<double>(run.at - zero).count();
-      if (at > fifth + kContactS) ++late_runs;
+      const bool is_late = at > fifth + kContactS;
+      if (is_late) ++late_runs;
+      this->record.Add(fmt::format("run of \"{}\" by {} at {:.3f}{}", run.body,
+                                   run.engine, at + this->begun_at,
+                                   is_late ? ": late" : ""));
     }
     std::size_t late_count = 0;
     const auto late =
