--- a/packages/gateway/include/gypsumtrack/gateway/serving/crash_service.h
+++ b/packages/gateway/include/gypsumtrack/gateway/serving/crash_service.h
@@ -5,12 +5,13 @@
 
 #include "gypsumtrack/gateway/serving/fleet_service.h"
 #include "gypsumtrack/gateway/serving/serving_context.h"
+#include "gypsumtrack/policy/serving/endpoint_liveness.h"
 
 /// Finds out which prompts crash endpoints, together with the other daemons.
 namespace gypsumtrack::gateway {
 
 /// Confirms crashes, exchanges reports on them through the store, and sets the
-/// prompt hooks of the context. Not thread-safe; used on the context's thread.
+/// crash hooks of the context. Not thread-safe; used on the context's thread.
 class CrashService {
  public:
   /// Precondition: `context` and `fleet` outlive the service.
@@ -20,6 +21,9 @@
 
   /// Sets the hooks and starts to follow the reports. Call once.
   void Start();
+  /// Records a read of the endpoints' rows. Reads must be passed in the order
+  /// in which they were made.
+  void OnEndpointRows(const policy::EndpointRowsRead& read);
 
  private:
   class State;
--- a/packages/gateway/include/gypsumtrack/gateway/serving/serving_context.h
+++ b/packages/gateway/include/gypsumtrack/gateway/serving/serving_context.h
@@ -20,6 +20,7 @@
 #include "gypsumtrack/gateway/serving/wire.h"
 #include "gypsumtrack/policy/serving/batch_start_limiter.h"
 #include "gypsumtrack/policy/serving/crash_quarantine.h"
+#include "gypsumtrack/policy/serving/endpoint_liveness.h"
 #include "gypsumtrack/policy/serving/endpoint_registry.h"
 #include "gypsumtrack/policy/serving/fleet_quota.h"
 #include "gypsumtrack/policy/serving/output_origin.h"
@@ -137,10 +138,11 @@
   std::function<void(const TunnelHop& hop, const base::EndpointId& endpoint,
                      TunnelStatus status)>
       on_tunnel_failed;
-  /// Returns whether an endpoint whose port refused a connection has ended, and
-  /// not this daemon's own path to all endpoints.
-  std::function<boost::asio::awaitable<bool>(TunnelTarget endpoint)>
-      confirm_ended;
+  /// Finds out by other endpoints and by peers whether an endpoint whose port
+  /// refused a connection has ended, and not this daemon's own path to all
+  /// endpoints.
+  std::function<boost::asio::awaitable<policy::Liveness>(TunnelTarget endpoint)>
+      check_liveness;
   /// A call over a direct connection began.
   std::function<void()> on_call_started;
   /// Such a call ended; `lost` if its connection closed before its response
--- a/packages/gateway/include/gypsumtrack/gateway/serving/serving_settings.h
+++ b/packages/gateway/include/gypsumtrack/gateway/serving/serving_settings.h
@@ -40,6 +40,8 @@
   /// Largest share of a route's requests that are sent to a second endpoint
   /// because the first one is late; 0 for none.
   double second_try_share = 0;
+  /// Interval at which endpoints renew their rows in the store.
+  base::Duration endpoint_heartbeat_period = std::chrono::milliseconds(1200);
   /// Time from the signal to stop until the process is killed.
   base::Duration stop_grace_period = std::chrono::seconds(8);
   /// Time after the end of a batch job within which its owner must stop sending
--- a/packages/gateway/include/gypsumtrack/gateway/serving/store_view_service.h
+++ b/packages/gateway/include/gypsumtrack/gateway/serving/store_view_service.h
@@ -14,6 +14,7 @@
 #include "gypsumtrack/gateway/rcu_cell.h"
 #include "gypsumtrack/gateway/serving/table_follower.h"
 #include "gypsumtrack/gateway/serving/wire.h"
+#include "gypsumtrack/policy/serving/endpoint_liveness.h"
 #include "gypsumtrack/policy/serving/endpoint_registry.h"
 #include "gypsumtrack/policy/serving/serving_rules.h"
 
@@ -40,12 +41,17 @@
 class StoreViewService {
  public:
   using ChangeHook = std::function<void()>;
+  /// Called with the rows of the endpoints after each read of them, also if
+  /// none has changed or only by a heartbeat.
+  using EndpointRowsHook = std::function<void(const policy::EndpointRowsRead&)>;
 
-  /// `on_change` is called on `executor`, which must run on one thread, after
-  /// each change of the snapshot. Precondition: `store` outlives the service.
+  /// The hooks are called on `executor`, which must run on one thread;
+  /// `on_change` after each change of the snapshot. `on_endpoint_rows` may be
+  /// empty. Precondition: `store` outlives the service.
   StoreViewService(const boost::asio::any_io_executor& executor,
                    base::Clock clock, const base::RowStore& store,
-                   StoreViewSource source, ChangeHook on_change);
+                   StoreViewSource source, ChangeHook on_change,
+                   EndpointRowsHook on_endpoint_rows);
 
   // Commands.
 
@@ -83,6 +89,8 @@
                       bool is_snapshot);
   /// Returns whether the row changed an entry.
   bool ApplyEndpoint(const base::VersionedRow& row);
+  /// Must be called after the rows of a read were applied.
+  void OnEndpointsConfirmed(base::Instant sent_at);
   void OnRulesConfirmed(base::Instant sent_at);
   void OnReadFailed(std::string_view table, const base::Error& error);
   void OnStoreReachable();
@@ -91,6 +99,7 @@
   base::Clock clock;
   StoreViewSource source;
   ChangeHook on_change;
+  EndpointRowsHook on_endpoint_rows;
   RcuCell<StoreView> current;
   /// Value of confirmed_at() as a duration since the epoch.
   std::atomic<base::Duration::rep> confirmed{0};
@@ -101,6 +110,8 @@
   StoreView next;
   /// Keyed by row key.
   std::map<std::string, policy::EndpointEntry> entries;
+  /// The rows of the current read, for `on_endpoint_rows`.
+  policy::EndpointRowsRead endpoint_rows;
   bool store_reachable = true;
   base::Instant unreachable_since{};
   std::shared_ptr<TableFollower> rules_follower;
--- a/packages/gateway/src/serving/crash_service.cc
+++ b/packages/gateway/src/serving/crash_service.cc
@@ -9,10 +9,13 @@
 #include <vector>
 
 #include "../connection_probe.h"
+#include "gypsumtrack/base/enum_table.h"
 #include "gypsumtrack/base/event_log.h"
 #include "gypsumtrack/gateway/serving/row_store_await.h"
 #include "gypsumtrack/gateway/serving/store_layout.h"
 #include "gypsumtrack/gateway/serving/table_follower.h"
+#include "gypsumtrack/policy/serving/endpoint_liveness.h"
+#include "gypsumtrack/policy/serving/lost_runs.h"
 #include "send_to_endpoint.h"
 
 namespace gypsumtrack::gateway {
@@ -37,6 +40,15 @@
 constexpr std::size_t kMaxRowsPerTransaction = 50;
 /// Maximum number of endpoints that are probed at the same time.
 constexpr std::size_t kMaxProbes = 32;
+/// Maximum number of lost runs whose endpoints may have crashed.
+constexpr std::size_t kMaxLostRuns = 4096;
+
+policy::EndpointLivenessOptions LivenessOptions(
+    const ServingSettings& settings) {
+  policy::EndpointLivenessOptions options;
+  options.heartbeat_period = settings.endpoint_heartbeat_period;
+  return options;
+}
 
 base::RowKey ReportRowKey(const policy::CrashReportKey& key) {
   return {layout::kCrashTable, "", layout::CrashReportRowKey(key)};
@@ -49,7 +61,9 @@
   State(ServingContext& serving, const FleetService& fleet_service)
       : context(serving),
         fleet(fleet_service),
-        quarantine(serving.self.name, {}) {}
+        quarantine(serving.self.name, {}),
+        lost_runs(kMaxLostRuns),
+        liveness(LivenessOptions(serving.settings)) {}
 
   void Start() {
     this->SetHooks();
@@ -60,17 +74,18 @@
         asio::detached);
   }
 
+  void OnEndpointRows(const policy::EndpointRowsRead& read) {
+    this->liveness.OnRead(read, this->context.clock.now());
+    this->ApplyVerdicts();
+  }
+
  private:
-  /// A run whose connection closed before its suspects made progress.
-  struct LostRun {
-    std::vector<policy::CrashSuspect> suspects;
-    /// Equal for runs of the same request or item.
-    std::string request;
-    policy::EndpointEntry endpoint;
-  };
+  /// What showed whether an endpoint has ended.
+  enum class Evidence { kConnections, kHeartbeats };
 
-  /// The id of an endpoint and its incarnation.
-  using EndpointIncarnation = std::pair<base::EndpointId, std::uint64_t>;
+  static constexpr auto kEvidenceNames =
+      base::MakeEnumTable<Evidence>({{Evidence::kConnections, "connections"},
+                                     {Evidence::kHeartbeats, "heartbeats"}});
 
   void SetHooks() {
     using Suspects = std::vector<policy::CrashSuspect>;
@@ -79,29 +94,40 @@
       return this->quarantine.Find(suspects, this->context.clock.wall());
     };
     hooks.on_progress = [this](const Suspects& suspects) {
+      this->lost_runs.OnProgress(suspects);
       this->quarantine.OnProgress(suspects, this->context.clock.now(),
                                   this->context.NextRandom());
     };
     hooks.on_lost = [this](const Suspects& suspects, const std::string& request,
                            const policy::EndpointEntry& endpoint) {
-      this->OnLost({suspects, request, endpoint});
+      policy::LostRun run;
+      run.suspects = suspects;
+      run.request = request;
+      run.endpoint = {endpoint.id, endpoint.incarnation};
+      run.lost_at = this->context.clock.now();
+      run.lost_at_wall = this->context.clock.wall();
+      this->OnLost(std::move(run), endpoint.address);
     };
   }
 
   // Crashes.
 
-  void OnLost(LostRun run) {
+  void OnLost(policy::LostRun run, const std::string& address) {
     if (run.suspects.empty()) return;
-    const EndpointIncarnation endpoint{run.endpoint.id,
-                                       run.endpoint.incarnation};
-    const auto found = this->probed.find(endpoint);
-    if (found != this->probed.end()) {
-      found->second.push_back(std::move(run));
+    const auto endpoint = run.endpoint;
+    const auto lost_at = run.lost_at;
+    const bool is_probed = this->probed.contains(endpoint);
+    if (!is_probed && this->probed.size() >= kMaxProbes) return;
+    if (!this->lost_runs.Add(std::move(run))) {
+      base::LogEvent("lost_run_not_kept",
+                     {{"endpoint", endpoint.id.text},
+                      {"incarnation", endpoint.incarnation},
+                      {"kept", this->lost_runs.size()}});
       return;
     }
-    if (this->probed.size() >= kMaxProbes) return;
-    const auto address = run.endpoint.address;
-    this->probed[endpoint].push_back(std::move(run));
+    this->liveness.Watch(endpoint, lost_at);
+    if (is_probed) return;
+    this->probed.insert(endpoint);
     auto probe = [self = this->shared_from_this(), endpoint, address] {
       return self->Probe(endpoint, address);
     };
@@ -110,45 +136,86 @@
 
   /// Connections also close for other reasons, such as a fault of the network.
   /// Nothing listens any more where an endpoint has crashed.
-  asio::awaitable<void> Probe(EndpointIncarnation endpoint,
+  asio::awaitable<void> Probe(policy::EndpointIncarnation endpoint,
                               std::string address) {
-    const bool has_ended =
-        co_await this->HasEnded(endpoint, std::move(address));
-    const auto lost = this->probed.extract(endpoint);
-    if (!has_ended) co_return;
-    for (const auto& run : lost.mapped()) this->OnCrashed(run);
-    // Written at once: each further request with the suspect costs an endpoint.
-    co_await this->WriteReports();
+    const auto found = co_await this->CheckLiveness(endpoint, address);
+    this->probed.erase(endpoint);
+    if (found != policy::Liveness::kUnknown) {
+      this->Settle(endpoint, found, Evidence::kConnections);
+    } else if (this->liveness.IsWatched(endpoint)) {
+      base::LogEvent("crash_undecided",
+                     {{"endpoint", endpoint.id.text},
+                      {"incarnation", endpoint.incarnation}});
+    } else {
+      this->Settle(endpoint, found, Evidence::kHeartbeats);
+    }
   }
 
   /// Whether the endpoint has ended, and not this daemon's path to endpoints.
-  asio::awaitable<bool> HasEnded(EndpointIncarnation endpoint,
-                                 std::string address) {
-    if (this->context.FindPath().kind == PathKind::kDirect) {
+  asio::awaitable<policy::Liveness> CheckLiveness(
+      policy::EndpointIncarnation endpoint, std::string address) {
+    if (this->IsPathDirect()) {
       const auto result = co_await ProbeConnection(
           std::move(address), this->context.clock, kProbeTimeout);
-      if (result != ProbeResult::kRefused) co_return false;
+      if (result != ProbeResult::kRefused) co_return policy::Liveness::kAlive;
     }
-    const auto& confirm = this->context.path_hooks.confirm_ended;
-    if (!confirm) co_return true;
-    TunnelTarget target{endpoint.first, endpoint.second};
-    const bool has_ended = co_await confirm(std::move(target));
-    if (!has_ended) {
-      base::LogEvent("crash_not_confirmed", {{"endpoint", endpoint.first.text},
-                                             {"incarnation", endpoint.second}});
+    const auto& check = this->context.path_hooks.check_liveness;
+    if (!check) co_return policy::Liveness::kEnded;
+    TunnelTarget target{endpoint.id, endpoint.incarnation};
+    co_return co_await check(std::move(target));
+  }
+
+  bool IsPathDirect() const {
+    return this->context.FindPath().kind == PathKind::kDirect;
+  }
+
+  void ApplyVerdicts() {
+    const auto verdicts =
+        this->liveness.TakeVerdicts(this->context.clock.now());
+    for (const auto& verdict : verdicts) {
+      const bool probe_decides =
+          verdict.liveness == policy::Liveness::kUnknown &&
+          this->probed.contains(verdict.endpoint);
+      if (probe_decides) continue;
+      this->Settle(verdict.endpoint, verdict.liveness, Evidence::kHeartbeats);
     }
-    co_return has_ended;
   }
 
-  void OnCrashed(const LostRun& run) {
+  /// Counts the lost runs of an endpoint as crashed if it has ended, and
+  /// forgets them.
+  void Settle(const policy::EndpointIncarnation& endpoint,
+              policy::Liveness found, Evidence evidence) {
+    this->liveness.Forget(endpoint);
+    const auto lost = this->lost_runs.Take(endpoint);
+    if (lost.empty()) return;
+    const bool has_ended = found == policy::Liveness::kEnded;
+    const auto waited = this->context.clock.now() - lost.front().lost_at;
+    base::LogEvent(has_ended ? "crash_confirmed" : "crash_not_confirmed",
+                   {{"endpoint", endpoint.id.text},
+                    {"incarnation", endpoint.incarnation},
+                    {"liveness", policy::kLivenessNames.Name(found)},
+                    {"evidence", kEvidenceNames.Name(evidence)},
+                    {"runs", lost.size()},
+                    {"after_ms", waited.count() / 1000}});
+    if (!has_ended) return;
+    for (const auto& run : lost) this->OnCrashed(run);
+    // Written at once: each further request with a suspect costs an endpoint.
+    asio::co_spawn(
+        this->context.executor,
+        [self = this->shared_from_this()] { return self->WriteReports(); },
+        asio::detached);
+  }
+
+  void OnCrashed(const policy::LostRun& run) {
+    const auto& endpoint = run.endpoint;
     this->context.metrics.crashed_runs.Add();
     base::LogEvent("run_crashed", {{"run_of", run.request},
                                    {"suspects", FormatSuspects(run.suspects)},
-                                   {"endpoint", run.endpoint.id.text},
-                                   {"incarnation", run.endpoint.incarnation}});
-    this->quarantine.OnCrash(
-        run.suspects, {run.endpoint.id, run.endpoint.incarnation, run.request},
-        this->context.clock.wall(), this->context.clock.now());
+                                   {"endpoint", endpoint.id.text},
+                                   {"incarnation", endpoint.incarnation}});
+    this->quarantine.OnCrash(run.suspects,
+                             {endpoint.id, endpoint.incarnation, run.request},
+                             run.lost_at_wall, run.lost_at);
   }
 
   // Reports.
@@ -232,6 +299,7 @@
   asio::awaitable<void> Loop() {
     for (;;) {
       co_await Pause(this->NextPause());
+      this->ApplyVerdicts();
       co_await this->WriteReports();
       co_await this->RemoveReports();
     }
@@ -304,8 +372,10 @@
   std::shared_ptr<TableFollower> follower;
   /// What the rows that were read are about, by their keys.
   std::map<std::string, policy::CrashReportKey> keys_by_row;
-  /// The lost runs of the endpoints that are being probed.
-  std::map<EndpointIncarnation, std::vector<LostRun>> probed;
+  policy::LostRuns lost_runs;
+  policy::EndpointLiveness liveness;
+  /// The endpoints that are being probed.
+  std::set<policy::EndpointIncarnation> probed;
   bool writing = false;
   /// Whether the last attempt to write reports failed.
   bool write_failed = false;
@@ -320,4 +390,8 @@
 
 void CrashService::Start() { this->state->Start(); }
 
+void CrashService::OnEndpointRows(const policy::EndpointRowsRead& read) {
+  this->state->OnEndpointRows(read);
+}
+
 }  // namespace gypsumtrack::gateway
--- a/packages/gateway/src/serving/endpoint_path_service.cc
+++ b/packages/gateway/src/serving/endpoint_path_service.cc
@@ -26,9 +26,11 @@
 /// Interval at which silences and due probes are looked for.
 constexpr base::Duration kTickPeriod = std::chrono::milliseconds(50);
 /// Time in which other endpoints must answer to show that this daemon isn't cut
-/// from all of them.
-constexpr base::Duration kConfirmTimeout = std::chrono::milliseconds(500);
-constexpr base::Duration kConfirmPollInterval = std::chrono::milliseconds(5);
+/// from all of them: that until the next round of probes, and for its end.
+constexpr base::Duration kLivenessTimeout = std::chrono::milliseconds(1000);
+constexpr base::Duration kLivenessPollInterval = std::chrono::milliseconds(5);
+/// Time in which a peer must have tried to connect to an endpoint.
+constexpr base::Duration kPeerProbeTimeout = std::chrono::milliseconds(500);
 
 }  // namespace
 
@@ -141,8 +143,8 @@
                                     TunnelStatus status) {
       this->OnTunnelFailed(hop, endpoint, status);
     };
-    hooks.confirm_ended = [this](TunnelTarget endpoint) {
-      return this->ConfirmEnded(std::move(endpoint));
+    hooks.check_liveness = [this](TunnelTarget endpoint) {
+      return this->CheckLiveness(std::move(endpoint));
     };
     hooks.on_call_started = [this] {
       this->reachability.OnCallStarted(this->Now());
@@ -200,21 +202,36 @@
   }
 
   /// Endpoints of all failure domains refuse connections if the path does.
-  asio::awaitable<bool> ConfirmEnded(TunnelTarget endpoint) {
+  asio::awaitable<policy::Liveness> CheckLiveness(TunnelTarget endpoint) {
     const auto asked_at = this->Now();
     this->reachability.OnConnectionLost(asked_at);
     this->StartProbes();
     while (!this->reachability.is_cut() &&
-           this->Now() < asked_at + kConfirmTimeout) {
-      if (this->reachability.last_connected() >= asked_at) co_return true;
-      co_await Pause(kConfirmPollInterval);
+           this->Now() < asked_at + kLivenessTimeout) {
+      if (this->reachability.last_connected() >= asked_at)
+        co_return policy::Liveness::kEnded;
+      co_await Pause(kLivenessPollInterval);
     }
-    if (!this->reachability.is_cut()) co_return true;
+    if (!this->reachability.is_cut()) co_return policy::Liveness::kUnknown;
     const auto path = this->FindPath();
-    if (path.kind != PathKind::kTunnel) co_return false;
-    const auto status = co_await ProbeTunnel(
-        path.hop, std::move(endpoint), this->context.clock, kConfirmTimeout);
-    co_return status == TunnelStatus::kEndpointRefused;
+    if (path.kind != PathKind::kTunnel) co_return policy::Liveness::kUnknown;
+    co_return co_await this->AskPeer(path.hop, std::move(endpoint));
+  }
+
+  asio::awaitable<policy::Liveness> AskPeer(TunnelHop hop,
+                                            TunnelTarget endpoint) {
+    const auto status =
+        co_await ProbeTunnel(std::move(hop), std::move(endpoint),
+                             this->context.clock, kPeerProbeTimeout);
+    co_return ToLiveness(status);
+  }
+
+  /// Returns what a peer's attempt to connect to an endpoint shows.
+  static policy::Liveness ToLiveness(TunnelStatus status) {
+    if (status == TunnelStatus::kOpen) return policy::Liveness::kAlive;
+    if (status == TunnelStatus::kEndpointRefused)
+      return policy::Liveness::kEnded;
+    return policy::Liveness::kUnknown;
   }
 
   asio::awaitable<void> Loop() {
--- a/packages/gateway/src/serving/serving_daemon.cc
+++ b/packages/gateway/src/serving/serving_daemon.cc
@@ -134,12 +134,16 @@
                                        this->clock)),
         view_store(this->adapter.make_store(this->view_context.get_executor(),
                                             this->clock)),
-        store_view(this->view_context.get_executor(), this->clock,
-                   this->view_store, this->adapter.store_view_source,
-                   [this] {
-                     asio::post(this->context,
-                                [this] { this->ApplyStoreView(); });
-                   }),
+        store_view(
+            this->view_context.get_executor(), this->clock, this->view_store,
+            this->adapter.store_view_source,
+            [this] {
+              asio::post(this->context, [this] { this->ApplyStoreView(); });
+            },
+            [this](const policy::EndpointRowsRead& read) {
+              asio::post(this->context,
+                         [this, read] { this->crashes->OnEndpointRows(read); });
+            }),
         client(this->context.get_executor(), this->clock,
                ClientOptions(this->adapter.wire, this->client_limits)),
         serving{.settings = settings,
--- a/packages/gateway/src/serving/store_view_service.cc
+++ b/packages/gateway/src/serving/store_view_service.cc
@@ -1,5 +1,6 @@
 #include "gypsumtrack/gateway/serving/store_view_service.h"
 
+#include <optional>
 #include <set>
 #include <utility>
 
@@ -53,10 +54,13 @@
 StoreViewService::StoreViewService(const boost::asio::any_io_executor& executor,
                                    base::Clock system_clock,
                                    const base::RowStore& store,
-                                   StoreViewSource view_source, ChangeHook hook)
+                                   StoreViewSource view_source,
+                                   ChangeHook change_hook,
+                                   EndpointRowsHook endpoint_rows_hook)
     : clock(std::move(system_clock)),
       source(std::move(view_source)),
-      on_change(std::move(hook)),
+      on_change(std::move(change_hook)),
+      on_endpoint_rows(std::move(endpoint_rows_hook)),
       current(std::make_shared<StoreView>()) {
   TableFollowerOptions options;
   options.table = this->source.rules_table;
@@ -84,16 +88,17 @@
   options.min_call_delay = kEndpointsReadDelay;
   TableFollowerHooks endpoints_hooks;
   endpoints_hooks.on_snapshot =
-      [this](const std::vector<base::VersionedRow>& rows, std::uint64_t) {
+      [this](const std::vector<base::VersionedRow>& rows, std::uint64_t as_of) {
+        this->endpoint_rows.as_of = as_of;
         this->ApplyEndpoints(rows, true);
       };
   endpoints_hooks.on_changes =
-      [this](const std::vector<base::VersionedRow>& rows, std::uint64_t) {
+      [this](const std::vector<base::VersionedRow>& rows, std::uint64_t as_of) {
+        this->endpoint_rows.as_of = as_of;
         this->ApplyEndpoints(rows, false);
       };
   endpoints_hooks.on_confirmed = [this](base::Instant at) {
-    this->endpoints_confirmed.store(at.time_since_epoch().count());
-    this->OnStoreReachable();
+    this->OnEndpointsConfirmed(at);
   };
   endpoints_hooks.on_failure = [this](const base::Error& error) {
     this->OnReadFailed(this->source.endpoints_table, error);
@@ -188,6 +193,7 @@
   // registry can tell that missing entries may have expired during the outage.
   this->OnStoreReachable();
   bool changed = !this->next.has_endpoints;
+  this->endpoint_rows.is_snapshot = is_snapshot;
   if (is_snapshot) {
     std::set<std::string> listed;
     for (const auto& row : rows) listed.insert(row.at.key);
@@ -209,6 +215,7 @@
 bool StoreViewService::ApplyEndpoint(const base::VersionedRow& row) {
   const auto& key = row.at.key;
   if (row.removed) {
+    this->endpoint_rows.removed.emplace_back(key);
     const bool was_known = this->entries.erase(key) > 0;
     if (was_known) {
       base::LogEvent("endpoint_gone",
@@ -218,6 +225,10 @@
   }
   const auto now = this->clock.now();
   auto entry = ReadEndpoint(this->source, row, now);
+  const auto incarnation =
+      entry.ok() ? std::optional(entry->incarnation) : std::nullopt;
+  this->endpoint_rows.written.push_back(
+      {base::EndpointId(key), incarnation, row.version});
   if (!entry.ok()) {
     base::LogEvent("endpoint_unreadable", {{"endpoint", key},
                                            {"row_version", row.version},
@@ -246,6 +257,18 @@
   return true;
 }
 
+void StoreViewService::OnEndpointsConfirmed(base::Instant sent_at) {
+  this->endpoints_confirmed.store(sent_at.time_since_epoch().count());
+  this->OnStoreReachable();
+  auto& read = this->endpoint_rows;
+  read.sent_at = sent_at;
+  read.store_recovered_at = this->next.store_recovered_at;
+  if (this->on_endpoint_rows) this->on_endpoint_rows(read);
+  read.is_snapshot = false;
+  read.written.clear();
+  read.removed.clear();
+}
+
 void StoreViewService::OnRulesConfirmed(base::Instant sent_at) {
   this->confirmed.store(sent_at.time_since_epoch().count());
   this->OnStoreReachable();
--- a/packages/gateway/test/serving/crash_service_test.cc
+++ b/packages/gateway/test/serving/crash_service_test.cc
@@ -155,6 +155,102 @@
   }
 }
 
+/// A daemon that can't tell by connections whether an endpoint has ended. Its
+/// one endpoint has lost a run.
+class UndecidedFixture {
+ public:
+  UndecidedFixture()
+      : store(this->rows.Client()),
+        daemon(this->store, "vm-1", {}),
+        crashes(this->Prepared().serving, this->daemon.fleet) {
+    this->crashes.Start();
+    this->daemon.serving.path_hooks.check_liveness =
+        [this](const TunnelTarget&) { return this->TellNothing(); };
+    this->read.as_of = 1;
+    this->read.written.push_back({base::EndpointId("e-1"), 1, 1});
+    this->Read();
+    tcp::acceptor closed(this->daemon.context,
+                         {asio::ip::make_address("127.0.0.1"), 0});
+    const auto address = CrashServiceFixture::AddressOf(closed);
+    closed.close();
+    CrashServiceFixture::LoseRun(this->daemon, "r-1", "e-1", address);
+    this->daemon.RunUntil([&] { return this->has_asked; });
+    CHECK(this->crashed_runs() == 0);
+  }
+
+  /// Passes a read of the endpoints' rows to the daemon, after which the next
+  /// one is prepared.
+  void Read() {
+    this->read.sent_at = this->daemon.clock.now();
+    this->crashes.OnEndpointRows(this->read);
+    this->read.written.clear();
+    this->read.removed.clear();
+    ++this->read.as_of;
+  }
+
+  std::uint64_t crashed_runs() const {  // NOLINT
+    return this->daemon.serving.metrics.crashed_runs.Value();
+  }
+
+  static constexpr base::Duration kPeriod = std::chrono::milliseconds(10);
+
+  testing::MemoryRowStore rows;
+  base::RowStore store;
+  ServingFixture daemon;
+  CrashService crashes;
+  policy::EndpointRowsRead read;
+
+ private:
+  ServingFixture& Prepared() {
+    this->daemon.serving.settings.endpoint_heartbeat_period = kPeriod;
+    return this->daemon;
+  }
+
+  asio::awaitable<policy::Liveness> TellNothing() {
+    this->has_asked = true;
+    co_return policy::Liveness::kUnknown;
+  }
+
+  bool has_asked = false;
+};
+
+TEST_CASE("connections don't show whether an endpoint has crashed") {
+  UndecidedFixture fixture;
+  const auto expire = [&] {
+    const auto expires_at =
+        fixture.daemon.clock.now() + 3 * UndecidedFixture::kPeriod;
+    fixture.daemon.RunUntil(
+        [&] { return fixture.daemon.clock.now() >= expires_at; });
+    fixture.read.removed.emplace_back("e-1");
+    fixture.Read();
+  };
+  SECTION("its crash counts once its row has expired") {
+    expire();
+    CHECK(fixture.crashed_runs() == 1);
+    fixture.daemon.RunUntil([&] {
+      return fixture.rows.Table(layout::kCrashTable).size() == kParts.size();
+    });
+  }
+  SECTION("its crash counts when it has started again") {
+    fixture.read.written.push_back({base::EndpointId("e-1"), 2, 2});
+    fixture.Read();
+    CHECK(fixture.crashed_runs() == 1);
+  }
+  SECTION("it didn't crash if it renews its row") {
+    fixture.Read();
+    fixture.read.written.push_back(
+        {base::EndpointId("e-1"), 1, fixture.read.as_of});
+    fixture.Read();
+    expire();
+    CHECK(fixture.crashed_runs() == 0);
+  }
+  SECTION("the run counts for nothing that made progress meanwhile") {
+    fixture.daemon.serving.crash_hooks.on_progress(policy::ToSuspects(kParts));
+    expire();
+    CHECK(fixture.crashed_runs() == 0);
+  }
+}
+
 TEST_CASE("reports are written once the store is reachable again") {
   CrashServiceFixture fixture;
   fixture.rows.SetFaults({.down = true});
--- a/packages/gateway/test/serving/serving_fixture.h
+++ b/packages/gateway/test/serving/serving_fixture.h
@@ -23,7 +23,7 @@
   ServingFixture(const base::RowStore& row_store, const std::string& vm_name,
                  Wire wire, StoreViewSource view_source = {})
       : store_view(this->context.get_executor(), this->clock, row_store,
-                   std::move(view_source), [] {}),
+                   std::move(view_source), [] {}, {}),
         client(this->context.get_executor(), this->clock, {}),
         serving{.settings = {},
                 .self = {vm_name, 1},
--- a/packages/testing/include/gypsumtrack/testing/site_standin.h
+++ b/packages/testing/include/gypsumtrack/testing/site_standin.h
@@ -129,6 +129,8 @@
   /// Sets the version of its software in entries made from now on; "v1" until
   /// then.
   void SetVersion(const std::string& version);
+  /// Sets its start time in entries made from now on, in Unix milliseconds.
+  void SetStartTime(std::uint64_t millis);
   /// Replaces the injected faults.
   void SetFaults(const EngineFaults& faults);
   /// Sets the pause before each event; none by default.
@@ -177,6 +179,7 @@
   boost::asio::any_io_executor executor;
   std::string instance_id;
   std::string software_version = "v1";
+  std::uint64_t start_millis = 1700000000000;
   mutable std::mutex mutex;
   EngineFaults faults;
   base::Duration event_pause{0};
--- a/packages/testing/src/site_standin.cc
+++ b/packages/testing/src/site_standin.cc
@@ -335,7 +335,7 @@
                    {"slots", 8},
                    {"state", draining ? "draining" : "ready"},
                    {"coldLeftMs", 0},
-                   {"born", 1700000000000},
+                   {"born", this->start_millis},
                    {"seq", 1}});
 }
 
@@ -344,6 +344,11 @@
   this->software_version = version;
 }
 
+void EngineStandin::SetStartTime(std::uint64_t millis) {
+  const std::lock_guard lock(this->mutex);
+  this->start_millis = millis;
+}
+
 void EngineStandin::SetFaults(const EngineFaults& next) {
   const std::lock_guard lock(this->mutex);
   this->faults = next;
