--- a/packages/gateway/src/serving/crash_service.cc
+++ b/packages/gateway/src/serving/crash_service.cc
@@ -38,8 +38,9 @@
 constexpr base::Duration kProbeTimeout = std::chrono::milliseconds(400);
 /// Maximum number of rows that a transaction writes or removes.
 constexpr std::size_t kMaxRowsPerTransaction = 50;
-/// Maximum number of endpoints that are probed at the same time.
+/// Maximum number of connections that probes open at the same time.
 constexpr std::size_t kMaxProbes = 32;
+constexpr base::Duration kProbeQueueInterval = std::chrono::milliseconds(5);
 /// Maximum number of lost runs whose endpoints may have crashed.
 constexpr std::size_t kMaxLostRuns = 4096;
 
@@ -116,8 +117,6 @@
     if (run.suspects.empty()) return;
     const auto endpoint = run.endpoint;
     const auto lost_at = run.lost_at;
-    const bool is_probed = this->probed.contains(endpoint);
-    if (!is_probed && this->probed.size() >= kMaxProbes) return;
     if (!this->lost_runs.Add(std::move(run))) {
       base::LogEvent("lost_run_not_kept",
                      {{"endpoint", endpoint.id.text},
@@ -126,8 +125,7 @@
       return;
     }
     this->liveness.Watch(endpoint, lost_at);
-    if (is_probed) return;
-    this->probed.insert(endpoint);
+    if (!this->probed.insert(endpoint).second) return;
     auto probe = [self = this->shared_from_this(), endpoint, address] {
       return self->Probe(endpoint, address);
     };
@@ -155,8 +153,7 @@
   asio::awaitable<policy::Liveness> CheckLiveness(
       policy::EndpointIncarnation endpoint, std::string address) {
     if (this->IsPathDirect()) {
-      const auto result = co_await ProbeConnection(
-          std::move(address), this->context.clock, kProbeTimeout);
+      const auto result = co_await this->ProbePort(std::move(address));
       if (result != ProbeResult::kRefused) co_return policy::Liveness::kAlive;
     }
     const auto& check = this->context.path_hooks.check_liveness;
@@ -169,6 +166,15 @@
     return this->context.FindPath().kind == PathKind::kDirect;
   }
 
+  asio::awaitable<ProbeResult> ProbePort(std::string address) {
+    while (this->open_probes >= kMaxProbes) co_await Pause(kProbeQueueInterval);
+    ++this->open_probes;
+    const auto result = co_await ProbeConnection(
+        std::move(address), this->context.clock, kProbeTimeout);
+    --this->open_probes;
+    co_return result;
+  }
+
   void ApplyVerdicts() {
     const auto verdicts =
         this->liveness.TakeVerdicts(this->context.clock.now());
@@ -376,6 +382,7 @@
   policy::EndpointLiveness liveness;
   /// The endpoints that are being probed.
   std::set<policy::EndpointIncarnation> probed;
+  std::size_t open_probes = 0;
   bool writing = false;
   /// Whether the last attempt to write reports failed.
   bool write_failed = false;
--- a/packages/gateway/test/serving/crash_service_test.cc
+++ b/packages/gateway/test/serving/crash_service_test.cc
@@ -155,6 +155,26 @@
   }
 }
 
+// Guards against crashes that don't count because as many endpoints are being
+// probed as may be at the same time.
+TEST_CASE("very many endpoints crash at once") {
+  constexpr std::size_t kEndpoints = 100;
+  CrashServiceFixture fixture;
+  const auto closed = fixture.ClosedAddress();
+  for (std::size_t i = 0; i < kEndpoints; ++i) {
+    const auto number = std::to_string(i);
+    CrashServiceFixture::LoseRun(fixture.first, "r-" + number, "e-" + number,
+                                 closed);
+  }
+  const auto& crashed_runs = fixture.first.serving.metrics.crashed_runs;
+  const auto deadline = fixture.first.clock.now() + std::chrono::seconds(5);
+  fixture.RunUntil([&] {
+    return crashed_runs.Value() == kEndpoints ||
+           fixture.first.clock.now() >= deadline;
+  });
+  CHECK(crashed_runs.Value() == kEndpoints);
+}
+
 /// A daemon that can't tell by connections whether an endpoint has ended. Its
 /// one endpoint has lost a run.
 class UndecidedFixture {
