--- a/packages/gateway/src/serving/endpoint_path_service.cc
+++ b/packages/gateway/src/serving/endpoint_path_service.cc
@@ -31,6 +31,9 @@
 constexpr base::Duration kLivenessPollInterval = std::chrono::milliseconds(5);
 /// Time in which a peer must have tried to connect to an endpoint.
 constexpr base::Duration kPeerProbeTimeout = std::chrono::milliseconds(500);
+/// Time after which a peer that was refused by an endpoint knows whether it is
+/// cut from all of them.
+constexpr base::Duration kPeerCutTime = std::chrono::milliseconds(1000);
 
 }  // namespace
 
@@ -215,7 +218,11 @@
     if (!this->reachability.is_cut()) co_return policy::Liveness::kUnknown;
     const auto path = this->FindPath();
     if (path.kind != PathKind::kTunnel) co_return policy::Liveness::kUnknown;
-    co_return co_await this->AskPeer(path.hop, std::move(endpoint));
+    const auto found = co_await this->AskPeer(path.hop, endpoint);
+    if (found != policy::Liveness::kEnded) co_return found;
+    // The peer may have lost its links at the same moment.
+    co_await Pause(kPeerCutTime);
+    co_return co_await this->AskPeer(path.hop, endpoint);
   }
 
   asio::awaitable<policy::Liveness> AskPeer(TunnelHop hop,
