--- a/packages/gateway/src/serving/crash_service.cc
+++ b/packages/gateway/src/serving/crash_service.cc
@@ -153,13 +153,19 @@
   asio::awaitable<policy::Liveness> CheckLiveness(
       policy::EndpointIncarnation endpoint, std::string address) {
     if (this->IsPathDirect()) {
-      const auto result = co_await this->ProbePort(std::move(address));
+      const auto result = co_await this->ProbePort(address);
       if (result != ProbeResult::kRefused) co_return policy::Liveness::kAlive;
     }
     const auto& check = this->context.path_hooks.check_liveness;
     if (!check) co_return policy::Liveness::kEnded;
     TunnelTarget target{endpoint.id, endpoint.incarnation};
-    co_return co_await check(std::move(target));
+    const auto found = co_await check(std::move(target));
+    if (found != policy::Liveness::kEnded || !this->IsPathDirect())
+      co_return found;
+    // The path may have been lost when the port refused, and be back since.
+    const auto result = co_await this->ProbePort(std::move(address));
+    co_return result == ProbeResult::kRefused ? policy::Liveness::kEnded
+                                              : policy::Liveness::kUnknown;
   }
 
   bool IsPathDirect() const {
--- a/packages/policy/include/gypsumtrack/policy/serving/endpoint_reachability.h
+++ b/packages/policy/include/gypsumtrack/policy/serving/endpoint_reachability.h
@@ -81,7 +81,7 @@
   base::Duration EvidenceAge(base::Instant now) const {
     return now - this->last_evidence;
   }
-  /// Returns when a direct connection last opened.
+  /// Returns when the newest attempt that opened a direct connection began.
   base::Instant last_connected() const {  // NOLINT
     return this->last_opened;
   }
@@ -109,6 +109,7 @@
   base::Instant calls_since{};
   /// When bytes arrived or a connection opened.
   base::Instant last_evidence{};
+  /// When the newest attempt that opened a connection began.
   base::Instant last_opened{};
   /// A failed or lost connection asks for a round of probes.
   bool round_wanted = false;
--- a/packages/policy/src/serving/endpoint_reachability.cc
+++ b/packages/policy/src/serving/endpoint_reachability.cc
@@ -34,7 +34,7 @@
                                      base::Instant now) {
   if (connected) {
     this->last_evidence = now;
-    this->last_opened = now;
+    this->last_opened = std::max(this->last_opened, started_at);
     this->failed.clear();
     this->round_wanted = false;
     this->cut = false;
--- a/packages/policy/test/serving/endpoint_reachability_test.cc
+++ b/packages/policy/test/serving/endpoint_reachability_test.cc
@@ -207,6 +207,18 @@
   }
 }
 
+// Guards against a connection that opened just before a cut, and whose end was
+// noticed just after it, as a sign that the path is there.
+TEST_CASE("attempts to connect end in another order than they began") {
+  EndpointReachability reachability({});
+  reachability.SetTargets({Target("a", "cairo"), Target("b", "cairo")});
+  const auto later = kStart + milliseconds(10);
+  reachability.OnConnect(base::EndpointId("a"), true, later, later);
+  reachability.OnConnect(base::EndpointId("b"), true, kStart,
+                         later + milliseconds(10));
+  CHECK(reachability.last_connected() == later);
+}
+
 TEST_CASE("probes cost little") {
   PathSim sim;
   SECTION("a daemon with requests sends none") {
