--- a/packages/gateway/src/endpoint_client.cc
+++ b/packages/gateway/src/endpoint_client.cc
@@ -353,6 +353,7 @@
       bool succeeded = co_await this->ReadOneHead();
       if (!succeeded) co_return false;
       const bool is_own = this->IsOwnResponse();
+      this->RecordIdEcho();
       if (is_own) co_return this->CheckBodyFraming();
       this->result.outcome = CallOutcome::kMismatched;
       if (this->parser->need_eof()) co_return false;
@@ -419,24 +420,41 @@
     co_return true;
   }
 
-  /// Whether the response echoes the id of this request. One without an id
-  /// counts only if no earlier request on the connection can have got it, or if
-  /// the endpoint echoes none and the response isn't a refusal. Records on the
-  /// connection whether the endpoint echoes ids.
-  bool IsOwnResponse() {
-    auto& connection = *this->connection;
-    bool has_id = false;
-    for (const auto& header : this->result.head.headers) {
-      if (!boost::beast::iequals(header.name,
-                                 this->options.protocol.request_id_header)) {
-        continue;
-      }
-      connection.echoes_ids = true;
-      if (header.value != this->call.request_id) return false;
-      has_id = true;
-    }
-    if (has_id || connection.calls == 1) return true;
-    return !connection.echoes_ids && !this->IsRefusal();
+  bool IsIdHeader(const Header& header) const {
+    return boost::beast::iequals(header.name,
+                                 this->options.protocol.request_id_header);
+  }
+
+  /// Whether the response echoes the id of a request, this one or another.
+  bool HasId() const {
+    const auto& headers = this->result.head.headers;
+    return std::any_of(
+        headers.begin(), headers.end(),
+        [this](const Header& header) { return this->IsIdHeader(header); });
+  }
+
+  bool HasOtherId() const {
+    const auto& headers = this->result.head.headers;
+    return std::any_of(headers.begin(), headers.end(),
+                       [this](const Header& header) {
+                         return this->IsIdHeader(header) &&
+                                header.value != this->call.request_id;
+                       });
+  }
+
+  /// Whether the response answers this request. One without an id does only if
+  /// no earlier request on the connection can have got it, or if the endpoint
+  /// has echoed no id on the connection and the response isn't a refusal.
+  bool IsOwnResponse() const {
+    if (this->HasId()) return !this->HasOtherId();
+    if (this->connection->calls == 1) return true;
+    return !this->connection->echoes_ids && !this->IsRefusal();
+  }
+
+  /// Records on the connection that the endpoint echoes ids, if it did.
+  void RecordIdEcho() {
+    this->connection->echoes_ids =
+        this->connection->echoes_ids || this->HasId();
   }
 
   /// Whether the response states that the endpoint didn't run the request.
