--- a/packages/base/include/gypsumtrack/base/memory_budget.h
+++ b/packages/base/include/gypsumtrack/base/memory_budget.h
@@ -44,7 +44,7 @@
   explicit MemoryCharge(std::shared_ptr<MemoryBudget> charged_budget);
   ~MemoryCharge();
 
-  /// The other one holds nothing then, and may only be assigned or destroyed.
+  /// `other` holds nothing afterwards, and may only be assigned or destroyed.
   MemoryCharge(MemoryCharge&& other) noexcept;
   MemoryCharge& operator=(MemoryCharge&& other) noexcept;
   MemoryCharge(const MemoryCharge&) = delete;
--- a/packages/gateway/src/connection_pool.h
+++ b/packages/gateway/src/connection_pool.h
@@ -38,7 +38,7 @@
   boost::beast::flat_buffer buffer{kMaxConnectionBufferBytes};
   /// Number of requests sent on this connection.
   std::uint32_t calls = 0;
-  /// Whether the response to a request on it has echoed the request's id.
+  /// Whether a response on this connection has echoed the id of a request.
   bool echoes_ids = false;
   /// Hashes of the ids of requests that got an error on this connection.
   std::vector<std::uint64_t> failed_requests;
--- a/packages/gateway/src/response_head.cc
+++ b/packages/gateway/src/response_head.cc
@@ -15,7 +15,7 @@
 /// connection stays idle here.
 constexpr unsigned long kMaxKeepAliveSeconds = 3600;
 
-/// Whether the text contains the begin of a status line.
+/// Whether the text contains the beginning of a status line.
 bool ContainsStatusLine(std::string_view text) {
   constexpr std::string_view kVersion = "HTTP/1.1 ";
   for (auto at = text.find(kVersion); at != std::string_view::npos;
--- a/packages/gateway/src/serving/client_limits.cc
+++ b/packages/gateway/src/serving/client_limits.cc
@@ -13,7 +13,7 @@
 /// Enough for answers of any size that a deployment allows callers to send; a
 /// VM may have 140 MB in all.
 constexpr std::uint64_t kMaxAnswerBytes = std::uint64_t{24} * 1024 * 1024;
-/// The same for outputs, of which a large VM runs more.
+/// Limit on outputs if the memory of the VM isn't known.
 constexpr std::uint64_t kDefaultOutputBytes = std::uint64_t{64} * 1024 * 1024;
 /// Parts of a VM's descriptors. The rest is for endpoints, peers and the store,
 /// so that a crowd of callers can't take it.
--- a/packages/gateway/src/serving/job_runner.cc
+++ b/packages/gateway/src/serving/job_runner.cc
@@ -31,8 +31,8 @@
 /// Each result needs a put and an expectation; this number of them stays well
 /// below the store's limits on transactions.
 constexpr std::size_t kMaxResultsPerCommit = 16;
-/// Bounds the copies of outputs that a commit makes. One of the largest size
-/// fits.
+/// Bounds the copies of outputs that a commit makes. An output of the largest
+/// size fits.
 constexpr std::size_t kMaxResultBytesPerCommit = std::size_t{1} * 1024 * 1024;
 /// Bounds the time that one tick takes.
 constexpr std::size_t kMaxStartsPerTick = 16;
@@ -385,7 +385,8 @@
                             policy::Urgency urgency,
                             policy::ItemStartFilter filter) {
   const auto now = this->context.clock.now();
-  // An item with an output goes on, or gives its memory back.
+  // While the memory for outputs is used up, only items that have output start:
+  // their runs end and give the memory back.
   const bool may_begin = !this->context.output_memory->is_exceeded();
   filter.may_start = [&](std::size_t index) {
     if (!may_begin && job->run.event_count(index) == 0) return false;
--- a/packages/gateway/src/serving/job_submissions.cc
+++ b/packages/gateway/src/serving/job_submissions.cc
@@ -39,7 +39,7 @@
 
 /// Size of the item's own part of the head that is sent to an endpoint.
 std::uint64_t HeadBytes(const SubmittedItem& item) {
-  // ": " and the end of the line.
+  // The colon and space after the name, and the end of the line.
   constexpr std::uint64_t kSeparatorBytes = 4;
   auto bytes = static_cast<std::uint64_t>(item.target.size());
   for (const auto& header : item.headers)
@@ -79,7 +79,7 @@
     co_await Refuse(this->context, exchange, metadata, std::move(refusal));
     co_return;
   }
-  // An item is held to what its request could have.
+  // The head of an item has the same limit as that of a caller's request.
   const auto max_head_bytes = access.rules->max_header_bytes;
   const bool is_head_too_large = std::any_of(
       items->begin(), items->end(),
--- a/packages/gateway/src/tcp_options.h
+++ b/packages/gateway/src/tcp_options.h
@@ -26,8 +26,8 @@
   /// The remote side closed or reset the connection, though what it sent before
   /// may not have been read.
   bool remote_closed = false;
-  /// The remote side reset the connection, or it failed. A read may not show
-  /// that if a write has reported it.
+  /// The remote side reset the connection, or the connection failed. Once a
+  /// write has reported that, a read shows a plain close.
   bool reset = false;
   /// Data was sent again, or several probes were sent, without an answer since.
   /// A remote side without room for the data answers nevertheless.
--- a/packages/gateway/src/tunnel_relay.cc
+++ b/packages/gateway/src/tunnel_relay.cc
@@ -179,7 +179,7 @@
 asio::awaitable<void> TunnelRelay::OnEndpointEnd(error_code error) {
   const auto now = this->clock.now();
   const auto state = ReadTcpState(this->endpoint);
-  // A read may report a close in place of a reset that a write has reported.
+  // Once a write has reported a reset, a read shows a plain close.
   const bool is_close =
       error == asio::error::eof && !this->endpoint_broken && !state.reset;
   if (!is_close) {
@@ -193,8 +193,9 @@
     this->FinishDaemon();
     co_return;
   }
-  // The answer may be complete by its length. The asking daemon reads it once
-  // it has sent its request, of which the rest is dropped.
+  // The answer may be complete by its length. The asking daemon reads the
+  // answer once it has sent its request, so the rest of the request is read and
+  // dropped.
   this->endpoint.close(ignored);
   co_await this->ResetDaemon(now + kResetGrace);
 }
--- a/packages/gateway/src/tunnel_relay.h
+++ b/packages/gateway/src/tunnel_relay.h
@@ -84,9 +84,10 @@
  private:
   boost::asio::awaitable<void> CopyFromDaemon();
   boost::asio::awaitable<void> CopyFromEndpoint();
-  /// Passes on the end of the endpoint's bytes, which a read has reported: as a
-  /// close only if the endpoint closed the connection after it had received all
-  /// that the asking daemon sent.
+  /// Passes on the end of the endpoint's bytes that a read has reported as
+  /// `error`. It is passed on as a close only if the endpoint closed the
+  /// connection after it had received all that the asking daemon sent, and as a
+  /// reset otherwise.
   boost::asio::awaitable<void> OnEndpointEnd(boost::system::error_code error);
   /// Delivers the end of the endpoint's bytes.
   void FinishDaemon();
