--- a/packages/gateway/src/serving/crash_service.cc
+++ b/packages/gateway/src/serving/crash_service.cc
@@ -190,14 +190,25 @@
           this->probed.contains(verdict.endpoint);
       if (probe_decides) continue;
       this->Settle(verdict.endpoint, verdict.liveness, Evidence::kHeartbeats);
+      if (verdict.liveness == policy::Liveness::kAlive)
+        this->Withdraw(verdict.endpoint);
     }
   }
 
+  /// Forgets what was counted as a crash of the endpoint: other endpoints
+  /// answered, and the path to this one was lost.
+  void Withdraw(const policy::EndpointIncarnation& endpoint) {
+    const auto suspects = this->quarantine.OnAlive(endpoint);
+    if (suspects == 0) return;
+    base::LogEvent("crash_withdrawn", {{"endpoint", endpoint.id.text},
+                                       {"incarnation", endpoint.incarnation},
+                                       {"suspects", suspects}});
+  }
+
   /// Counts the lost runs of an endpoint as crashed if it has ended, and
-  /// forgets them.
+  /// forgets them. What connections have shown is checked by the heartbeats.
   void Settle(const policy::EndpointIncarnation& endpoint,
               policy::Liveness found, Evidence evidence) {
-    this->liveness.Forget(endpoint);
     const auto lost = this->lost_runs.Take(endpoint);
     if (lost.empty()) return;
     const bool has_ended = found == policy::Liveness::kEnded;
--- a/packages/gateway/test/serving/crash_service_test.cc
+++ b/packages/gateway/test/serving/crash_service_test.cc
@@ -175,17 +175,18 @@
   CHECK(crashed_runs.Value() == kEndpoints);
 }
 
-/// A daemon that can't tell by connections whether an endpoint has ended. Its
-/// one endpoint has lost a run.
-class UndecidedFixture {
+/// A daemon whose connections say whether an endpoint has ended. Its one
+/// endpoint has lost a run.
+class LostRunFixture {
  public:
-  UndecidedFixture()
-      : store(this->rows.Client()),
+  explicit LostRunFixture(policy::Liveness found)
+      : told(found),
+        store(this->rows.Client()),
         daemon(this->store, "vm-1", {}),
         crashes(this->Prepared().serving, this->daemon.fleet) {
     this->crashes.Start();
     this->daemon.serving.path_hooks.check_liveness =
-        [this](const TunnelTarget&) { return this->TellNothing(); };
+        [this](const TunnelTarget&) { return this->Tell(); };
     this->read.as_of = 1;
     this->read.written.push_back({base::EndpointId("e-1"), 1, 1});
     this->Read();
@@ -194,8 +195,10 @@
     const auto address = CrashServiceFixture::AddressOf(closed);
     closed.close();
     CrashServiceFixture::LoseRun(this->daemon, "r-1", "e-1", address);
-    this->daemon.RunUntil([&] { return this->has_asked; });
-    CHECK(this->crashed_runs() == 0);
+    const bool counts = found == policy::Liveness::kEnded;
+    this->daemon.RunUntil([&] {
+      return this->has_asked && this->crashed_runs() == (counts ? 1 : 0);
+    });
   }
 
   /// Passes a read of the endpoints' rows to the daemon, after which the next
@@ -214,6 +217,7 @@
 
   static constexpr base::Duration kPeriod = std::chrono::milliseconds(10);
 
+  policy::Liveness told;
   testing::MemoryRowStore rows;
   base::RowStore store;
   ServingFixture daemon;
@@ -226,19 +230,19 @@
     return this->daemon;
   }
 
-  asio::awaitable<policy::Liveness> TellNothing() {
+  asio::awaitable<policy::Liveness> Tell() {
     this->has_asked = true;
-    co_return policy::Liveness::kUnknown;
+    co_return this->told;
   }
 
   bool has_asked = false;
 };
 
 TEST_CASE("connections don't show whether an endpoint has crashed") {
-  UndecidedFixture fixture;
+  LostRunFixture fixture(policy::Liveness::kUnknown);
   const auto expire = [&] {
     const auto expires_at =
-        fixture.daemon.clock.now() + 3 * UndecidedFixture::kPeriod;
+        fixture.daemon.clock.now() + 3 * LostRunFixture::kPeriod;
     fixture.daemon.RunUntil(
         [&] { return fixture.daemon.clock.now() >= expires_at; });
     fixture.read.removed.emplace_back("e-1");
@@ -271,6 +275,21 @@
   }
 }
 
+// Guards against sound requests that are blamed because a daemon lost its path
+// to some endpoints while others answered.
+TEST_CASE("connections show a crash of an endpoint that lives") {
+  LostRunFixture fixture(policy::Liveness::kEnded);
+  const auto reports = [&] {
+    return fixture.rows.Table(layout::kCrashTable).size();
+  };
+  fixture.daemon.RunUntil([&] { return reports() == kParts.size(); });
+  fixture.Read();
+  fixture.read.written.push_back(
+      {base::EndpointId("e-1"), 1, fixture.read.as_of});
+  fixture.Read();
+  fixture.daemon.RunUntil([&] { return reports() == 0; });
+}
+
 TEST_CASE("reports are written once the store is reachable again") {
   CrashServiceFixture fixture;
   fixture.rows.SetFaults({.down = true});
--- a/packages/policy/include/gypsumtrack/policy/serving/crash_quarantine.h
+++ b/packages/policy/include/gypsumtrack/policy/serving/crash_quarantine.h
@@ -12,6 +12,7 @@
 #include "gypsumtrack/base/enum_table.h"
 #include "gypsumtrack/base/names.h"
 #include "gypsumtrack/base/time.h"
+#include "gypsumtrack/policy/serving/endpoint_liveness.h"
 
 /// Finds what crashes endpoints, a request that comes again and again or a part
 /// of prompts, and puts it in quarantine, so that nothing with it is sent.
@@ -125,6 +126,9 @@
   /// it made progress. `crashed_at` is the time of the crash.
   void OnCrash(const std::vector<CrashSuspect>& suspects, const CrashedRun& run,
                base::WallTime crashed_at, base::Instant now);
+  /// Records that the endpoint still runs: what was recorded as its crash was a
+  /// lost connection. Returns the number of suspects that it was recorded for.
+  std::size_t OnAlive(const EndpointIncarnation& endpoint);
   /// Returns this daemon's reports that have changed since they were last
   /// returned, to be written to the store. A report on a request that one crash
   /// ended is held back for a moment.
@@ -138,8 +142,9 @@
   /// Applies the removal of a report from the store.
   void ApplyRemoval(const CrashReportKey& key);
   /// Returns the reports to remove from the store, with the versions at which
-  /// they may be removed: those on suspects that have made progress, and
-  /// expired ones of this daemon or, if `collects_all`, of all.
+  /// they may be removed: those on suspects that have made progress, those of
+  /// this daemon that hold no crash any more, and expired ones of this daemon
+  /// or, if `collects_all`, of all.
   std::vector<std::pair<CrashReportKey, std::uint64_t>> TakeReportsToRemove(
       bool collects_all, base::Instant now, base::WallTime wall);
 
@@ -164,6 +169,8 @@
     std::set<CrashedRun> own_runs;
     base::WallTime last_own_crash_at{};
     bool own_changed = false;
+    /// Whether all runs of this daemon's stored report turned out to be none.
+    bool own_withdrawn = false;
     /// When a report that is held back is to be written.
     base::Instant held_until{};
     /// When to remove the reports because of progress.
--- a/packages/policy/include/gypsumtrack/policy/serving/endpoint_liveness.h
+++ b/packages/policy/include/gypsumtrack/policy/serving/endpoint_liveness.h
@@ -89,11 +89,9 @@
 
   /// Records a read. Reads must be passed in the order in which they were made.
   void OnRead(const EndpointRowsRead& read, base::Instant now);
-  /// Starts to watch an endpoint to which a connection was lost at `lost_at`.
-  /// No effect if it is watched already.
+  /// Watches an endpoint to which a connection was lost at `lost_at`. Of several
+  /// losses the last one counts.
   void Watch(const EndpointIncarnation& endpoint, base::Instant lost_at);
-  /// Ends the watch, if any.
-  void Forget(const EndpointIncarnation& endpoint);
   /// Ends the watches that are decided or too old, and returns their verdicts.
   /// Must be called after each read and at least once a second.
   std::vector<LivenessVerdict> TakeVerdicts(base::Instant now);
@@ -112,7 +110,8 @@
     /// Version of the store after which a renewal was certainly written later
     /// than the connection was lost.
     std::optional<std::uint64_t> baseline;
-    /// When the last renewal was read, at first `lost_at`.
+    /// When the last renewal was read, at first when the first connection was
+    /// lost.
     base::Instant last_renewed_at{};
     /// When the row was found removed; none while it is listed.
     std::optional<base::Instant> removed_at;
--- a/packages/policy/src/serving/crash_quarantine.cc
+++ b/packages/policy/src/serving/crash_quarantine.cc
@@ -6,9 +6,6 @@
 namespace gypsumtrack::policy {
 namespace {
 
-/// The id of an endpoint and its incarnation.
-using EndpointIncarnation = std::pair<base::EndpointId, std::uint64_t>;
-
 base::WallTime Expiry(base::WallTime last_crash_at, base::Duration duration) {
   return last_crash_at +
          std::chrono::duration_cast<std::chrono::milliseconds>(duration);
@@ -93,12 +90,28 @@
     if (evidence.own_runs.empty())
       evidence.held_until = now + this->options.request_report_delay;
     evidence.own_runs.insert(run);
+    evidence.own_withdrawn = false;
     evidence.last_own_crash_at =
         std::max(evidence.last_own_crash_at, crashed_at);
     evidence.own_changed = true;
   }
 }
 
+std::size_t CrashQuarantine::OnAlive(const EndpointIncarnation& endpoint) {
+  std::size_t suspects = 0;
+  for (auto& [suspect, evidence] : this->known) {
+    const auto erased = std::erase_if(evidence.own_runs, [&](const auto& run) {
+      return run.endpoint == endpoint.id &&
+             run.incarnation == endpoint.incarnation;
+    });
+    if (erased == 0) continue;
+    ++suspects;
+    evidence.own_changed = !evidence.own_runs.empty();
+    evidence.own_withdrawn = evidence.own_runs.empty();
+  }
+  return suspects;
+}
+
 std::vector<CrashReport> CrashQuarantine::TakeChangedReports(
     base::Instant now) {
   std::vector<CrashReport> changed;
@@ -161,8 +174,11 @@
     for (const auto& [daemon, report] : evidence.reports) {
       const bool is_expired =
           wall >= Expiry(report.last_crash_at, this->options.duration);
-      const bool collects = collects_all || daemon == this->self;
-      if (is_cleared || (is_expired && collects))
+      const bool is_own = daemon == this->self;
+      const bool is_withdrawn = is_own && evidence.own_withdrawn;
+      if (is_withdrawn) evidence.own_withdrawn = false;
+      const bool collects = collects_all || is_own;
+      if (is_cleared || is_withdrawn || (is_expired && collects))
         removals.push_back({{suspect, daemon}, report.version});
     }
   }
@@ -216,8 +232,12 @@
 
 bool CrashQuarantine::has_pending_reports() const {
   return std::any_of(
-      this->known.begin(), this->known.end(), [](const auto& each) {
-        return each.second.own_changed || each.second.remove_at != base::kNever;
+      this->known.begin(), this->known.end(), [this](const auto& each) {
+        const auto& evidence = each.second;
+        const bool is_withdrawn =
+            evidence.own_withdrawn && evidence.reports.contains(this->self);
+        return evidence.own_changed || is_withdrawn ||
+               evidence.remove_at != base::kNever;
       });
 }
 
--- a/packages/policy/src/serving/endpoint_liveness.cc
+++ b/packages/policy/src/serving/endpoint_liveness.cc
@@ -55,10 +55,11 @@
 void EndpointLiveness::Watch(const EndpointIncarnation& endpoint,
                              base::Instant lost_at) {
   const auto [at, is_new] = this->watches.try_emplace(endpoint);
-  if (!is_new) return;
   auto& watched = at->second;
   watched.lost_at = lost_at;
   watched.expires_at = lost_at + this->options.max_watch_time;
+  watched.baseline.reset();
+  if (!is_new) return;
   watched.last_renewed_at = lost_at;
   const auto found = this->listed.find(endpoint.id);
   if (found == this->listed.end()) {
@@ -68,10 +69,6 @@
   }
 }
 
-void EndpointLiveness::Forget(const EndpointIncarnation& endpoint) {
-  this->watches.erase(endpoint);
-}
-
 std::optional<Liveness> EndpointLiveness::JudgeRemoval(
     const Watched& watched, base::Instant now) const {
   // Rows of live endpoints expire as well while the store is down.
--- a/packages/policy/test/serving/crash_quarantine_test.cc
+++ b/packages/policy/test/serving/crash_quarantine_test.cc
@@ -105,6 +105,29 @@
       CHECK_FALSE(second.Find({kCommon}, kWall));
       CHECK(first.Find({kCommon, kBad}, kWall)->suspect == kBad);
     }
+    SECTION("until a crash turns out to be a lost connection") {
+      CHECK(first.OnAlive({base::EndpointId("e-1"), 1}) == 2);
+      table.Write(first);
+      CHECK_FALSE(first.Find({kBad}, kWall));
+      CHECK_FALSE(second.Find({kBad}, kWall));
+      CHECK(table.rows.size() == 4);
+      SECTION("as do all that its daemon has reported") {
+        first.OnAlive({base::EndpointId("e-2"), 1});
+        CHECK(first.has_pending_reports());
+        table.Write(first);
+        table.Remove(first, false, kStart, kWall);
+        CHECK(table.rows.size() == 2);
+        CHECK_FALSE(first.has_pending_reports());
+      }
+      SECTION("and another one is reported") {
+        crash(first, "e-4", "r-3");
+        CHECK(second.Find({kBad}, kWall));
+      }
+    }
+    SECTION("not by an earlier start of an endpoint, which lives no more") {
+      CHECK(first.OnAlive({base::EndpointId("e-1"), 2}) == 0);
+      CHECK(first.Find({kBad}, kWall));
+    }
     SECTION("also at a daemon that starts later") {
       CrashQuarantine third("vm-3", {});
       for (const auto& [key, row] : table.rows)
--- a/packages/policy/test/serving/endpoint_liveness_test.cc
+++ b/packages/policy/test/serving/endpoint_liveness_test.cc
@@ -130,10 +130,20 @@
     sim.now = lost_at + kOptions.max_watch_time;
     CHECK(sim.Verdict() == Liveness::kUnknown);
   }
-  SECTION("nobody wants to know any more") {
-    sim.liveness.Forget(kEndpoint);
-    sim.RemoveAt(kStart + kRowLifetime);
+  SECTION("another one is lost later, after which it must be renewed again") {
+    sim.ReadNothingAt(lost_at);
+    sim.liveness.Watch(kEndpoint, lost_at + kPeriod);
+    sim.WriteAt(lost_at + kPeriod - milliseconds(1), 7);
     CHECK_FALSE(sim.Verdict());
+    SECTION("which it is") {
+      sim.ReadNothingAt(lost_at + kPeriod);
+      sim.WriteAt(lost_at + 2 * kPeriod, 7);
+      CHECK(sim.Verdict() == Liveness::kAlive);
+    }
+    SECTION("which it isn't") {
+      sim.RemoveAt(lost_at + kPeriod + kRowLifetime);
+      CHECK(sim.Verdict() == Liveness::kEnded);
+    }
   }
 }
 
