--- a/packages/gateway/test/serving/job_runner_test.cc
+++ b/packages/gateway/test/serving/job_runner_test.cc
@@ -201,6 +201,9 @@
     this->AddEndpoint("new", {kOrigin.service, "v2"});
   }
 
+  // The store outlives the daemon, whose feed request may still wait there.
+  ~InterruptedItemFixture() { this->rows.DropFeeds(); }
+
   base::Instant Now() const { return this->daemon.clock.now(); }
 
   /// Lets the first item receive kEvents events before it is interrupted.
--- a/packages/testing/src/memory_row_store.cc
+++ b/packages/testing/src/memory_row_store.cc
@@ -44,8 +44,9 @@
 }
 
 void MemoryRowStore::DropFeeds() {
+  std::vector<PendingFeed> dropped;
   const std::lock_guard lock(this->mutex);
-  this->feeds.clear();
+  dropped.swap(this->feeds);
 }
 
 void MemoryRowStore::ForgetHistory() {
