--- a/packages/policy/include/gypsumtrack/policy/serving/endpoint_liveness.h
+++ b/packages/policy/include/gypsumtrack/policy/serving/endpoint_liveness.h
@@ -89,8 +89,8 @@
 
   /// Records a read. Reads must be passed in the order in which they were made.
   void OnRead(const EndpointRowsRead& read, base::Instant now);
-  /// Watches an endpoint to which a connection was lost at `lost_at`. Of several
-  /// losses the last one counts.
+  /// Watches an endpoint to which a connection was lost at `lost_at`. Of
+  /// several losses the last one counts.
   void Watch(const EndpointIncarnation& endpoint, base::Instant lost_at);
   /// Ends the watches that are decided or too old, and returns their verdicts.
   /// Must be called after each read and at least once a second.
