--- a/packages/gateway/src/serving/endpoint_path_service.cc
+++ b/packages/gateway/src/serving/endpoint_path_service.cc
@@ -26,7 +26,7 @@
 /// Interval at which silences and due probes are looked for.
 constexpr base::Duration kTickPeriod = std::chrono::milliseconds(50);
 /// Time in which other endpoints must answer to show that this daemon isn't cut
-/// from all of them: that until the next round of probes, and for its end.
+/// from all of them. A round of probes begins and ends within it.
 constexpr base::Duration kLivenessTimeout = std::chrono::milliseconds(1000);
 constexpr base::Duration kLivenessPollInterval = std::chrono::milliseconds(5);
 /// Time in which a peer must have tried to connect to an endpoint.
--- a/packages/policy/include/gypsumtrack/policy/serving/crash_quarantine.h
+++ b/packages/policy/include/gypsumtrack/policy/serving/crash_quarantine.h
@@ -169,7 +169,7 @@
     std::set<CrashedRun> own_runs;
     base::WallTime last_own_crash_at{};
     bool own_changed = false;
-    /// Whether all runs of this daemon's stored report turned out to be none.
+    /// Whether this daemon's stored report holds only crashes that weren't any.
     bool own_withdrawn = false;
     /// When a report that is held back is to be written.
     base::Instant held_until{};
--- a/packages/policy/include/gypsumtrack/policy/serving/endpoint_liveness.h
+++ b/packages/policy/include/gypsumtrack/policy/serving/endpoint_liveness.h
@@ -107,14 +107,15 @@
   struct Watched {
     base::Instant lost_at{};
     base::Instant expires_at{};
-    /// Version of the store after which a renewal was certainly written later
-    /// than the connection was lost.
+    /// Version of the store at a moment after the loss: renewals with a newer
+    /// version were written after it. None until a read has shown one.
     std::optional<std::uint64_t> baseline;
     /// When the last renewal was read, at first when the first connection was
     /// lost.
     base::Instant last_renewed_at{};
     /// When the row was found removed; none while it is listed.
     std::optional<base::Instant> removed_at;
+    /// The verdict, once there is one.
     std::optional<Liveness> decided;
   };
 
